--- /dev/null
+++ b/pkg/raft/election.go
@@ -0,0 +1,167 @@
+package raft
+
+import "time"
+
+// resetElection draws the next election timeout from [Election, 2*Election).
+func (n *Node) resetElection() {
+	n.deadline = n.now.Add(n.cfg.Election + time.Duration(n.rand.Int64N(int64(n.cfg.Election))))
+}
+
+// lease is how long a leader may rely on an answer, measured on its own clock from
+// when it sent the question. A follower refuses votes for Election on its clock,
+// which may run 5% faster; 0.95 is below 1/1.05.
+func (n *Node) lease() time.Duration { return n.cfg.Election * 95 / 100 }
+
+// bound reports whether this member has to ignore vote requests: it heard from a
+// leader (or started) within the election timeout, or has not yet proven that its
+// folder is recent.
+func (n *Node) bound() bool {
+	if n.hooks.lateVote {
+		return false
+	}
+	return n.role == Leader || n.unproven || n.now.Sub(n.heard) < n.cfg.Election
+}
+
+func (n *Node) becomeFollower(term uint64, leader string) {
+	if term > n.term {
+		n.term, n.vote, n.dirty = term, Member{}, true
+	}
+	if n.role == Leader {
+		n.dropReads()
+		n.progress = map[string]*progress{}
+		n.transfer = ""
+	}
+	n.role, n.leader = Follower, leader
+	n.ballots, n.selfWrite = nil, 0
+	n.resetElection()
+}
+
+// campaign starts a pre-vote, or the vote itself when the leader asked for it.
+func (n *Node) campaign(handover bool) {
+	n.resetElection()
+	n.leader = ""
+	n.handover = handover
+	if handover {
+		n.startVote()
+		return
+	}
+	n.role = PreCandidate
+	n.ballots = map[string]bool{n.name: true}
+	if n.quorum() == 1 {
+		n.startVote()
+		return
+	}
+	n.askVotes(KindPreVote, n.term+1)
+}
+
+func (n *Node) startVote() {
+	n.role = Candidate
+	n.term++
+	n.vote = Member{Name: n.name, Incarnation: n.incarnation}
+	n.dirty = true
+	n.ballots, n.selfWrite = map[string]bool{}, 0
+	n.resetElection()
+	n.askVotes(KindVote, n.term)
+}
+
+// askVotes asks all other voters. A request for a vote waits until the own vote is
+// synced: after a crash the member must not campaign again in the same term with
+// answers to the first campaign on the way.
+func (n *Node) askVotes(kind uint8, term uint64) {
+	for _, v := range n.members() {
+		if v.Learner || v.Name == n.name {
+			continue
+		}
+		m := Message{
+			Kind: kind, To: v.Name, Target: v.Incarnation, Term: term,
+			Index: n.log.last(), Prior: n.log.lastTerm(), Transfer: n.handover,
+		}
+		if kind == KindVote {
+			n.promise(m)
+		} else {
+			n.send(m)
+		}
+	}
+}
+
+// onVoteRequest answers a candidate. The candidate need not be a voter in this
+// member's membership, which may be older than the candidate's.
+func (n *Node) onVoteRequest(m Message) {
+	if n.bound() && (!m.Transfer || n.unproven) {
+		return
+	}
+	pre := m.Kind == KindPreVote
+	if m.Term < n.term {
+		n.send(n.reply(m, Message{Kind: m.Kind + 1, Term: n.term, Reject: true}))
+		return
+	}
+	candidate := Member{Name: m.From, Incarnation: m.Incarnation}
+	if pre {
+		grant := m.Term > n.term && n.log.newer(m.Index, m.Prior)
+		term := n.term
+		if grant {
+			term = m.Term
+		}
+		n.send(n.reply(m, Message{Kind: KindPreVoteReply, Term: term, Reject: !grant}))
+		return
+	}
+	if m.Term > n.term {
+		n.becomeFollower(m.Term, "")
+	}
+	free := n.vote == Member{} || n.vote == candidate
+	if !free || n.leader != "" || !n.log.newer(m.Index, m.Prior) {
+		n.send(n.reply(m, Message{Kind: KindVoteReply, Term: n.term, Reject: true}))
+		return
+	}
+	if n.vote != candidate {
+		n.vote, n.dirty = candidate, true
+	}
+	n.resetElection()
+	n.promise(n.reply(m, Message{Kind: KindVoteReply, Term: n.term}))
+}
+
+func (n *Node) onPreVoteReply(m Message) {
+	if m.Reject && m.Term > n.term {
+		n.becomeFollower(m.Term, "")
+		return
+	}
+	if n.role != PreCandidate || m.Reject || m.Term != n.term+1 {
+		return
+	}
+	n.ballots[m.From] = true
+	if n.tally() >= n.quorum() {
+		n.startVote()
+	}
+}
+
+func (n *Node) onVoteReply(m Message) {
+	if n.role != Candidate || m.Reject {
+		return
+	}
+	n.ballots[m.From] = true
+	n.countVotes()
+}
+
+// tally counts the answers of members that have a vote.
+func (n *Node) tally() int {
+	count := 0
+	for _, m := range n.members() {
+		if !m.Learner && n.ballots[m.Name] {
+			count++
+		}
+	}
+	return count
+}
+
+func (n *Node) countVotes() {
+	if n.tally() >= n.quorum() {
+		n.becomeLeader()
+	}
+}
+
+// onTakeOver campaigns at once because the leader asked for it.
+func (n *Node) onTakeOver(m Message) {
+	if m.Term == n.term && m.From == n.leader && n.role == Follower && n.isVoter() && !n.unproven {
+		n.campaign(true)
+	}
+}
--- /dev/null
+++ b/pkg/raft/follower.go
@@ -0,0 +1,148 @@
+package raft
+
+// onLeader handles the messages of a leader. The leader need not be in this
+// member's membership, which may be older than the leader's.
+func (n *Node) onLeader(m Message) {
+	if m.Term < n.term {
+		n.send(n.reply(m, Message{Kind: KindAppendReply, Term: n.term, Reject: true}))
+		return
+	}
+	if m.Term == n.term && n.role == Leader {
+		return
+	}
+	if m.Term > n.term || n.role != Follower {
+		n.becomeFollower(m.Term, m.From)
+	}
+	n.leader, n.heard = m.From, n.now
+	n.resetElection()
+	switch m.Kind {
+	case KindAppend:
+		n.onAppend(m)
+	case KindHeartbeat:
+		n.onHeartbeat(m)
+	case KindSnapshot:
+		n.onSnapshot(m)
+	}
+	if n.unproven && n.commit >= m.Commit && n.log.stable >= m.Commit {
+		n.unproven = false
+	}
+}
+
+func (n *Node) onAppend(m Message) {
+	if m.Index < n.commit {
+		// Everything committed here is the same in the leader's log.
+		n.ack(m, n.commit)
+		return
+	}
+	if term, ok := n.log.term(m.Index); !ok || term != m.Prior {
+		hint, prior := n.log.conflict(m.Index, m.Prior)
+		n.send(n.reply(m, Message{
+			Kind: KindAppendReply, Term: n.term, Reject: true,
+			Index: m.Index, Hint: hint, Prior: prior, Sent: m.Sent,
+		}))
+		return
+	}
+	if !wellFormed(m) {
+		return
+	}
+	for i, e := range m.Entries {
+		if term, ok := n.log.term(e.Index); ok && term == e.Term {
+			continue
+		}
+		if e.Index <= n.log.last() {
+			n.log.truncate(e.Index)
+		}
+		n.log.append(m.Entries[i:])
+		n.mark(e.Index)
+		break
+	}
+	last := m.Index + uint64(len(m.Entries))
+	n.commit = max(n.commit, min(m.Commit, last))
+	n.ack(m, last)
+}
+
+// wellFormed checks that the entries of an append follow its position.
+func wellFormed(m Message) bool {
+	prior := m.Prior
+	for i, e := range m.Entries {
+		if e.Index != m.Index+1+uint64(i) || e.Term < prior || e.Term > m.Term {
+			return false
+		}
+		prior = e.Term
+	}
+	return true
+}
+
+// ack promises that the log up to the index is the leader's and synced.
+func (n *Node) ack(m Message, index uint64) {
+	n.promise(n.reply(m, Message{Kind: KindAppendReply, Term: n.term, Index: index, Sent: m.Sent}))
+}
+
+// onHeartbeat answers without waiting for a write: the answer promises nothing
+// beyond this member's memory, and a restarted member casts no vote for as long as
+// a lease that rests on the answer can last.
+func (n *Node) onHeartbeat(m Message) {
+	if term, ok := n.log.term(m.Index); ok && term == m.Prior {
+		n.commit = max(n.commit, min(m.Index, m.Commit))
+	}
+	n.send(n.reply(m, Message{
+		Kind: KindHeartbeatReply, Term: n.term, Index: n.log.last(), Sent: m.Sent,
+	}))
+}
+
+// onSnapshot collects the parts of a snapshot and installs it.
+func (n *Node) onSnapshot(m Message) {
+	s := m.Snapshot
+	if s == nil {
+		return
+	}
+	if s.Index <= n.commit {
+		n.ack(m, n.commit)
+		return
+	}
+	p := n.partial
+	if p == nil || p.Index != s.Index || p.Term != s.Term || n.partialFrom != m.From || n.partialTerm != m.Term {
+		p = &Snapshot{Index: s.Index, Term: s.Term, Members: s.Members}
+		n.partial, n.partialFrom, n.partialTerm = p, m.From, m.Term
+	}
+	have := uint64(len(p.Data))
+	if m.Offset == have {
+		p.Data = append(p.Data, s.Data...)
+		have = uint64(len(p.Data))
+		if m.Done {
+			n.partial = nil
+			n.install(*p)
+			n.ack(m, p.Index)
+			return
+		}
+	}
+	n.send(n.reply(m, Message{
+		Kind: KindSnapshotReply, Term: n.term, Index: p.Index, Hint: have, Sent: m.Sent,
+	}))
+}
+
+// install replaces the log by a snapshot, unless the log already holds its entries.
+func (n *Node) install(s Snapshot) {
+	if term, ok := n.log.term(s.Index); ok && term == s.Term {
+		n.commit = max(n.commit, s.Index)
+		return
+	}
+	n.log.reset(s)
+	n.commit, n.applied = s.Index, s.Index
+	n.snapshot, n.unsaved = &s, 0
+	n.out.Restore = &s
+}
+
+// compact records a snapshot that the runner took at an applied index.
+func (n *Node) compact(c Compaction) {
+	if c.Index > n.applied || c.Index <= n.log.snapshot.Index {
+		return
+	}
+	term, _ := n.log.term(c.Index)
+	s := Snapshot{
+		Index: c.Index, Term: term, Data: c.Data,
+		Members: n.log.confs[n.log.confAt(c.Index)].members,
+	}
+	n.log.compact(s, n.cfg.Keep)
+	n.snapshot = &s
+}
--- /dev/null
+++ b/pkg/raft/membership.go
@@ -0,0 +1,106 @@
+package raft
+
+import "slices"
+
+// members returns the membership in effect: the newest one in the log, committed
+// or not.
+func (n *Node) members() []Member { return n.log.confs[len(n.log.confs)-1].members }
+
+// member looks a name up in the membership in effect.
+func (n *Node) member(name string) (Member, bool) {
+	i := slices.IndexFunc(n.members(), func(m Member) bool { return m.Name == name })
+	if i < 0 {
+		return Member{}, false
+	}
+	return n.members()[i], true
+}
+
+// votes reports whether the membership gives this incarnation a vote.
+func (n *Node) votes(name string, incarnation uint64) bool {
+	m, ok := n.member(name)
+	return ok && !m.Learner && m.Incarnation == incarnation
+}
+
+func (n *Node) isVoter() bool { return n.votes(n.name, n.incarnation) }
+
+// voters counts the voters in effect.
+func (n *Node) voters() int {
+	count := 0
+	for _, m := range n.members() {
+		if !m.Learner {
+			count++
+		}
+	}
+	return count
+}
+
+func (n *Node) quorum() int { return n.voters()/2 + 1 }
+
+// pendingChange reports whether the membership in effect is not yet committed.
+func (n *Node) pendingChange() bool {
+	return n.log.confs[len(n.log.confs)-1].index > n.commit
+}
+
+// change appends one membership change.
+func (n *Node) change(c Change) {
+	members, err := n.changed(c)
+	if err != nil {
+		n.out.Results = append(n.out.Results, Result{ID: c.ID, Err: err})
+		return
+	}
+	index := n.appendOwn(Entry{Kind: EntryMembership, Members: members})
+	n.out.Results = append(n.out.Results, Result{ID: c.ID, Index: index, Term: n.term})
+	n.syncProgress()
+}
+
+// changed checks a change and returns the membership that it leads to.
+func (n *Node) changed(c Change) ([]Member, error) {
+	if err := n.writable(); err != nil {
+		return nil, err
+	}
+	switch {
+	case !n.termCommitted():
+		return nil, ErrNotReady
+	case n.pendingChange():
+		return nil, ErrPending
+	}
+	old, known := n.member(c.Member.Name)
+	members := slices.DeleteFunc(slices.Clone(n.members()), func(m Member) bool {
+		return m.Name == c.Member.Name
+	})
+	next := Member{Name: c.Member.Name, Incarnation: c.Member.Incarnation}
+	same := known && old.Incarnation == next.Incarnation
+	switch {
+	case c.Kind == ChangeAdd && same:
+		return nil, ErrPresent
+	case c.Kind == ChangeAdd:
+		next.Learner = true
+		members = append(members, next)
+	case !same || (c.Kind != ChangePromote && c.Kind != ChangeRemove):
+		return nil, ErrMember
+	case c.Kind == ChangePromote && !old.Learner:
+		return nil, ErrPresent
+	case c.Kind == ChangePromote:
+		if !n.caughtUp(n.progress[next.Name]) && !n.hooks.promoteEarly {
+			return nil, ErrNotCaughtUp
+		}
+		members = append(members, next)
+	}
+	if !slices.ContainsFunc(members, func(m Member) bool { return !m.Learner }) {
+		return nil, ErrLastVoter
+	}
+	slices.SortFunc(members, func(a, b Member) int {
+		if a.Name < b.Name {
+			return -1
+		}
+		return 1
+	})
+	return members, nil
+}
+
+// caughtUp reports whether a follower holds, synced, everything committed and has
+// answered within the lease.
+func (n *Node) caughtUp(p *progress) bool {
+	return p != nil && !p.regressed && p.match >= n.commit &&
+		p.acked > 0 && n.clock()-p.acked < n.lease()
+}
--- /dev/null
+++ b/pkg/raft/message.go
@@ -0,0 +1,99 @@
+package raft
+
+// send releases a message at the end of the step without waiting for a write.
+func (n *Node) send(m Message) {
+	n.out.Messages = append(n.out.Messages, n.stamp(m))
+}
+
+// promise releases a message once everything written up to the end of this step
+// is synced.
+func (n *Node) promise(m Message) {
+	n.held = append(n.held, heldMessage{msg: n.stamp(m)})
+}
+
+func (n *Node) stamp(m Message) Message {
+	m.Group, m.From, m.Incarnation = n.group, n.name, n.incarnation
+	return m
+}
+
+// reply addresses a message to the sender of another one.
+func (n *Node) reply(to Message, m Message) Message {
+	m.To, m.Target = to.From, to.Incarnation
+	return m
+}
+
+// receive dispatches a message. Messages of another group or for an earlier
+// incarnation of this member are dropped.
+func (n *Node) receive(m Message) {
+	if m.To != n.name || m.From == n.name || (m.Target != 0 && m.Target != n.incarnation) {
+		return
+	}
+	switch m.Kind {
+	case KindJoin:
+		n.onJoin(m)
+		return
+	case KindWelcome:
+		n.onWelcome(m)
+		return
+	}
+	if n.group == "" || m.Group != n.group {
+		return
+	}
+	if n.replaced(m) {
+		n.send(n.reply(m, Message{Kind: KindRegressed, Term: n.term}))
+		return
+	}
+	switch m.Kind {
+	case KindPreVote, KindVote:
+		n.onVoteRequest(m)
+	case KindAppend, KindHeartbeat, KindSnapshot:
+		n.onLeader(m)
+	case KindTakeOver:
+		n.onTakeOver(m)
+	case KindRegressed:
+		// An incarnation that was replaced or excluded never counts again.
+		if m.Target == n.incarnation {
+			n.regressed = true
+			n.out.Fault = ErrRegressed
+		}
+	default:
+		n.onReply(m)
+	}
+}
+
+// replaced reports whether the leader knows that the sender's incarnation was
+// replaced by another one in a committed membership.
+func (n *Node) replaced(m Message) bool {
+	known, ok := n.member(m.From)
+	return n.role == Leader && ok && known.Incarnation != m.Incarnation &&
+		!n.pendingChange() && n.termCommitted() && !n.hooks.anyone
+}
+
+// onReply handles answers. They count only if the sender's incarnation is the one
+// in the membership: a member on another disk has not made the promises that
+// this one made.
+func (n *Node) onReply(m Message) {
+	known, ok := n.member(m.From)
+	if !ok || (known.Incarnation != m.Incarnation && !n.hooks.anyone) {
+		return
+	}
+	if m.Kind == KindPreVoteReply {
+		n.onPreVoteReply(m)
+		return
+	}
+	if m.Term > n.term {
+		n.becomeFollower(m.Term, "")
+		return
+	}
+	if m.Term < n.term {
+		return
+	}
+	switch m.Kind {
+	case KindVoteReply:
+		n.onVoteReply(m)
+	case KindAppendReply, KindHeartbeatReply, KindSnapshotReply:
+		if n.role == Leader {
+			n.onAnswer(m)
+		}
+	}
+}
--- /dev/null
+++ b/pkg/raft/progress.go
@@ -0,0 +1,189 @@
+package raft
+
+import "time"
+
+type mode uint8
+
+const (
+	probing     mode = iota // one append at a time, to find where the logs agree
+	replicating             // several appends in flight
+	snapshotting
+)
+
+// progress is what the leader knows about one other member.
+type progress struct {
+	member    Member
+	match     uint64 // the member holds the log up to here, synced
+	next      uint64 // first entry of the next append
+	mode      mode
+	inflight  []uint64      // last index of each unanswered append
+	acked     time.Duration // own time at which the newest answered message was sent
+	advanced  time.Duration // own time at which match last grew
+	moved     time.Time     // last append, snapshot part or answer
+	sending   *Snapshot
+	offset    uint64 // bytes of the snapshot that the member has
+	waiting   bool   // a probe or a snapshot part is unanswered
+	regressed bool   // the member lacks entries that it acknowledged
+}
+
+// syncProgress adapts the progress records to the membership in effect.
+func (n *Node) syncProgress() {
+	next := make(map[string]*progress, len(n.members()))
+	for _, m := range n.members() {
+		if m.Name == n.name {
+			continue
+		}
+		p := n.progress[m.Name]
+		if p == nil || p.member.Incarnation != m.Incarnation {
+			p = &progress{next: n.log.last() + 1}
+		}
+		p.member = m
+		next[m.Name] = p
+	}
+	n.progress = next
+}
+
+// retransmit returns to probing when answers are overdue.
+func (n *Node) retransmit(p *progress) {
+	if n.now.Sub(p.moved) < 4*n.cfg.Heartbeat {
+		return
+	}
+	p.waiting = false
+	if p.mode == replicating && len(p.inflight) > 0 {
+		n.probe(p, p.match+1)
+	}
+}
+
+func (n *Node) probe(p *progress, next uint64) {
+	p.mode, p.next, p.inflight, p.waiting, p.sending = probing, max(next, p.match+1), nil, false, nil
+}
+
+// feed sends the member what it lacks, within the limits on messages in flight.
+func (n *Node) feed(p *progress) {
+	for {
+		if p.mode == snapshotting || p.next <= n.log.base {
+			n.feedSnapshot(p)
+			return
+		}
+		missing := p.next <= n.log.last()
+		switch p.mode {
+		case probing:
+			if p.waiting || (!missing && p.match == n.log.last()) {
+				return
+			}
+		case replicating:
+			if !missing || len(p.inflight) >= n.cfg.MaxInflight {
+				return
+			}
+		}
+		n.sendAppend(p)
+	}
+}
+
+func (n *Node) sendAppend(p *progress) {
+	prior, _ := n.log.term(p.next - 1)
+	m := Message{
+		Kind: KindAppend, To: p.member.Name, Target: p.member.Incarnation, Term: n.term,
+		Index: p.next - 1, Prior: prior, Commit: n.commit, Sent: uint64(n.clock()),
+		Entries: n.log.slice(p.next, n.cfg.MaxBytes),
+	}
+	n.send(m)
+	p.moved = n.now
+	if p.mode == probing {
+		p.waiting = true
+		return
+	}
+	p.next += uint64(len(m.Entries))
+	p.inflight = append(p.inflight, p.next-1)
+}
+
+// feedSnapshot sends the next part of the snapshot.
+func (n *Node) feedSnapshot(p *progress) {
+	if p.sending == nil {
+		s := n.log.snapshot
+		p.mode, p.sending, p.offset, p.inflight, p.waiting = snapshotting, &s, 0, nil, false
+	}
+	if p.waiting {
+		return
+	}
+	s := p.sending
+	end := min(p.offset+uint64(n.cfg.MaxBytes), uint64(len(s.Data)))
+	part := Snapshot{Index: s.Index, Term: s.Term, Members: s.Members, Data: s.Data[p.offset:end]}
+	n.send(Message{
+		Kind: KindSnapshot, To: p.member.Name, Target: p.member.Incarnation, Term: n.term,
+		Commit: n.commit, Sent: uint64(n.clock()), Snapshot: &part, Offset: p.offset,
+		Done: end == uint64(len(s.Data)),
+	})
+	p.waiting, p.moved = true, n.now
+}
+
+// onAnswer handles the answer of a follower or learner in the leader's own term.
+func (n *Node) onAnswer(m Message) {
+	p := n.progress[m.From]
+	sent := time.Duration(m.Sent)
+	if p == nil || p.regressed || sent > n.clock() {
+		return
+	}
+	if n.lost(p, m, sent) {
+		p.regressed = true
+		n.out.Regressed = append(n.out.Regressed, p.member)
+		return
+	}
+	if n.hooks.leaseReceipt {
+		sent = n.clock()
+	}
+	p.acked = max(p.acked, sent)
+	switch m.Kind {
+	case KindAppendReply:
+		n.onAppendReply(p, m)
+	case KindSnapshotReply:
+		if p.mode == snapshotting && p.sending.Index == m.Index && m.Hint <= uint64(len(p.sending.Data)) {
+			p.offset, p.waiting, p.moved = m.Hint, false, n.now
+		}
+	}
+}
+
+// lost reports whether an answer shows that the member lacks entries which it had
+// acknowledged as synced before the question was sent.
+func (n *Node) lost(p *progress, m Message, sent time.Duration) bool {
+	if sent <= p.advanced {
+		return false
+	}
+	switch {
+	case m.Kind == KindHeartbeatReply:
+		return m.Index < p.match
+	case m.Kind == KindAppendReply && m.Reject:
+		return m.Hint < p.match
+	}
+	return false
+}
+
+func (n *Node) onAppendReply(p *progress, m Message) {
+	if m.Reject {
+		// A refusal of an earlier question than the present probe says nothing new.
+		if m.Index < p.match || (p.mode == probing && m.Index != p.next-1) || p.mode == snapshotting {
+			return
+		}
+		index, _ := n.log.conflict(m.Hint, m.Prior)
+		if n.log.base > 0 && index == n.log.base && (m.Hint < index || m.Prior < n.log.baseTerm) {
+			index-- // the logs differ at the base: only the snapshot helps
+		}
+		n.probe(p, index+1)
+		return
+	}
+	if m.Index > n.log.last() {
+		return
+	}
+	p.moved = n.now
+	if m.Index > p.match {
+		p.match, p.advanced = m.Index, n.clock()
+	}
+	p.next = max(p.next, p.match+1)
+	for len(p.inflight) > 0 && p.inflight[0] <= m.Index {
+		p.inflight = p.inflight[1:]
+	}
+	if p.mode == probing || (p.mode == snapshotting && p.match >= p.sending.Index) {
+		p.mode, p.sending, p.waiting, p.inflight = replicating, nil, false, nil
+		p.next = p.match + 1
+	}
+}
--- /dev/null
+++ b/pkg/wal/fs.go
@@ -0,0 +1,131 @@
+package wal
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+
+	"golang.org/x/sys/unix"
+)
+
+// File is a file open for appending.
+type File interface {
+	io.WriteCloser
+	// Sync returns once everything written is on the disk.
+	Sync() error
+}
+
+// FS is the file system that a log uses. Tests replace it by one that loses
+// unsynced writes.
+type FS interface {
+	// MkdirAll creates a folder and its parents.
+	MkdirAll(dir string) error
+	// ReadDir returns the names in a folder in ascending order.
+	ReadDir(dir string) ([]string, error)
+	ReadFile(name string) ([]byte, error)
+	// Create creates a file that must not exist.
+	Create(name string) (File, error)
+	// Truncate shortens a file and syncs it.
+	Truncate(name string, size int64) error
+	Rename(from, to string) error
+	Remove(name string) error
+	// SyncDir makes creations, renames and removals in a folder durable.
+	SyncDir(dir string) error
+	// Lock locks a file against other processes until the result is closed.
+	Lock(name string) (io.Closer, error)
+	// Stamp identifies a file; a copy of the file has another stamp.
+	Stamp(name string) (string, error)
+}
+
+// OS is the file system of the machine.
+type OS struct{}
+
+// MkdirAll implements FS. It syncs the parent, so that the folder itself is durable.
+func (OS) MkdirAll(dir string) error {
+	if err := os.MkdirAll(dir, 0o750); err != nil {
+		return err
+	}
+	return OS{}.SyncDir(filepath.Dir(dir))
+}
+
+// ReadDir implements FS.
+func (OS) ReadDir(dir string) ([]string, error) {
+	entries, err := os.ReadDir(dir)
+	if err != nil {
+		return nil, err
+	}
+	names := make([]string, len(entries))
+	for i, e := range entries {
+		names[i] = e.Name()
+	}
+	return names, nil
+}
+
+// ReadFile implements FS.
+func (OS) ReadFile(name string) ([]byte, error) { return os.ReadFile(name) }
+
+// Create implements FS.
+func (OS) Create(name string) (File, error) {
+	f, err := os.OpenFile(name, os.O_WRONLY|os.O_CREATE|os.O_EXCL|os.O_APPEND, 0o640)
+	if err != nil {
+		return nil, err
+	}
+	return f, nil
+}
+
+// Truncate implements FS.
+func (OS) Truncate(name string, size int64) error {
+	f, err := os.OpenFile(name, os.O_WRONLY, 0)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	if err := f.Truncate(size); err != nil {
+		return err
+	}
+	return f.Sync()
+}
+
+// Rename implements FS.
+func (OS) Rename(from, to string) error { return os.Rename(from, to) }
+
+// Remove implements FS.
+func (OS) Remove(name string) error { return os.Remove(name) }
+
+// SyncDir implements FS.
+func (OS) SyncDir(dir string) error {
+	f, err := os.Open(dir)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	return f.Sync()
+}
+
+// Lock implements FS.
+func (OS) Lock(name string) (io.Closer, error) {
+	f, err := os.OpenFile(name, os.O_RDWR|os.O_CREATE, 0o640)
+	if err != nil {
+		return nil, err
+	}
+	if err := unix.Flock(int(f.Fd()), unix.LOCK_EX|unix.LOCK_NB); err != nil {
+		f.Close()
+		return nil, fmt.Errorf("%w: %s is locked by another process", ErrLocked, name)
+	}
+	return f, nil
+}
+
+// Stamp implements FS with the inode number and, where the file system has it, the
+// birth time. Copying or restoring a file cannot preserve them.
+func (OS) Stamp(name string) (string, error) {
+	var st unix.Statx_t
+	if err := unix.Statx(unix.AT_FDCWD, name, 0, unix.STATX_INO|unix.STATX_BTIME, &st); err != nil {
+		return "", fmt.Errorf("stat %s: %w", name, err)
+	}
+	stamp := fmt.Sprintf("%d", st.Ino)
+	if st.Mask&unix.STATX_BTIME != 0 {
+		stamp += fmt.Sprintf(":%d.%09d", st.Btime.Sec, st.Btime.Nsec)
+	}
+	return stamp, nil
+}
--- /dev/null
+++ b/pkg/wal/identity.go
@@ -0,0 +1,173 @@
+package wal
+
+import (
+	"crypto/rand"
+	"encoding/binary"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"hash/crc32"
+	"io/fs"
+	"path/filepath"
+	"slices"
+	"strings"
+)
+
+// Identity says whose promises a folder holds.
+type Identity struct {
+	Name        string // name of the voter in the settings
+	Group       string // empty until the voter belongs to a group
+	Incarnation uint64 // random, drawn when the folder was created
+}
+
+// identityFile is the content of the identity file.
+type identityFile struct {
+	Format      uint64 `json:"format"`
+	Name        string `json:"name"`
+	Group       string `json:"group"`
+	Incarnation uint64 `json:"incarnation"`
+	Stamp       string `json:"stamp"`
+	Checksum    uint32 `json:"checksum"`
+}
+
+func (f identityFile) sum() uint32 {
+	text := fmt.Sprintf("%d\n%s\n%s\n%d\n%s", f.Format, f.Name, f.Group, f.Incarnation, f.Stamp)
+	return crc32.Checksum([]byte(text), castagnoli)
+}
+
+// readIdentity reads and checks the identity file. It returns false if the folder
+// is blank.
+func (l *Log) readIdentity() (bool, error) {
+	path := l.path(identityName)
+	data, err := l.fs.ReadFile(path)
+	if errors.Is(err, fs.ErrNotExist) {
+		return false, l.checkBlank()
+	}
+	if err != nil {
+		return false, fmt.Errorf("read identity: %w", err)
+	}
+	var f identityFile
+	if err := json.Unmarshal(data, &f); err != nil {
+		return false, &CorruptError{File: path, Reason: err.Error()}
+	}
+	if err := checkFormat(path, f.Format); err != nil {
+		return false, err
+	}
+	if f.sum() != f.Checksum {
+		return false, &CorruptError{File: path, Reason: "bad checksum"}
+	}
+	if f.Name != l.opts.Name {
+		return false, fmt.Errorf("%w: %s belongs to voter %q, not to %q; set the data folder of %q",
+			ErrForeign, l.dir, f.Name, l.opts.Name, l.opts.Name)
+	}
+	stamp, err := l.fs.Stamp(path)
+	if err != nil {
+		return false, fmt.Errorf("read identity: %w", err)
+	}
+	if stamp != f.Stamp {
+		return false, fmt.Errorf("%w: %s; empty the folder, so that the voter rejoins as a learner",
+			ErrCopied, l.dir)
+	}
+	l.identity = Identity{Name: f.Name, Group: f.Group, Incarnation: f.Incarnation}
+	return true, nil
+}
+
+// checkBlank refuses a folder without identity that holds records of a voter. A
+// crash during the first start leaves at most the first segment.
+func (l *Log) checkBlank() error {
+	names, err := l.fs.ReadDir(l.dir)
+	if err != nil {
+		return fmt.Errorf("read data folder: %w", err)
+	}
+	for _, name := range names {
+		known := strings.HasPrefix(name, segmentPrefix) || strings.HasPrefix(name, snapshotPrefix)
+		if known && name != segmentName(1) {
+			return &CorruptError{File: l.path(identityName), Reason: "missing, but the folder holds " + name}
+		}
+	}
+	return nil
+}
+
+// createIdentity makes a blank folder the folder of a new incarnation. The identity
+// is written last: a folder with an identity always has a segment.
+func (l *Log) createIdentity() error {
+	names, err := l.fs.ReadDir(l.dir)
+	if err != nil {
+		return fmt.Errorf("read data folder: %w", err)
+	}
+	if slices.Contains(names, segmentName(1)) {
+		if err := l.fs.Remove(l.path(segmentName(1))); err != nil {
+			return fmt.Errorf("remove unused segment: %w", err)
+		}
+	}
+	if err := l.cut(); err != nil {
+		return err
+	}
+	var b [8]byte
+	if _, err := rand.Read(b[:]); err != nil {
+		return fmt.Errorf("draw incarnation: %w", err)
+	}
+	// Zero stands for an unknown incarnation in messages.
+	l.identity = Identity{Name: l.opts.Name, Incarnation: max(1, binary.LittleEndian.Uint64(b[:]))}
+	return l.writeIdentity()
+}
+
+// SetGroup records the group that the voter belongs to from now on. It returns once
+// the change is synced.
+func (l *Log) SetGroup(group string) error {
+	if l.failure != nil {
+		return l.failure
+	}
+	if l.identity.Group == group {
+		return nil
+	}
+	if l.identity.Group != "" {
+		return fmt.Errorf("%w: %s belongs to group %s, not to %s", ErrForeign, l.dir, l.identity.Group, group)
+	}
+	l.identity.Group = group
+	return l.fail(l.writeIdentity())
+}
+
+func (l *Log) writeIdentity() error {
+	temporary := l.path(identityName + temporarySuffix)
+	if err := l.fs.Remove(temporary); err != nil && !errors.Is(err, fs.ErrNotExist) {
+		return fmt.Errorf("write identity: %w", err)
+	}
+	file, err := l.fs.Create(temporary)
+	if err != nil {
+		return fmt.Errorf("write identity: %w", err)
+	}
+	defer file.Close()
+	// The stamp is that of the temporary file: renaming keeps it.
+	stamp, err := l.fs.Stamp(temporary)
+	if err != nil {
+		return fmt.Errorf("write identity: %w", err)
+	}
+	f := identityFile{
+		Format: Format, Name: l.identity.Name, Group: l.identity.Group,
+		Incarnation: l.identity.Incarnation, Stamp: stamp,
+	}
+	f.Checksum = f.sum()
+	data, err := json.Marshal(f)
+	if err != nil {
+		return fmt.Errorf("encode identity: %w", err)
+	}
+	if _, err := file.Write(append(data, '\n')); err != nil {
+		return fmt.Errorf("write identity: %w", err)
+	}
+	return l.publish(file, temporary, filepath.Join(l.dir, identityName))
+}
+
+// publish syncs a temporary file and gives it its name.
+func (l *Log) publish(file File, temporary, name string) error {
+	if err := file.Sync(); err != nil {
+		return fmt.Errorf("sync %s: %w", temporary, err)
+	}
+	if err := l.fs.Rename(temporary, name); err != nil {
+		return fmt.Errorf("rename %s: %w", temporary, err)
+	}
+	if err := l.fs.SyncDir(l.dir); err != nil {
+		return fmt.Errorf("sync %s: %w", l.dir, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/pkg/wal/log.go
@@ -0,0 +1,237 @@
+package wal
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"path/filepath"
+	"strings"
+
+	"github.com/jaystage/jaystage/pkg/wire"
+)
+
+const (
+	identityName    = "identity"
+	lockName        = "lock"
+	segmentPrefix   = "segment-"
+	snapshotPrefix  = "snapshot-"
+	temporarySuffix = ".tmp"
+
+	// DefaultSegmentBytes is the size at which a new segment begins.
+	DefaultSegmentBytes = 16 << 20
+)
+
+// Reasons for which a folder or a call is refused.
+var (
+	ErrLocked     = errors.New("wal: data folder is in use")
+	ErrForeign    = errors.New("wal: data folder belongs to another voter")
+	ErrCopied     = errors.New("wal: data folder was copied or restored, its promises may be out of date")
+	ErrNewer      = errors.New("wal: data folder was written by a newer program")
+	ErrClosed     = errors.New("wal: log is closed")
+	ErrOrder      = errors.New("wal: call out of order")
+	ErrDurability = errors.New("wal: a write failed, the log is closed for good; restart the process")
+)
+
+// CorruptError names the place of damaged data. The folder must be emptied, so that
+// the voter rejoins as a learner.
+type CorruptError struct {
+	File   string
+	Offset int64 // bytes from the beginning of the file
+	Reason string
+}
+
+func (e *CorruptError) Error() string {
+	return fmt.Sprintf("wal: %s is damaged at offset %d: %s; "+
+		"empty the data folder, so that the voter rejoins as a learner", e.File, e.Offset, e.Reason)
+}
+
+// Options of a log. Zero values select the defaults.
+type Options struct {
+	Name         string // name of the voter in the settings
+	SegmentBytes int64
+	FS           FS
+}
+
+// Log is the open folder of one voter. It is not safe for concurrent use.
+type Log struct {
+	dir      string
+	opts     Options
+	fs       FS
+	lock     io.Closer
+	identity Identity
+	failure  error // set once; every later write returns it
+
+	file      File // newest segment
+	size      int64
+	segments  []segment // ascending; the last one is open for writing once recovered
+	recovered bool
+	mark      position // newest snapshot
+	state     wire.RaftState
+}
+
+// segment is one file of records.
+type segment struct {
+	number uint64
+	last   uint64 // highest index of its entries
+}
+
+// Open locks a folder and checks whose it is; a blank folder becomes that of a new
+// incarnation. Errors: ErrLocked, ErrForeign, ErrCopied, ErrNewer, *CorruptError.
+func Open(dir string, opts Options) (*Log, error) {
+	if opts.SegmentBytes == 0 {
+		opts.SegmentBytes = DefaultSegmentBytes
+	}
+	if opts.FS == nil {
+		opts.FS = OS{}
+	}
+	l := &Log{dir: dir, opts: opts, fs: opts.FS}
+	if opts.Name == "" {
+		return nil, fmt.Errorf("%w: the voter's name is empty", ErrForeign)
+	}
+	if err := l.fs.MkdirAll(dir); err != nil {
+		return nil, fmt.Errorf("create data folder: %w", err)
+	}
+	lock, err := l.fs.Lock(l.path(lockName))
+	if err != nil {
+		return nil, err
+	}
+	l.lock = lock
+	known, err := l.readIdentity()
+	if err == nil && !known {
+		err = l.createIdentity()
+	}
+	if err != nil {
+		return nil, errors.Join(err, l.Close())
+	}
+	return l, nil
+}
+
+// Identity returns whose folder this is.
+func (l *Log) Identity() Identity { return l.identity }
+
+// Close releases the folder. Later writes return ErrClosed.
+func (l *Log) Close() error {
+	var err error
+	if l.file != nil {
+		err = l.file.Close()
+		l.file = nil
+	}
+	if l.lock != nil {
+		err = errors.Join(err, l.lock.Close())
+		l.lock = nil
+	}
+	if l.failure == nil {
+		l.failure = ErrClosed
+	}
+	return err
+}
+
+// Save appends the state and entries and returns once they are synced. The entries
+// replace all stored ones from the index of the first one on. After a failed write
+// the log stays closed: what a failed sync left on the disk is unknown, and a second
+// sync may report success for data that was dropped.
+func (l *Log) Save(state wire.RaftState, entries []wire.RaftEntry) error {
+	if err := l.usable(); err != nil {
+		return err
+	}
+	if l.size >= l.opts.SegmentBytes {
+		if err := l.fail(l.cut()); err != nil {
+			return err
+		}
+	}
+	data, err := appendFrame(nil, record{State: &state, Entries: entries})
+	if err != nil {
+		return err
+	}
+	if err := l.fail(l.write(data)); err != nil {
+		return err
+	}
+	l.state = state
+	current := &l.segments[len(l.segments)-1]
+	for _, e := range entries {
+		current.last = max(current.last, e.Index)
+	}
+	return nil
+}
+
+// usable reports why nothing can be written.
+func (l *Log) usable() error {
+	if l.failure != nil {
+		return l.failure
+	}
+	if !l.recovered {
+		return fmt.Errorf("%w: Recover comes before the first write", ErrOrder)
+	}
+	return nil
+}
+
+// fail closes the log for good on an error.
+func (l *Log) fail(err error) error {
+	if err == nil {
+		return nil
+	}
+	l.failure = fmt.Errorf("%w: %w", ErrDurability, err)
+	return l.failure
+}
+
+// write appends to the newest segment and syncs it.
+func (l *Log) write(data []byte) error {
+	name := l.path(segmentName(l.segments[len(l.segments)-1].number))
+	if _, err := l.file.Write(data); err != nil {
+		return fmt.Errorf("write %s: %w", name, err)
+	}
+	if err := l.file.Sync(); err != nil {
+		return fmt.Errorf("sync %s: %w", name, err)
+	}
+	l.size += int64(len(data))
+	return nil
+}
+
+// cut begins a new segment. Its first record repeats the newest snapshot's position
+// and the state, so that older segments can be deleted.
+func (l *Log) cut() error {
+	number := uint64(1)
+	if n := len(l.segments); n > 0 {
+		number = l.segments[n-1].number + 1
+	}
+	mark, state := l.mark, l.state
+	data, err := appendFrame(fileHead(), record{Mark: &mark, State: &state})
+	if err != nil {
+		return err
+	}
+	file, err := l.fs.Create(l.path(segmentName(number)))
+	if err != nil {
+		return fmt.Errorf("create segment: %w", err)
+	}
+	if l.file != nil {
+		if err := l.file.Close(); err != nil {
+			return errors.Join(fmt.Errorf("close segment: %w", err), file.Close())
+		}
+	}
+	l.file, l.size = file, 0
+	l.segments = append(l.segments, segment{number: number})
+	if err := l.write(data); err != nil {
+		return err
+	}
+	if err := l.fs.SyncDir(l.dir); err != nil {
+		return fmt.Errorf("sync %s: %w", l.dir, err)
+	}
+	return nil
+}
+
+func (l *Log) path(name string) string { return filepath.Join(l.dir, name) }
+
+func segmentName(number uint64) string { return fmt.Sprintf("%s%016x", segmentPrefix, number) }
+
+func snapshotName(index uint64) string { return fmt.Sprintf("%s%016x", snapshotPrefix, index) }
+
+// number parses the hexadecimal number at the end of a file name.
+func number(name, prefix string) (uint64, bool) {
+	digits, ok := strings.CutPrefix(name, prefix)
+	if !ok || len(digits) != 16 {
+		return 0, false
+	}
+	var n uint64
+	_, err := fmt.Sscanf(digits, "%016x", &n)
+	return n, err == nil
+}
--- /dev/null
+++ b/pkg/wal/snapshot.go
@@ -0,0 +1,96 @@
+package wal
+
+import (
+	"errors"
+	"fmt"
+	"io/fs"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/jaystage/jaystage/pkg/wire"
+)
+
+// SaveSnapshot stores a snapshot beside the older one, syncs it and gives it its
+// name. It then deletes the segments and snapshots that are no longer needed.
+func (l *Log) SaveSnapshot(s wire.RaftSnapshot) error {
+	if err := l.usable(); err != nil {
+		return err
+	}
+	if s.Index <= l.mark.Index {
+		return fmt.Errorf("%w: snapshot at index %d after one at %d", ErrOrder, s.Index, l.mark.Index)
+	}
+	data, err := appendFrame(fileHead(), s)
+	if err != nil {
+		return err
+	}
+	if err := l.fail(l.writeSnapshot(snapshotName(s.Index), data)); err != nil {
+		return err
+	}
+	old := l.mark
+	l.mark = position{Index: s.Index, Term: s.Term}
+	// Recovery decides at the mark whether entries after the snapshot stay valid.
+	if err := l.fail(l.cut()); err != nil {
+		return err
+	}
+	return l.fail(l.clean(old))
+}
+
+func (l *Log) writeSnapshot(name string, data []byte) error {
+	temporary := l.path(name + temporarySuffix)
+	if err := l.fs.Remove(temporary); err != nil && !errors.Is(err, fs.ErrNotExist) {
+		return fmt.Errorf("write snapshot: %w", err)
+	}
+	file, err := l.fs.Create(temporary)
+	if err != nil {
+		return fmt.Errorf("write snapshot: %w", err)
+	}
+	defer file.Close()
+	if _, err := file.Write(data); err != nil {
+		return fmt.Errorf("write %s: %w", temporary, err)
+	}
+	return l.publish(file, temporary, l.path(name))
+}
+
+// clean deletes the snapshot before the newest one and the oldest segments whose
+// entries the newest one includes.
+func (l *Log) clean(old position) error {
+	if old.Index > 0 {
+		if err := l.fs.Remove(l.path(snapshotName(old.Index))); err != nil {
+			return fmt.Errorf("delete old snapshot: %w", err)
+		}
+	}
+	for len(l.segments) > 1 && l.segments[0].last <= l.mark.Index {
+		if err := l.fs.Remove(l.path(segmentName(l.segments[0].number))); err != nil {
+			return fmt.Errorf("delete old segment: %w", err)
+		}
+		l.segments = l.segments[1:]
+	}
+	if err := l.fs.SyncDir(l.dir); err != nil {
+		return fmt.Errorf("sync %s: %w", l.dir, err)
+	}
+	return nil
+}
+
+// readSnapshot reads a snapshot. It was synced before it got its name, so damage is
+// never the result of a crash.
+func (l *Log) readSnapshot(index uint64) (wire.RaftSnapshot, error) {
+	var s wire.RaftSnapshot
+	name := l.path(snapshotName(index))
+	data, err := l.fs.ReadFile(name)
+	if err != nil {
+		return s, fmt.Errorf("read snapshot: %w", err)
+	}
+	if ok, err := checkHead(name, data); err != nil || !ok {
+		return s, errors.Join(err, &CorruptError{File: name, Reason: "no valid head"})
+	}
+	payload, end, state := nextFrame(data, headBytes)
+	if state != frameWhole || end != len(data) {
+		return s, &CorruptError{File: name, Offset: int64(headBytes), Reason: "bad checksum or length"}
+	}
+	if err := cbor.Unmarshal(payload, &s); err != nil {
+		return s, &CorruptError{File: name, Offset: int64(headBytes), Reason: err.Error()}
+	}
+	if s.Index != index {
+		return s, &CorruptError{File: name, Offset: int64(headBytes), Reason: "holds another index"}
+	}
+	return s, nil
+}
