--- a/pkg/raft/bootstrap.go
+++ b/pkg/raft/bootstrap.go
@@ -2,7 +2,8 @@
 
 import "slices"
 
-// join announces a node that has no membership, or forms the group.
+// join announces a node that is no voter and hears from no leader, or forms the
+// group.
 func (n *Node) join() {
 	if n.now.Before(n.joinAt) {
 		return
@@ -59,7 +60,8 @@
 }
 
 // onJoin notes a node without a group, welcomes a member that has not yet learned
-// of its group, or reports a node that wants to become a member.
+// of its group, stops an incarnation that was replaced, or reports a node that wants
+// to become a member.
 func (n *Node) onJoin(m Message) {
 	if n.group == "" {
 		delete(n.joins, m.From)
@@ -77,6 +79,8 @@
 		if m.Group == "" {
 			n.send(n.reply(m, Message{Kind: KindWelcome}))
 		}
+	case m.Group != "" && n.replaced(m):
+		n.send(n.reply(m, Message{Kind: KindRegressed, Term: n.term}))
 	case n.role == Leader:
 		n.out.Joining = append(n.out.Joining, Member{Name: m.From, Incarnation: m.Incarnation})
 	}
--- a/pkg/raft/check_test.go
+++ b/pkg/raft/check_test.go
@@ -20,6 +20,7 @@
 
 // checker observes a simulation and keeps the first violation.
 type checker struct {
+	only      string // the property to watch; empty for all
 	property  string
 	violation string
 	highest   uint64           // highest index committed anywhere
@@ -39,7 +40,7 @@
 }
 
 func (c *checker) fail(property, format string, args ...any) {
-	if c.violation == "" {
+	if c.violation == "" && (c.only == "" || c.only == property) {
 		c.property, c.violation = property, fmt.Sprintf(format, args...)
 	}
 }
@@ -115,17 +116,20 @@
 	if leader.node.log.last() == last || learner.disk.incarnation != m.Incarnation {
 		return
 	}
-	if held := learner.disk.snapshot.Index + uint64(len(learner.disk.entries)); held < commit {
+	if held := learner.disk.last(); held < commit {
 		c.fail(safePromotion, "%s is promoted with %d of %d committed entries", m.Name, held, commit)
 	}
 }
 
+// last is the index of the last synced entry.
+func (d *disk) last() uint64 { return d.snapshot.Index + uint64(len(d.entries)) }
+
 // whole reports whether every server is a voter under its present incarnation and
-// holds everything committed; only then may one more disk be lost.
+// holds what was committed when a disk was last lost; only then may another be lost.
 func (s *sim) whole() bool {
 	for _, name := range s.names {
 		srv := s.servers[name]
-		if !slices.Contains(s.check.members, Member{Name: name, Incarnation: srv.disk.incarnation}) {
+		if !slices.Contains(s.check.members, Member{Name: name, Incarnation: srv.disk.incarnation}) || srv.disk.last() < s.floor {
 			return false
 		}
 	}
--- a/pkg/raft/election.go
+++ b/pkg/raft/election.go
@@ -1,6 +1,9 @@
 package raft
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // resetElection draws the next election timeout from [Election, 2*Election).
 func (n *Node) resetElection() {
@@ -17,7 +20,7 @@
 // folder is recent.
 func (n *Node) bound() bool {
 	if n.hooks.lateVote {
-		return false
+		return n.role == Leader
 	}
 	return n.role == Leader || n.unproven || n.now.Sub(n.heard) < n.cfg.Election
 }
@@ -36,6 +39,18 @@
 	n.resetElection()
 }
 
+// mayCampaign reports whether this member has a vote now, or had one before changes
+// that may not be committed. In the second case its log may be the only one that is
+// recent enough to win; its own vote then does not count.
+func (n *Node) mayCampaign() bool {
+	for _, c := range n.log.confs[n.log.confAt(n.commit):] {
+		if slices.Contains(c.members, Member{Name: n.name, Incarnation: n.incarnation}) {
+			return true
+		}
+	}
+	return false
+}
+
 // campaign starts a pre-vote, or the vote itself when the leader asked for it.
 func (n *Node) campaign(handover bool) {
 	n.resetElection()
@@ -46,8 +61,8 @@
 		return
 	}
 	n.role = PreCandidate
-	n.ballots = map[string]bool{n.name: true}
-	if n.quorum() == 1 {
+	n.ballots = map[string]bool{n.name: n.isVoter()}
+	if n.tally() >= n.quorum() {
 		n.startVote()
 		return
 	}
--- a/pkg/raft/message.go
+++ b/pkg/raft/message.go
@@ -25,7 +25,10 @@
 // receive dispatches a message. Messages of another group or for an earlier
 // incarnation of this member are dropped.
 func (n *Node) receive(m Message) {
-	if m.To != n.name || m.From == n.name || (m.Target != 0 && m.Target != n.incarnation) {
+	if m.To != n.name || m.From == n.name {
+		return
+	}
+	if m.Target != 0 && m.Target != n.incarnation && !n.hooks.anyone {
 		return
 	}
 	switch m.Kind {
--- a/pkg/raft/node.go
+++ b/pkg/raft/node.go
@@ -198,8 +198,13 @@
 		n.tickLeader()
 		return
 	}
-	if !n.now.Before(n.deadline) && n.isVoter() && !n.unproven {
+	switch {
+	case n.now.Before(n.deadline) || n.unproven:
+	case n.mayCampaign():
 		n.campaign(false)
+	default:
+		// Its log may be too old to show which membership it is in now.
+		n.join()
 	}
 }
 
@@ -222,7 +227,7 @@
 	}
 	if n.role == Candidate && n.selfWrite > 0 && n.selfWrite <= number {
 		n.selfWrite = 0
-		n.ballots[n.name] = true
+		n.ballots[n.name] = n.isVoter()
 		n.countVotes()
 	}
 }
--- a/pkg/raft/sim_test.go
+++ b/pkg/raft/sim_test.go
@@ -70,6 +70,7 @@
 	index   uint64 // state machine: last applied entry and hash over all of them
 	chain   uint64
 	faulted bool
+	trap    bool // crash as soon as an answer to a vote waits for its write
 }
 
 type packet struct {
@@ -82,6 +83,7 @@
 	hooks        hooks
 	earlyVote    bool // send answers to votes before the vote is synced
 	earlyAck     bool // send acknowledgements of appends before they are synced
+	trusting     bool // a restarted member is taken as proven
 	keepIdentity bool // a blank disk keeps its incarnation
 	blindAppend  bool // make followers accept appends at any position
 }
@@ -99,9 +101,10 @@
 	mutation mutation
 	cfg      Config
 	ids      uint64
-	admin    time.Duration // next action of the simulated operator
-	removed  Member        // removed on purpose, to be added again
-	readers  map[uint64]uint64
+	admin    time.Duration     // next action of the simulated operator
+	removed  Member            // removed on purpose, to be added again
+	readers  map[uint64]uint64 // highest index committed when the read was asked for
+	floor    uint64            // highest index committed when a disk was last lost
 	check    *checker
 }
 
@@ -128,7 +131,7 @@
 func (s *sim) start(srv *server) {
 	cfg := s.cfg
 	cfg.Name, cfg.Incarnation, cfg.Group = srv.name, srv.disk.incarnation, srv.disk.group
-	cfg.Restarted = srv.disk.group != "" && !s.mutation.keepIdentity
+	cfg.Restarted = srv.disk.group != "" && !s.mutation.trusting
 	cfg.Peers, cfg.Found, cfg.NewGroup = s.names, true, "group"
 	cfg.Election, cfg.Heartbeat, cfg.Seed = simElection, simHeartbeat, s.rng.Uint64()
 	d := srv.disk.clone()
@@ -155,9 +158,10 @@
 	srv.image = &image
 	fresh := disk{incarnation: s.rng.Uint64() | 1}
 	if s.mutation.keepIdentity {
-		fresh.incarnation, fresh.group = image.incarnation, image.group
+		fresh.incarnation = image.incarnation
 	}
 	srv.disk = fresh
+	s.floor = s.check.highest
 }
 
 // clock is the time on the server's own clock.
@@ -194,6 +198,11 @@
 	}
 	s.applyOutput(srv, out)
 	s.check.leader(srv)
+	if srv.trap && slices.ContainsFunc(srv.node.held, func(h heldMessage) bool { return h.msg.Kind == KindVoteReply }) {
+		srv.trap = false
+		s.crash(srv)
+		s.start(srv)
+	}
 }
 
 // release sends messages early when a mutation asks for it.
@@ -232,7 +241,11 @@
 }
 
 // send puts a message on the network: it may be lost, late, repeated or overtaken.
+// A partition that begins later does not stop it.
 func (s *sim) send(m Message) {
+	if s.blocked[[2]string{m.From, m.To}] {
+		return
+	}
 	copies := 1
 	if s.rng.IntN(20) == 0 {
 		copies = 2
@@ -268,7 +281,7 @@
 	for _, p := range s.packets {
 		if p.due > s.now {
 			rest = append(rest, p)
-		} else if !s.blocked[[2]string{p.msg.From, p.msg.To}] {
+		} else {
 			due = append(due, p.msg)
 		}
 	}
@@ -364,12 +377,10 @@
 				s.operate(srv, Change{Kind: ChangePromote, Member: m})
 			}
 		}
-		if r := s.removed; r.Name != "" && s.rng.IntN(40) == 0 {
-			if _, ok := srv.node.member(r.Name); ok {
-				continue
+		for _, name := range s.names {
+			if _, ok := srv.node.member(name); !ok && len(srv.node.members()) > 0 && s.rng.IntN(40) == 0 {
+				s.operate(srv, Change{Kind: ChangeAdd, Member: Member{Name: name, Incarnation: s.servers[name].disk.incarnation}})
 			}
-			r.Incarnation = s.servers[r.Name].disk.incarnation
-			s.operate(srv, Change{Kind: ChangeAdd, Member: r})
 		}
 	}
 }
