Extend the replicated state machine to sessions, bookings and order leases

Session commands are applied at most once; later booking steps are recognised by their attempt. A removed entry is forgotten after 4,096 removals and followers below that version get all entries.

--- /dev/null
+++ b/pkg/state/machine_test.go
@@ -0,0 +1,335 @@
+package state
+
+import (
+	"bytes"
+	"fmt"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	_ "github.com/jaystage/jaystage/internal/testseed"
+	"github.com/jaystage/jaystage/pkg/wire"
+)
+
+// world drives a machine as several nodes do: commands reach the log late, more
+// than once and in any order.
+type world struct {
+	m       *Machine
+	now     uint64
+	live    map[string]uint64 // session that each node believes to have
+	seq     map[string]uint64
+	started uint64
+	pending []wire.Command // sent at least once; may be appended again at any time
+	begins  map[string]*attempt
+	runs    map[string]int // sends per key
+}
+
+// attempt is what its node knows of one begin.
+type attempt struct {
+	cmd     wire.Command
+	decided bool // sent or given up
+	sent    bool
+}
+
+var (
+	nodes = []string{"a", "b", "c"}
+	keys  = []string{"k1", "k2"}
+)
+
+func newWorld() *world {
+	return &world{m: New(), now: 1, live: map[string]uint64{}, seq: map[string]uint64{}, begins: map[string]*attempt{}, runs: map[string]int{}}
+}
+
+func (w *world) apply(c wire.Command) wire.Outcome {
+	w.now++
+	c.Time = w.now
+	return w.m.Apply(c)
+}
+
+func (w *world) startSession(t *rapid.T) {
+	node := rapid.SampledFrom(nodes).Draw(t, "node")
+	w.started++
+	c := wire.Command{Session: &wire.Session{Node: node, Incarnation: w.started, Up: true, Value: []byte("{}")}}
+	w.pending = append(w.pending, c)
+	if w.apply(c).Fault == "" {
+		w.live[node], w.seq[node] = w.started, 0
+	}
+}
+
+func (w *world) endSession(t *rapid.T) {
+	node := rapid.SampledFrom(nodes).Draw(t, "node")
+	if inc, ok := w.m.Session(node); ok {
+		w.apply(wire.Command{Session: &wire.Session{Node: node, Incarnation: inc}})
+	}
+}
+
+func (w *world) begin(t *rapid.T) {
+	node := rapid.SampledFrom(nodes).Draw(t, "node")
+	key := rapid.SampledFrom(keys).Draw(t, "key")
+	if w.live[node] == 0 {
+		return
+	}
+	w.seq[node]++
+	id := fmt.Sprintf("%s-%d-%d", node, w.live[node], w.seq[node])
+	c := wire.Command{Node: node, Incarnation: w.live[node], Seq: w.seq[node], Booking: &wire.Booking{
+		Verb: VerbBegin, Account: "acc", Service: "svc", Key: key, Hash: "h", Attempt: id,
+	}}
+	w.begins[id] = &attempt{cmd: c}
+	w.pending = append(w.pending, c)
+	if rapid.Bool().Draw(t, "arrives") {
+		w.outcome(t, id, w.apply(c))
+	}
+}
+
+// outcome is the moment a node learns what became of its begin.
+func (w *world) outcome(t *rapid.T, id string, o wire.Outcome) {
+	a := w.begins[id]
+	if a.decided || o.Booked == nil || !o.Booked.Fresh {
+		return
+	}
+	a.decided = true
+	if rapid.Bool().Draw(t, "sends") {
+		a.sent = true
+		w.runs[a.cmd.Booking.Key]++
+	} else {
+		w.apply(step(a.cmd, VerbAbandon))
+	}
+}
+
+func step(begin wire.Command, verb string) wire.Command {
+	b := *begin.Booking
+	b.Verb = verb
+	if verb == VerbFinish {
+		b.Answer = &wire.Answer{Status: 201, Body: []byte(b.Attempt)}
+	}
+	begin.Booking = &b
+	return begin
+}
+
+func (w *world) again(t *rapid.T) {
+	if len(w.pending) == 0 {
+		return
+	}
+	c := rapid.SampledFrom(w.pending).Draw(t, "command")
+	o := w.apply(c)
+	if c.Booking != nil && c.Booking.Verb == VerbBegin {
+		w.outcome(t, c.Booking.Attempt, o)
+	}
+}
+
+func (w *world) finishOrGiveUp(t *rapid.T) {
+	for _, id := range sortedAttempts(w.begins) {
+		a := w.begins[id]
+		switch {
+		case a.sent && rapid.Bool().Draw(t, "finishes"):
+			w.apply(step(a.cmd, VerbFinish))
+		case !a.decided && rapid.Bool().Draw(t, "gives up"):
+			a.decided = true
+			w.apply(step(a.cmd, VerbAbandon))
+		}
+	}
+}
+
+func (w *world) restore(t *rapid.T) {
+	before, err := w.m.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	next := New()
+	next.hooks = w.m.hooks
+	if err := next.Restore(before); err != nil {
+		t.Fatal(err)
+	}
+	after, err := next.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !bytes.Equal(before, after) {
+		t.Fatalf("a restored machine has another snapshot: %d bytes before, %d after", len(before), len(after))
+	}
+	w.m = next
+}
+
+func sortedAttempts(m map[string]*attempt) []string {
+	var ids []string
+	for id := range m {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// check fails when a key ran twice or a live session holds an intent that its node
+// has given up.
+func (w *world) check(t *rapid.T) {
+	for key, n := range w.runs {
+		if n > 1 {
+			t.Fatalf("key %s was sent %d times", key, n)
+		}
+	}
+	for _, key := range keys {
+		in, ok := w.m.Booking("acc", "svc", key)
+		if !ok || in.State != StateRunning {
+			continue
+		}
+		a := w.begins[in.Attempt]
+		if a.decided && !a.sent {
+			t.Fatalf("key %s is held by attempt %s, which its node has abandoned", key, in.Attempt)
+		}
+		if inc, live := w.m.Session(in.Node); !live || inc != in.Incarnation {
+			t.Fatalf("key %s is running under session %d of %s, which has ended", key, in.Incarnation, in.Node)
+		}
+	}
+}
+
+func bookings(h hooks) func(t *rapid.T) {
+	return func(t *rapid.T) {
+		w := newWorld()
+		w.m.hooks = h
+		t.Repeat(map[string]func(*rapid.T){
+			"session starts": w.startSession, "session ends": w.endSession, "begin": w.begin,
+			"command applied again": w.again, "finish or give up": w.finishOrGiveUp, "restore": w.restore, "": w.check,
+		})
+	}
+}
+
+// Guards against a booking that runs twice, is held by nobody or outlives the
+// session that held it, whatever the order and repetition of commands.
+func TestBookingRunsAtMostOnceWhenCommandsAreRepeatedAndLate(t *testing.T) {
+	rapid.Check(t, bookings(mutated()))
+}
+
+// Guards against a change that overwrites an entry changed after its base, a
+// version that falls, and a repeated id with another result.
+func TestChangeNeverOverwritesAnUnseenOne(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := New()
+		type sent struct {
+			c   wire.Change
+			out wire.Changed
+		}
+		var done []sent
+		for i := range rapid.IntRange(1, 40).Draw(t, "changes") {
+			if len(done) > 0 && rapid.Bool().Draw(t, "repeat") {
+				s := rapid.SampledFrom(done).Draw(t, "which")
+				got := m.Apply(wire.Command{Change: &s.c}).Changed
+				if !got.Repeated || got.Version != s.out.Version || len(got.Conflict) != len(s.out.Conflict) {
+					t.Fatalf("id %s: repeated result %+v, first %+v", s.c.ID, got, s.out)
+				}
+				continue
+			}
+			c := wire.Change{ID: fmt.Sprint("c", i), Base: rapid.Uint64Range(0, m.Space.Version).Draw(t, "base")}
+			for _, k := range rapid.SliceOfNDistinct(rapid.SampledFrom([]string{"x", "y", "z"}), 1, 3, rapid.ID).Draw(t, "keys") {
+				c.Items = append(c.Items, wire.Item{Key: k, Value: []byte(fmt.Sprint(i)), Deleted: rapid.Bool().Draw(t, "deleted")})
+			}
+			before, old := m.Space.Version, map[string]wire.Item{}
+			for k, v := range m.Space.Items {
+				old[k] = v
+			}
+			out := *m.Apply(wire.Command{Change: &c}).Changed
+			done = append(done, sent{c, out})
+			if m.Space.Version < before || m.Space.Version > before+1 {
+				t.Fatalf("the version went from %d to %d", before, m.Space.Version)
+			}
+			for k, item := range m.Space.Items {
+				if item.Version > before && old[k].Version > c.Base {
+					t.Fatalf("a change based on %d overwrote %s, last changed at %d", c.Base, k, old[k].Version)
+				}
+			}
+		}
+	})
+}
+
+// Guards against two holders of an order lease, and a token that an earlier holder
+// already had.
+func TestOrderLeaseHasOneHolderAndRisingTokens(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld()
+		w.m.hooks = mutated()
+		highest, holder := uint64(0), ""
+		act := func(verb string) func(*rapid.T) {
+			return func(t *rapid.T) {
+				node := rapid.SampledFrom(nodes).Draw(t, "node")
+				inc, live := w.m.Session(node)
+				if !live {
+					return
+				}
+				w.started++
+				o := w.apply(wire.Command{Node: node, Incarnation: inc, Seq: w.started, Order: &wire.Order{Verb: verb, Name: "vm", Token: w.m.leases["vm"].Token}})
+				got := o.Ordered
+				id := fmt.Sprint(node, inc)
+				if verb == VerbAcquire && got.Held && holder != id {
+					if got.Token <= highest {
+						t.Fatalf("holder %s got token %d after token %d", id, got.Token, highest)
+					}
+					highest, holder = got.Token, id
+				}
+				if got.Held && got.Node != node {
+					t.Fatalf("%s holds a lease of %s", node, got.Node)
+				}
+			}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"session starts": w.startSession, "session ends": w.endSession,
+			"acquire": act(VerbAcquire), "renew": act(VerbRenew), "release": act(VerbRelease), "restore": w.restore,
+		})
+	})
+}
+
+func TestExpiredKeyIsRefusedUntilItsTombstoneExpires(t *testing.T) {
+	m := New()
+	m.hooks = mutated()
+	m.Apply(wire.Command{Session: &wire.Session{Node: "a", Incarnation: 1, Up: true}})
+	begin := func(seq, at uint64) *wire.Booked {
+		return m.Apply(wire.Command{Node: "a", Incarnation: 1, Seq: seq, Time: at, Booking: &wire.Booking{
+			Verb: VerbBegin, Account: "acc", Service: "svc", Key: "k", Hash: "h", Attempt: fmt.Sprint(seq), Keep: 1000,
+		}}).Booked
+	}
+	b := begin(1, 10)
+	m.Apply(wire.Command{Booking: &wire.Booking{Verb: VerbFinish, Account: "acc", Service: "svc", Key: "k", Attempt: b.Attempt, Answer: &wire.Answer{Status: 201}}})
+	for _, step := range []struct {
+		at   uint64
+		want string
+	}{{500, StateDone}, {1010, StateExpired}, {1010 + tombstoneKeepMillis - 1, StateExpired}, {1010 + tombstoneKeepMillis, StateRunning}} {
+		if got := begin(step.at, step.at).State; got != step.want {
+			t.Errorf("at %d ms: got %s, want %s", step.at, got, step.want)
+		}
+	}
+}
+
+func TestChangeOfNodeEntriesIsRefused(t *testing.T) {
+	for _, c := range []wire.Change{{ID: "1", Items: []wire.Item{{Key: "node/a"}}}, {ID: "2", Prefix: []string{""}}, {ID: "3", Prefix: []string{"node/a"}}} {
+		if got := New().Apply(wire.Command{Change: &c}).Fault; got != FaultReserved {
+			t.Errorf("change %s: got fault %q, want %q", c.ID, got, FaultReserved)
+		}
+	}
+}
+
+// Guards against a follower that keeps an entry whose removal it was never told.
+func TestFollowerBelowTheFloorGetsAllEntries(t *testing.T) {
+	s := NewSpace()
+	for i := range maxDeleted + 2 {
+		key := fmt.Sprint("k", i)
+		s.Apply(wire.Change{Base: s.Version, Items: []wire.Item{{Key: key, Value: []byte("1")}}})
+		s.Apply(wire.Change{Base: s.Version, Items: []wire.Item{{Key: key, Deleted: true}}})
+	}
+	if d := s.Delta(1); !d.Full || s.Floor == 0 {
+		t.Fatalf("got full=%v with floor %d, want all entries", d.Full, s.Floor)
+	}
+	if got := s.Apply(wire.Change{Base: 1, Items: []wire.Item{{Key: "k0", Value: []byte("2")}}}); len(got.Conflict) != 1 {
+		t.Errorf("a change based on a forgotten removal was accepted: %+v", got)
+	}
+}
+
+func TestGroupMovesOnlyToTheAddedGroup(t *testing.T) {
+	for i := range 1000 {
+		account := fmt.Sprint("account-", i)
+		if got := Group(account, "svc", 1); got != 0 {
+			t.Fatalf("with one group got %d, want 0", got)
+		}
+		if three, four := Group(account, "svc", 3), Group(account, "svc", 4); four != three && four != 3 {
+			t.Fatalf("%s moved from group %d to %d when group 3 was added", account, three, four)
+		}
+	}
+}
--- a/pkg/state/space.go
+++ b/pkg/state/space.go
@@ -3,22 +3,41 @@
 import (
 	"bytes"
 	"cmp"
+	"maps"
 	"slices"
 	"strings"
 
 	"github.com/jaystage/jaystage/pkg/wire"
 )
 
+// Bounds of the key space. They are part of the replicated behaviour: all voters
+// must use the same values.
+const (
+	// maxResults covers more than a day of changes at 12,000 a day.
+	maxResults = 16384
+	maxHistory = 1024
+	// maxDeleted bounds the removed entries that are still listed to nodes that
+	// follow the key space.
+	maxDeleted = 4096
+)
+
 // Space is the versioned key space. Every accepted change raises the version by
 // one; nodes follow it by asking for the entries changed since their version.
 type Space struct {
 	// Version is the number of changes accepted so far. It never falls.
 	Version uint64
+	// Floor is the version up to which removed entries are no longer listed.
+	Floor uint64
 	// Items holds the live entries and, as deleted entries, the removed ones.
 	Items map[string]wire.Item
-	// Results holds the result of each change id, so that a change that is sent
-	// again after a lost answer returns its first result.
+	// Results holds the result of each remembered change id, so that a change that
+	// is sent again after a lost answer returns its first result.
 	Results map[string]wire.Changed
+	// IDs lists the remembered change ids, oldest first.
+	IDs []string
+	// History lists the latest accepted changes, oldest first.
+	History []wire.Record
+	deleted int
 }
 
 // NewSpace returns an empty key space at version 0.
@@ -36,11 +55,27 @@
 	}
 	result := s.apply(c)
 	if c.ID != "" {
-		s.Results[c.ID] = result
+		s.remember(c.ID, result)
 	}
 	return result
 }
 
+// remember keeps the result of a change id. Values of conflicting entries are left
+// out, so that the size of the table is bounded.
+func (s *Space) remember(id string, result wire.Changed) {
+	kept := result
+	kept.Conflict = slices.Clone(result.Conflict)
+	for i := range kept.Conflict {
+		kept.Conflict[i].Value = nil
+	}
+	s.Results[id] = kept
+	s.IDs = append(s.IDs, id)
+	for len(s.IDs) > maxResults {
+		delete(s.Results, s.IDs[0])
+		s.IDs = s.IDs[1:]
+	}
+}
+
 func (s *Space) apply(c wire.Change) wire.Changed {
 	writes := s.expand(c)
 	if conflict := s.conflicts(c.Base, writes); len(conflict) > 0 {
@@ -57,12 +92,56 @@
 	if len(writes) == 0 {
 		return wire.Changed{Version: s.Version}
 	}
+	s.write(writes, wire.Record{ID: c.ID, Author: c.Author, Reason: c.Reason, Time: c.Time})
+	return wire.Changed{Version: s.Version}
+}
+
+// write stores entries under the next version.
+func (s *Space) write(writes []wire.Item, record wire.Record) {
 	s.Version++
+	record.Version = s.Version
 	for _, w := range writes {
 		w.Version = s.Version
+		if old, ok := s.Items[w.Key]; ok && old.Deleted {
+			s.deleted--
+		}
+		if w.Deleted {
+			w.Value = nil
+			s.deleted++
+		}
 		s.Items[w.Key] = w
+		record.Keys = append(record.Keys, w.Key)
+	}
+	s.History = append(s.History, record)
+	if over := len(s.History) - maxHistory; over > 0 {
+		s.History = slices.Delete(s.History, 0, over)
+	}
+	if s.deleted > maxDeleted {
+		s.forgetDeleted()
+	}
+}
+
+// forgetDeleted drops the older half of the removed entries.
+func (s *Space) forgetDeleted() {
+	var versions []uint64
+	for _, item := range s.Items {
+		if item.Deleted {
+			versions = append(versions, item.Version)
+		}
+	}
+	slices.Sort(versions)
+	s.Floor = versions[len(versions)/2]
+	maps.DeleteFunc(s.Items, func(_ string, item wire.Item) bool { return item.Deleted && item.Version <= s.Floor })
+	s.recount()
+}
+
+func (s *Space) recount() {
+	s.deleted = 0
+	for _, item := range s.Items {
+		if item.Deleted {
+			s.deleted++
+		}
 	}
-	return wire.Changed{Version: s.Version}
 }
 
 // expand adds a deletion for each live entry below the change's prefixes that
@@ -85,10 +164,16 @@
 	return writes
 }
 
+// conflicts lists the entries that others changed after the base version. An
+// absent entry counts as changed when its removal may have been forgotten.
 func (s *Space) conflicts(base uint64, writes []wire.Item) []wire.Item {
 	var conflict []wire.Item
 	for _, w := range writes {
 		old, ok := s.Items[w.Key]
+		if !ok && base < s.Floor && !w.Deleted {
+			conflict = append(conflict, wire.Item{Key: w.Key, Deleted: true, Version: s.Floor})
+			continue
+		}
 		same := ok && old.Deleted == w.Deleted && bytes.Equal(old.Value, w.Value)
 		if ok && old.Version > base && !same {
 			conflict = append(conflict, old)
@@ -110,6 +195,16 @@
 	return items
 }
 
+// Delta returns what brings a follower at the given version to the present one:
+// all live entries when removals that it needs have been forgotten.
+func (s *Space) Delta(from uint64) wire.Delta {
+	if from >= s.Floor && from <= s.Version {
+		return wire.Delta{From: from, Version: s.Version, Items: s.Since(from)}
+	}
+	items := slices.DeleteFunc(s.Since(0), func(i wire.Item) bool { return i.Deleted })
+	return wire.Delta{Version: s.Version, Full: true, Items: items}
+}
+
 func sortItems(items []wire.Item) {
 	slices.SortFunc(items, func(a, b wire.Item) int { return cmp.Compare(a.Key, b.Key) })
 }
--- a/pkg/wire/state.go
+++ b/pkg/wire/state.go
@@ -2,6 +2,94 @@
 
 package wire
 
+// Answer is the recorded answer of a booking.
+type Answer struct {
+	// Body of the answer.
+	Body []uint8 `json:"body,omitempty,omitzero"`
+
+	// End-to-end headers.
+	Header []Header `json:"header,omitempty,omitzero"`
+
+	// True when the body was too large to be recorded.
+	Large bool `json:"large,omitempty,omitzero"`
+
+	// HTTP status.
+	Status uint16 `json:"status"`
+}
+
+// Await asks the leader to answer once a version is in force everywhere.
+type Await struct {
+	// Version of the key space.
+	Version uint64 `json:"version"`
+}
+
+// Awaited tells whether a version is in force.
+type Awaited struct {
+	// True when every session has the version or has ended.
+	Force bool `json:"force,omitempty,omitzero"`
+
+	// Name of the leader if known; set when the receiver does not lead.
+	Leader string `json:"leader,omitempty,omitzero"`
+
+	// Nodes that lack the version.
+	Missing []string `json:"missing,omitempty,omitzero"`
+}
+
+// Booked is the state of a booking after a step.
+type Booked struct {
+	// Answer corresponds to the JSON schema field "answer".
+	Answer *Answer `json:"answer,omitempty,omitzero"`
+
+	// Attempt that holds or held the intent.
+	Attempt string `json:"attempt,omitempty,omitzero"`
+
+	// True when this step recorded the intent; only then may its proposer send.
+	Fresh bool `json:"fresh,omitempty,omitzero"`
+
+	// Session of that node.
+	Incarnation uint64 `json:"incarnation,omitempty,omitzero"`
+
+	// Node that holds or held the intent.
+	Node string `json:"node,omitempty,omitzero"`
+
+	// running, done, unknown, abandoned, expired, mismatch, full or refused.
+	State string `json:"state"`
+}
+
+// Booking is a step in the life of a request that may run at most once.
+type Booking struct {
+	// Client account.
+	Account string `json:"account"`
+
+	// Answer corresponds to the JSON schema field "answer".
+	Answer *Answer `json:"answer,omitempty,omitzero"`
+
+	// Unique id of the attempt; only the holder knows it before the intent is
+	// committed.
+	Attempt string `json:"attempt,omitempty,omitzero"`
+
+	// SHA-256 over method, path and body, hexadecimal.
+	Hash string `json:"hash,omitempty,omitzero"`
+
+	// Session of that node.
+	Incarnation uint64 `json:"incarnation,omitempty,omitzero"`
+
+	// How long the record is kept, in milliseconds; zero for the default.
+	Keep uint64 `json:"keep,omitempty,omitzero"`
+
+	// Idempotency key chosen by the caller.
+	Key string `json:"key"`
+
+	// Node that holds the intent.
+	Node string `json:"node,omitempty,omitzero"`
+
+	// Service.
+	Service string `json:"service"`
+
+	// begin, finish, abandon or settle.
+	Verb string `json:"verb"`
+}
+
 // Change asks for a set of entries to be written together.
 type Change struct {
 	// Who asked for the change.
@@ -30,7 +118,7 @@
 // Changed is the result of a change.
 type Changed struct {
 	// Entries that changed since the base version; empty when the change was
-	// accepted.
+	// accepted. In a repeated result they carry no values.
 	Conflict []Item `json:"conflict,omitempty,omitzero"`
 
 	// True when the result is that of an earlier submission with the same id.
@@ -40,6 +128,169 @@
 	Version uint64 `json:"version"`
 }
 
+// Client is what the state machine knows of one session.
+type Client struct {
+	// Lowest number that is still answered.
+	Floor uint64 `json:"floor,omitempty,omitzero"`
+
+	// Session.
+	Incarnation uint64 `json:"incarnation"`
+
+	// False once the session has ended.
+	Live bool `json:"live,omitempty,omitzero"`
+
+	// Name of the node.
+	Node string `json:"node"`
+
+	// Outcomes from the floor on.
+	Outcomes []Settled `json:"outcomes,omitempty,omitzero"`
+}
+
+// Command is one entry of the replicated log. Exactly one of the fields after time
+// is set.
+type Command struct {
+	// Booking corresponds to the JSON schema field "booking".
+	Booking *Booking `json:"booking,omitempty,omitzero"`
+
+	// Change corresponds to the JSON schema field "change".
+	Change *Change `json:"change,omitempty,omitzero"`
+
+	// True to remove what has outlived its retention.
+	Expire bool `json:"expire,omitempty,omitzero"`
+
+	// Lowest number of the session that still waits for an outcome; outcomes below it
+	// are forgotten.
+	Floor uint64 `json:"floor,omitempty,omitzero"`
+
+	// Session of that node.
+	Incarnation uint64 `json:"incarnation,omitempty,omitzero"`
+
+	// Node that sent the command; empty for the leader's own commands.
+	Node string `json:"node,omitempty,omitzero"`
+
+	// Order corresponds to the JSON schema field "order".
+	Order *Order `json:"order,omitempty,omitzero"`
+
+	// Number of the command in its session, from 1; zero when the command has no
+	// session. It stays the same when the command is sent again.
+	Seq uint64 `json:"seq,omitempty,omitzero"`
+
+	// Session corresponds to the JSON schema field "session".
+	Session *Session `json:"session,omitempty,omitzero"`
+
+	// Unix time in milliseconds, set by the leader.
+	Time uint64 `json:"time,omitempty,omitzero"`
+}
+
+// Delta brings a node from one version of the key space to a later one.
+type Delta struct {
+	// Version that the items follow; ignored when full.
+	From uint64 `json:"from"`
+
+	// True when the items are all entries.
+	Full bool `json:"full,omitempty,omitzero"`
+
+	// Changed entries.
+	Items []Item `json:"items,omitempty,omitzero"`
+
+	// Version that the items lead to.
+	Version uint64 `json:"version"`
+}
+
+// Grant answers a renewal. The lease counts from the moment the node sent the
+// renewal.
+type Grant struct {
+	// Delta corresponds to the JSON schema field "delta".
+	Delta *Delta `json:"delta,omitempty,omitzero"`
+
+	// True when the session has ended; the node has to start another one.
+	Ended bool `json:"ended,omitempty,omitzero"`
+
+	// Name of the leader if known; set when the receiver does not lead.
+	Leader string `json:"leader,omitempty,omitzero"`
+}
+
+// Header is one HTTP header with one value.
+type Header struct {
+	// Canonical name.
+	Name string `json:"name"`
+
+	// Value.
+	Value string `json:"value"`
+}
+
+// Image is a snapshot of the state machine.
+type Image struct {
+	// Sessions.
+	Clients []Client `json:"clients,omitempty,omitzero"`
+
+	// Deletions up to this version are no longer listed.
+	Floor uint64 `json:"floor,omitempty,omitzero"`
+
+	// Format of the snapshot.
+	Format uint16 `json:"format"`
+
+	// Latest changes, oldest first.
+	History []Record `json:"history,omitempty,omitzero"`
+
+	// Bookings.
+	Intents []Intent `json:"intents,omitempty,omitzero"`
+
+	// Entries of the key space.
+	Items []Item `json:"items,omitempty,omitzero"`
+
+	// Order leases.
+	Leases []Lease `json:"leases,omitempty,omitzero"`
+
+	// Results of change ids, oldest first.
+	Results []Result `json:"results,omitempty,omitzero"`
+
+	// Highest time seen, Unix milliseconds.
+	Time uint64 `json:"time,omitempty,omitzero"`
+
+	// Highest fencing token issued.
+	Token uint64 `json:"token,omitempty,omitzero"`
+
+	// Expired bookings.
+	Tombstones []Tombstone `json:"tombstones,omitempty,omitzero"`
+
+	// Version of the key space.
+	Version uint64 `json:"version"`
+}
+
+// Intent is the record of a booking.
+type Intent struct {
+	// Client account.
+	Account string `json:"account"`
+
+	// Answer corresponds to the JSON schema field "answer".
+	Answer *Answer `json:"answer,omitempty,omitzero"`
+
+	// Attempt that holds the intent.
+	Attempt string `json:"attempt,omitempty,omitzero"`
+
+	// Unix time in milliseconds after which the record becomes a tombstone.
+	Expires uint64 `json:"expires,omitempty,omitzero"`
+
+	// SHA-256 over method, path and body.
+	Hash string `json:"hash,omitempty,omitzero"`
+
+	// Session of that node.
+	Incarnation uint64 `json:"incarnation,omitempty,omitzero"`
+
+	// Idempotency key.
+	Key string `json:"key"`
+
+	// Node that holds the intent.
+	Node string `json:"node,omitempty,omitzero"`
+
+	// Service.
+	Service string `json:"service"`
+
+	// running, done, unknown or abandoned.
+	State string `json:"state"`
+}
+
 // Item is one entry of the versioned key space that every node holds.
 type Item struct {
 	// True when the change removed the entry.
@@ -55,12 +306,203 @@
 	Version uint64 `json:"version"`
 }
 
-// StateMessages lists the commands of the replicated state machine and their
-// results.
+// Lease is a held order lease.
+type Lease struct {
+	// Session of that node.
+	Incarnation uint64 `json:"incarnation"`
+
+	// What the orders are for.
+	Name string `json:"name"`
+
+	// Node that holds the lease.
+	Node string `json:"node"`
+
+	// Fencing token.
+	Token uint64 `json:"token"`
+}
+
+// Order asks for the lease that has to be held to send orders to an upstream or
+// platform.
+type Order struct {
+	// Session of that node.
+	Incarnation uint64 `json:"incarnation,omitempty,omitzero"`
+
+	// What the orders are for.
+	Name string `json:"name"`
+
+	// Node that asks.
+	Node string `json:"node,omitempty,omitzero"`
+
+	// Fencing token, to renew or release.
+	Token uint64 `json:"token,omitempty,omitzero"`
+
+	// acquire, renew or release.
+	Verb string `json:"verb"`
+}
+
+// Ordered is the state of a lease after a step.
+type Ordered struct {
+	// True when the asking session holds the lease.
+	Held bool `json:"held"`
+
+	// Node that holds the lease; empty when nobody does.
+	Node string `json:"node,omitempty,omitzero"`
+
+	// Fencing token of the holder; each new holder gets a higher one.
+	Token uint64 `json:"token,omitempty,omitzero"`
+}
+
+// Outcome is the result of a command.
+type Outcome struct {
+	// Booked corresponds to the JSON schema field "booked".
+	Booked *Booked `json:"booked,omitempty,omitzero"`
+
+	// Changed corresponds to the JSON schema field "changed".
+	Changed *Changed `json:"changed,omitempty,omitzero"`
+
+	// Why the command was refused; empty on success. A refused command has changed
+	// nothing.
+	Fault string `json:"fault,omitempty,omitzero"`
+
+	// Ordered corresponds to the JSON schema field "ordered".
+	Ordered *Ordered `json:"ordered,omitempty,omitzero"`
+
+	// True when the command had been applied before.
+	Repeated bool `json:"repeated,omitempty,omitzero"`
+}
+
+// Record describes one accepted change of the key space.
+type Record struct {
+	// Who asked for the change.
+	Author string `json:"author,omitempty,omitzero"`
+
+	// Id of the change; empty for the start or end of a session.
+	ID string `json:"id,omitempty,omitzero"`
+
+	// Keys that the change wrote or removed.
+	Keys []string `json:"keys,omitempty,omitzero"`
+
+	// Why the change was made.
+	Reason string `json:"reason,omitempty,omitzero"`
+
+	// Unix time in milliseconds.
+	Time uint64 `json:"time,omitempty,omitzero"`
+
+	// Version of the key space after the change.
+	Version uint64 `json:"version"`
+}
+
+// Redirect names another node to ask.
+type Redirect struct {
+	// Name of the leader if known.
+	Leader string `json:"leader,omitempty,omitzero"`
+}
+
+// Renew asks the leader to renew a session lease.
+type Renew struct {
+	// Session.
+	Incarnation uint64 `json:"incarnation"`
+
+	// Name of the node.
+	Node string `json:"node"`
+
+	// Version of the key space that is in force on the node.
+	Version uint64 `json:"version"`
+}
+
+// Result is the remembered result of a change id.
+type Result struct {
+	// Changed corresponds to the JSON schema field "changed".
+	Changed *Changed `json:"changed,omitempty,omitzero"`
+
+	// Id of the change.
+	ID string `json:"id"`
+}
+
+// Session starts or ends the session of a node.
+type Session struct {
+	// Number of the session; it rises with each session of the node.
+	Incarnation uint64 `json:"incarnation"`
+
+	// Name of the node.
+	Node string `json:"node"`
+
+	// True to start the session, false to end it.
+	Up bool `json:"up,omitempty,omitzero"`
+
+	// JSON document of the entry node/NAME while the session lasts.
+	Value []uint8 `json:"value,omitempty,omitzero"`
+}
+
+// Settled is the outcome of a command of a session.
+type Settled struct {
+	// Outcome corresponds to the JSON schema field "outcome".
+	Outcome *Outcome `json:"outcome,omitempty,omitzero"`
+
+	// Number of the command.
+	Seq uint64 `json:"seq"`
+}
+
+// StateMessages lists the commands of the replicated state machine, their results
+// and the messages between a node and the leader.
 type StateMessages struct {
+	// Await corresponds to the JSON schema field "await".
+	Await *Await `json:"await,omitempty,omitzero"`
+
+	// Awaited corresponds to the JSON schema field "awaited".
+	Awaited *Awaited `json:"awaited,omitempty,omitzero"`
+
 	// Change corresponds to the JSON schema field "change".
 	Change *Change `json:"change,omitempty,omitzero"`
 
 	// Changed corresponds to the JSON schema field "changed".
 	Changed *Changed `json:"changed,omitempty,omitzero"`
+
+	// Command corresponds to the JSON schema field "command".
+	Command *Command `json:"command,omitempty,omitzero"`
+
+	// Delta corresponds to the JSON schema field "delta".
+	Delta *Delta `json:"delta,omitempty,omitzero"`
+
+	// Grant corresponds to the JSON schema field "grant".
+	Grant *Grant `json:"grant,omitempty,omitzero"`
+
+	// Image corresponds to the JSON schema field "image".
+	Image *Image `json:"image,omitempty,omitzero"`
+
+	// Outcome corresponds to the JSON schema field "outcome".
+	Outcome *Outcome `json:"outcome,omitempty,omitzero"`
+
+	// Redirect corresponds to the JSON schema field "redirect".
+	Redirect *Redirect `json:"redirect,omitempty,omitzero"`
+
+	// Renew corresponds to the JSON schema field "renew".
+	Renew *Renew `json:"renew,omitempty,omitzero"`
+
+	// Voters corresponds to the JSON schema field "voters".
+	Voters *Voters `json:"voters,omitempty,omitzero"`
+}
+
+// Tombstone remembers an expired booking.
+type Tombstone struct {
+	// Client account.
+	Account string `json:"account"`
+
+	// Unix time in milliseconds after which it is removed.
+	Expires uint64 `json:"expires"`
+
+	// Hash over service and key.
+	Hash string `json:"hash"`
+}
+
+// Voters asks the leader to change the membership of the consensus group.
+type Voters struct {
+	// Incarnation of its data folder; zero to use the one that it reported.
+	Incarnation uint64 `json:"incarnation,omitempty,omitzero"`
+
+	// Name of the voter.
+	Name string `json:"name"`
+
+	// add, promote or remove.
+	Verb string `json:"verb"`
 }
