Add links between nodes over WebSocket and CBOR

Both sides prove the shared key over the other's nonce, name the version or key that differs, ping each other and replace a silent connection.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -21,6 +21,22 @@
 	UpstreamExpired  ID = 3003
 	AnnounceRefused  ID = 3004
 	ConfigApplied    ID = 4001
+	LeaseLost        ID = 4002
+	LeaseGained      ID = 4003
+	SessionStarted   ID = 4004
+	SessionEnded     ID = 4005
+	LeaderChanged    ID = 4006
+	VoterFailed      ID = 4007
+	VoterChanged     ID = 4008
+	VoterJoining     ID = 4009
+	PauseNoticed     ID = 4010
+	SnapshotSaved    ID = 4011
+	ViewFailed       ID = 4012
+	BookingUnsettled ID = 4013
+	LinkUp           ID = 5001
+	LinkDown         ID = 5002
+	LinkRefused      ID = 5003
+	LinkFailed       ID = 5004
 	OperatorRefused  ID = 8001
 )
 
--- /dev/null
+++ b/internal/peer/frame.go
@@ -0,0 +1,57 @@
+package peer
+
+import (
+	"errors"
+	"fmt"
+
+	"github.com/jaystage/jaystage/pkg/wire"
+)
+
+// MaxFrameBytes bounds one frame in each direction.
+const MaxFrameBytes = 4 << 20
+
+// maxKindBytes bounds the name of a message kind.
+const maxKindBytes = 32
+
+// errFrame means that the other side sent a frame that this protocol version does
+// not allow; the link is closed.
+var errFrame = errors.New("frame is not valid")
+
+// decodeFrame reads one frame of an established link.
+func decodeFrame(data []byte) (wire.Envelope, error) {
+	var e wire.Envelope
+	if len(data) > MaxFrameBytes {
+		return e, fmt.Errorf("%w: %d bytes are more than %d", errFrame, len(data), MaxFrameBytes)
+	}
+	if err := wire.Unmarshal(data, &e); err != nil {
+		return wire.Envelope{}, fmt.Errorf("%w: %w", errFrame, err)
+	}
+	switch {
+	case e.Kind == "" || len(e.Kind) > maxKindBytes:
+		return wire.Envelope{}, fmt.Errorf("%w: kind of %d bytes", errFrame, len(e.Kind))
+	case e.Reply && e.ID == 0:
+		return wire.Envelope{}, fmt.Errorf("%w: reply without an id", errFrame)
+	case e.Fault != "" && !e.Reply:
+		return wire.Envelope{}, fmt.Errorf("%w: fault outside a reply", errFrame)
+	}
+	return e, nil
+}
+
+// encodeFrame encodes a message of a kind.
+func encodeFrame(e wire.Envelope, message any) ([]byte, error) {
+	if message != nil {
+		body, err := wire.Marshal(message)
+		if err != nil {
+			return nil, fmt.Errorf("encode %s: %w", e.Kind, err)
+		}
+		e.Body = body
+	}
+	frame, err := wire.Marshal(e)
+	if err != nil {
+		return nil, fmt.Errorf("encode %s: %w", e.Kind, err)
+	}
+	if len(frame) > MaxFrameBytes {
+		return nil, fmt.Errorf("message %s has %d bytes, more than %d", e.Kind, len(frame), MaxFrameBytes)
+	}
+	return frame, nil
+}
--- /dev/null
+++ b/internal/peer/peer_test.go
@@ -0,0 +1,253 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/gorilla/websocket"
+	"github.com/sirupsen/logrus"
+
+	"github.com/jaystage/jaystage/pkg/wire"
+)
+
+const patience = 20 * time.Second
+
+type node struct {
+	*Links
+	address string
+}
+
+// start runs links on a loopback listener until the test ends.
+func start(t *testing.T, name, key string, version uint16, addresses *sync.Map) *node {
+	t.Helper()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	l := New(Config{Name: name, Incarnation: 1, Key: []byte(key), Log: log, Version: version, Address: func(n string) (string, bool) {
+		a, ok := addresses.Load(n)
+		if !ok {
+			return "", false
+		}
+		return a.(string), true
+	}})
+	l.Handle("echo", func(_ context.Context, from string, body []byte) (any, error) {
+		var s string
+		if err := wire.Unmarshal(body, &s); err != nil {
+			return nil, err
+		}
+		if s == "fail" {
+			return nil, errors.New("asked to fail")
+		}
+		return from + ":" + s, nil
+	})
+	server := httptest.NewServer(l.Handler())
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); l.Run(ctx) }()
+	t.Cleanup(func() { cancel(); <-done; server.CloseClientConnections(); server.Close() })
+	address := server.Listener.Addr().String()
+	addresses.Store(name, address)
+	return &node{l, address}
+}
+
+func echo(t *testing.T, from *node, to, text string, limit time.Duration) (string, error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	var got string
+	err := from.Call(ctx, to, "echo", text, &got)
+	return got, err
+}
+
+func mustEcho(t *testing.T, from *node, to string) {
+	t.Helper()
+	end := time.Now().Add(patience)
+	for {
+		got, err := echo(t, from, to, "x", time.Second)
+		if err == nil && strings.HasSuffix(got, ":x") {
+			return
+		}
+		if time.Now().After(end) {
+			t.Fatalf("no echo from %s: got %q, %v", to, got, err)
+		}
+	}
+}
+
+func TestBothSidesUseOneConnectionWhenBothDial(t *testing.T) {
+	var addresses sync.Map
+	a, b := start(t, "a", "0123456789abcdef", 0, &addresses), start(t, "b", "0123456789abcdef", 0, &addresses)
+	var group sync.WaitGroup
+	group.Go(func() { mustEcho(t, a, "b") })
+	group.Go(func() { mustEcho(t, b, "a") })
+	group.Wait()
+	end := time.Now().Add(patience)
+	for time.Now().Before(end) {
+		ka, _ := a.current("b")
+		kb, _ := b.current("a")
+		if ka != nil && kb != nil && ka.conn.LocalAddr().String() == kb.conn.RemoteAddr().String() {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatal("the nodes use two connections")
+}
+
+func TestFaultOfTheOtherSideReachesTheCaller(t *testing.T) {
+	var addresses sync.Map
+	a := start(t, "a", "0123456789abcdef", 0, &addresses)
+	start(t, "b", "0123456789abcdef", 0, &addresses)
+	mustEcho(t, a, "b")
+	var fault *FaultError
+	if _, err := echo(t, a, "b", "fail", patience); !errors.As(err, &fault) || fault.Text != "asked to fail" {
+		t.Fatalf("got %v, want the fault of the other side", err)
+	}
+}
+
+func TestHandshakeNamesWhatDiffers(t *testing.T) {
+	for _, c := range []struct {
+		name, key, want string
+		version         uint16
+	}{
+		{"another key", "another-key-00000", "security.peer_key", 0},
+		{"another version", "0123456789abcdef", "protocol version", 2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var addresses sync.Map
+			a := start(t, "a", "0123456789abcdef", 0, &addresses)
+			start(t, "b", c.key, c.version, &addresses)
+			err := a.dialOnce(t.Context(), "b")
+			var refused *HandshakeError
+			if !errors.As(err, &refused) || !strings.Contains(refused.Reason, c.want) {
+				t.Fatalf("got %v, want a refusal that names %s", err, c.want)
+			}
+		})
+	}
+}
+
+// Guards against a listener that accepts a dialer without the key: the dialer here
+// checks nothing and sends no proof.
+func TestListenerRefusesDialerWithoutKey(t *testing.T) {
+	var addresses sync.Map
+	a := start(t, "a", "0123456789abcdef", 0, &addresses)
+	other := New(Config{Name: "b", Key: []byte("another-key-00000")})
+	conn, _, err := websocket.DefaultDialer.Dial("ws://"+a.address+Path, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	if err := writeHello(conn, other.hello("00", "")); err != nil {
+		t.Fatal(err)
+	}
+	hello, err := readHello(conn)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := writeHello(conn, other.hello("00", other.proof(roleDialer, hello.Nonce, "b", "a"))); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := readHello(conn); err == nil || !strings.Contains(err.Error(), "shared key") {
+		t.Fatalf("got %v, want a refusal that names the shared key", err)
+	}
+	if a.Connected("b") {
+		t.Fatal("the dialer was accepted")
+	}
+}
+
+// proxy forwards connections; once silent, the open ones carry nothing more but
+// stay open, and new ones work.
+type proxy struct {
+	net.Listener
+	silent atomic.Int64 // connections numbered below it are silent
+	count  atomic.Int64
+}
+
+func (p *proxy) run(target string) {
+	for {
+		in, err := p.Accept()
+		if err != nil {
+			return
+		}
+		n := p.count.Add(1)
+		go func() {
+			out, err := net.Dial("tcp", target)
+			if err != nil {
+				_ = in.Close()
+				return
+			}
+			pipe := func(to, from net.Conn) {
+				buf := make([]byte, 4096)
+				for {
+					k, err := from.Read(buf)
+					if err != nil {
+						_ = to.Close()
+						return
+					}
+					if n <= p.silent.Load() {
+						continue
+					}
+					_, _ = to.Write(buf[:k])
+				}
+			}
+			go pipe(out, in)
+			pipe(in, out)
+		}()
+	}
+}
+
+// Guards against a link that stays on a connection which has fallen silent for
+// good while new connections work.
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	var addresses sync.Map
+	a := start(t, "a", "0123456789abcdef", 0, &addresses)
+	b := start(t, "b", "0123456789abcdef", 0, &addresses)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	p := &proxy{Listener: l}
+	go p.run(b.address)
+	addresses.Store("b", l.Addr().String())
+	mustEcho(t, a, "b")
+	p.silent.Store(p.count.Load())
+	first := p.count.Load()
+	mustEcho(t, a, "b")
+	if got := p.count.Load(); got <= first {
+		t.Fatalf("%d connections, want more than %d", got, first)
+	}
+}
+
+func FuzzDecodeFrame(f *testing.F) {
+	for _, e := range []wire.Envelope{{Kind: "ping"}, {Kind: "propose", ID: 7, Body: []byte{1, 2}}, {Kind: "renew", ID: 1, Reply: true, Fault: "no"}} {
+		frame, err := encodeFrame(e, nil)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(frame)
+	}
+	f.Add([]byte{0xbf, 0xff})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		e, err := decodeFrame(data)
+		if err != nil {
+			if !errors.Is(err, errFrame) {
+				t.Fatalf("got %v, want an error of the frame", err)
+			}
+			return
+		}
+		again, err := encodeFrame(e, nil)
+		if err != nil {
+			t.Fatalf("a decoded frame cannot be encoded: %v", err)
+		}
+		got, err := decodeFrame(again)
+		if err != nil || got.Kind != e.Kind || got.ID != e.ID || string(got.Body) != string(e.Body) {
+			t.Fatalf("got %+v, %v after encoding %+v", got, err, e)
+		}
+	})
+}
