--- a/internal/caller/api.go
+++ b/internal/caller/api.go
@@ -34,6 +34,7 @@
 	Viewer    Viewer
 	Upstreams Upstreams
 	Transport *upstream.Transport
+	Bookings  Bookings
 	Log       logrus.FieldLogger
 	Now       func() time.Time
 	// Unready is true once the node shuts down.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -15,6 +15,7 @@
 	"github.com/jaystage/jaystage/internal/caller"
 	"github.com/jaystage/jaystage/internal/event"
 	"github.com/jaystage/jaystage/internal/operator"
+	"github.com/jaystage/jaystage/internal/peer"
 	"github.com/jaystage/jaystage/internal/replica"
 	"github.com/jaystage/jaystage/internal/settings"
 	"github.com/jaystage/jaystage/internal/upstream"
@@ -31,10 +32,12 @@
 type Node struct {
 	Settings  settings.Settings
 	Log       logrus.FieldLogger
-	State     *replica.Single
+	State     *replica.Replica
+	Links     *peer.Links
 	Registry  *upstream.Registry
 	Callers   *caller.API
-	listeners []listener
+	listeners []listener // callers, upstreams, operators
+	peers     *listener  // nil when the node has no listener for other nodes
 }
 
 type listener struct {
@@ -42,37 +45,32 @@
 	server *http.Server
 }
 
-// New opens the node's listeners. Run must be called to serve them.
+// New opens the node's listeners and its part in the replicated state. Run must be
+// called to serve them.
 func New(s settings.Settings, log logrus.FieldLogger) (*Node, error) {
-	n := &Node{Settings: s, Log: log, State: replica.NewSingle(), Registry: upstream.NewRegistry(announceInterval)}
+	n := &Node{Settings: s, Log: log, Registry: upstream.NewRegistry(announceInterval)}
+	if err := n.openState(); err != nil {
+		n.closeListeners()
+		return nil, err
+	}
 	n.Callers = &caller.API{
-		Viewer: n.State, Upstreams: n.Registry, Transport: upstream.NewTransport(), Log: log, Now: time.Now,
+		Viewer: n.State, Upstreams: n.Registry, Transport: upstream.NewTransport(), Bookings: n.State, Log: log, Now: time.Now,
 	}
 	announcements := &upstream.Announcements{Registry: n.Registry, Tokens: tokens(s.Security.Upstreams), Log: log, Now: time.Now}
 	operators := &operator.Server{State: n.State, Upstreams: n.Registry, Tokens: tokens(s.Security.Operators), Log: log, Now: time.Now}
-	for _, l := range []struct {
-		key, address string
-		handler      http.Handler
-	}{
-		{"listen.callers", s.Listen.Callers, n.Callers.Handler()},
-		{"listen.upstreams", s.Listen.Upstreams, announcements.Handler()},
-		{"listen.operators", s.Listen.Operators, operators.Handler()},
-	} {
-		if err := n.listen(l.key, l.address, l.handler); err != nil {
-			n.closeListeners()
-			return nil, err
-		}
+	for i, handler := range []http.Handler{n.Callers.Handler(), announcements.Handler(), operators.Handler()} {
+		n.listeners[i].server.Handler = handler
 	}
 	return n, nil
 }
 
-func (n *Node) listen(key, address string, handler http.Handler) error {
+func (n *Node) listen(key, address string) error {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return eris.Wrapf(err, "cannot listen on %s %q; choose a free address", key, address)
 	}
 	n.listeners = append(n.listeners, listener{l, &http.Server{
-		Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}})
 	return nil
 }
@@ -81,6 +79,9 @@
 	for _, l := range n.listeners {
 		_ = l.Close()
 	}
+	if n.peers != nil {
+		_ = n.peers.Close()
+	}
 }
 
 // CallersAddress returns the address of the callers' listener.
@@ -96,7 +97,8 @@
 // balancer that it is not ready, still serves for the unready time and waits for
 // open requests up to the limit.
 func (n *Node) Run(ctx context.Context) error {
-	ended := make(chan error, len(n.listeners))
+	ended := make(chan error, len(n.listeners)+1)
+	stopState, stateEnded := n.runState(ctx, ended)
 	for _, l := range n.listeners {
 		go func() { ended <- l.server.Serve(l.Listener) }()
 	}
@@ -121,6 +123,7 @@
 		}
 	}
 	<-expired
+	failed = errors.Join(failed, stopState(), <-stateEnded)
 	event.With(n.Log, event.NodeStopped).Info("node stopped")
 	return failed
 }
--- a/internal/peer/links.go
+++ b/internal/peer/links.go
@@ -232,6 +232,17 @@
 	return wire.Unmarshal(body, reply)
 }
 
+// Suspect closes the link to a node if it has been silent for longer than two
+// pings, so that a node that waits for an answer need not wait for the silence
+// limit.
+func (l *Links) Suspect(name string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if r := l.peers[name]; r != nil && r.link != nil && r.link.silence() > 2*pingInterval {
+		r.link.stop(errors.New("no answer and no ping"))
+	}
+}
+
 // adopt makes a connection the link to a node. When both nodes dialled at the same
 // time, both keep the connection that the node with the lower name dialled, unless
 // the present one has fallen silent.
--- /dev/null
+++ b/internal/replica/booking.go
@@ -0,0 +1,169 @@
+package replica
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/jaystage/jaystage/internal/event"
+	"github.com/jaystage/jaystage/pkg/state"
+	"github.com/jaystage/jaystage/pkg/wire"
+)
+
+const (
+	// abandonLimit covers an election and the end of a session.
+	abandonLimit = 5 * time.Second
+	// recordLimit is how long a node tries to record the answer of a booking.
+	recordLimit = time.Minute
+)
+
+// Attempt is one attempt of this node to run a booking.
+type Attempt struct {
+	r       *Replica
+	command wire.Command
+	release func()
+}
+
+// Begin records the intent to send a request. The attempt may be sent only if the
+// result is fresh. Without an error the attempt must be ended by Finish or
+// Abandon if the result is fresh; after an error or another result it has ended.
+func (r *Replica) Begin(ctx context.Context, b wire.Booking) (*Attempt, wire.Booked, error) {
+	b.Verb, b.Attempt = state.VerbBegin, newID()
+	a := &Attempt{r: r, command: wire.Command{Booking: &b}}
+	release, err := r.session.number(&a.command)
+	if err != nil {
+		return nil, wire.Booked{}, err
+	}
+	a.release = release
+	o, err := r.submit(ctx, a.command)
+	if err == nil && o.Fault == "" {
+		if !o.Booked.Fresh {
+			release()
+		}
+		return a, *o.Booked, nil
+	}
+	// The command may still be applied: it must not hold the key.
+	if abandonErr := a.Abandon(ctx); abandonErr != nil {
+		return nil, wire.Booked{}, fmt.Errorf("%w: the intent may stay recorded: %w", ErrUnavailable, abandonErr)
+	}
+	if err == nil {
+		err = fmt.Errorf("%w: %s", ErrNoSession, o.Fault)
+	}
+	return nil, wire.Booked{}, err
+}
+
+// Abandon frees the key. It returns nil once that is committed; the request must
+// not have been sent and must not be sent after the call.
+func (a *Attempt) Abandon(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), abandonLimit)
+	defer cancel()
+	defer a.release()
+	o, err := a.r.submit(ctx, a.step(state.VerbAbandon, nil))
+	if err == nil && o.Booked.State != state.StateAbandoned {
+		err = fmt.Errorf("the booking is %s", o.Booked.State)
+	}
+	return err
+}
+
+// Finish records the answer. The channel gets one value: nil once the answer is
+// recorded. Recording goes on after ctx has ended.
+func (a *Attempt) Finish(ctx context.Context, answer wire.Answer) <-chan error {
+	done := make(chan error, 1)
+	a.r.later.run(ctx, recordLimit, func(ctx context.Context) {
+		defer a.release()
+		o, err := a.r.submit(ctx, a.step(state.VerbFinish, &answer))
+		if err == nil && (o.Booked == nil || o.Booked.State != state.StateDone) {
+			err = fmt.Errorf("the answer was not recorded: %s", o.Fault)
+		}
+		if err != nil {
+			event.With(a.r.config.Log, event.BookingUnsettled).WithError(err).Error("answer of a booking is not recorded, duplicates are refused")
+		}
+		done <- err
+	})
+	return done
+}
+
+func (a *Attempt) step(verb string, answer *wire.Answer) wire.Command {
+	c := a.command
+	b := *c.Booking
+	b.Verb, b.Answer = verb, answer
+	c.Booking = &b
+	return c
+}
+
+// Settle records the answer of a booking that may have run, as the service's
+// status look-up told it.
+func (r *Replica) Settle(ctx context.Context, b wire.Booking, answer wire.Answer) (wire.Booked, error) {
+	b.Verb, b.Answer = state.VerbSettle, &answer
+	o, err := r.submit(ctx, wire.Command{Booking: &b})
+	if err != nil {
+		return wire.Booked{}, err
+	}
+	if o.Booked == nil {
+		return wire.Booked{}, fmt.Errorf("the answer was not recorded: %s", o.Fault)
+	}
+	return *o.Booked, nil
+}
+
+// Await returns the state of a booking once it is not running any more, or when
+// ctx ends.
+func (r *Replica) Await(ctx context.Context, b wire.Booking) (wire.Booked, error) {
+	for {
+		got, _, err := ask(ctx, r, kindBooking, func() any { return b }, func(p wire.Proposed) (bool, string) { return p.Elsewhere, p.Leader })
+		if err != nil {
+			return wire.Booked{}, err
+		}
+		if got.Outcome != nil && got.Outcome.Booked != nil && got.Outcome.Booked.State != state.StateRunning {
+			return *got.Outcome.Booked, nil
+		}
+	}
+}
+
+// Order runs a step of an order lease. The lease ends with the node's session; its
+// holder may send orders only while View reports a valid session lease.
+func (r *Replica) Order(ctx context.Context, o wire.Order) (wire.Ordered, error) {
+	c := wire.Command{Order: &o}
+	release, err := r.session.number(&c)
+	if err != nil {
+		return wire.Ordered{}, err
+	}
+	defer release()
+	out, err := r.submit(ctx, c)
+	switch {
+	case err != nil:
+		return wire.Ordered{}, err
+	case out.Ordered == nil:
+		return wire.Ordered{}, fmt.Errorf("%w: %s", ErrNoSession, out.Fault)
+	}
+	return *out.Ordered, nil
+}
+
+// background runs work that outlives its request; the replica waits for it before
+// it stops.
+type background struct {
+	group sync.WaitGroup
+	ended chan struct{} // closed when the work has to end
+}
+
+func (b *background) run(ctx context.Context, limit time.Duration, f func(context.Context)) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), limit)
+	b.group.Go(func() {
+		defer cancel()
+		f(ctx)
+	})
+	b.group.Go(func() {
+		select {
+		case <-b.ended:
+			cancel()
+		case <-ctx.Done():
+		}
+	})
+}
+
+// wait returns once the work has ended, which it has to do within the limit.
+func (b *background) wait(limit time.Duration) {
+	stop := time.AfterFunc(limit, func() { close(b.ended) })
+	defer stop.Stop()
+	b.group.Wait()
+}
--- /dev/null
+++ b/internal/replica/membership.go
@@ -0,0 +1,134 @@
+package replica
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/jaystage/jaystage/internal/event"
+	"github.com/jaystage/jaystage/pkg/raft"
+	"github.com/jaystage/jaystage/pkg/wire"
+)
+
+// Verbs of membership changes.
+const (
+	VerbAdd     = "add"
+	VerbPromote = "promote"
+	VerbRemove  = "remove"
+)
+
+var changeKinds = map[string]raft.ChangeKind{VerbAdd: raft.ChangeAdd, VerbPromote: raft.ChangePromote, VerbRemove: raft.ChangeRemove}
+
+// Voters changes the membership of the consensus group by one step: add a learner,
+// promote it once it holds everything committed, or remove a member.
+func (r *Replica) Voters(ctx context.Context, v wire.Voters) error {
+	if _, ok := changeKinds[v.Verb]; !ok {
+		return fmt.Errorf("verb %q is unknown; use %s, %s or %s", v.Verb, VerbAdd, VerbPromote, VerbRemove)
+	}
+	got, _, err := ask(ctx, r, kindVoters, func() any { return v }, func(p wire.Proposed) (bool, string) { return p.Elsewhere, p.Leader })
+	if err != nil {
+		return err
+	}
+	if got.Outcome != nil && got.Outcome.Fault != "" {
+		return errors.New(got.Outcome.Fault)
+	}
+	return nil
+}
+
+func (r *Replica) onVoters(ctx context.Context, _ string, body []byte) (any, error) {
+	var request wire.Voters
+	if err := wire.Unmarshal(body, &request); err != nil {
+		return nil, err
+	}
+	if r.voter == nil {
+		return wire.Proposed{Elsewhere: true, Leader: r.Leader()}, nil
+	}
+	err := r.voter.changeVoters(ctx, request)
+	if elsewhere(err) {
+		return wire.Proposed{Elsewhere: true, Leader: r.Leader()}, nil
+	}
+	outcome := wire.Outcome{}
+	if err != nil {
+		outcome.Fault = err.Error()
+	}
+	return wire.Proposed{Outcome: &outcome}, nil
+}
+
+func (v *voter) changeVoters(ctx context.Context, w wire.Voters) error {
+	incarnation := w.Incarnation
+	if incarnation == 0 {
+		err := v.readable(func(*leadership) { incarnation = v.incarnationOf(w) })
+		if err != nil {
+			return err
+		}
+	}
+	if incarnation == 0 {
+		return fmt.Errorf("voter %s has not asked to join and is no member; start it with its settings first", w.Name)
+	}
+	_, err := v.propose(ctx, request{
+		change: &raft.Change{Kind: changeKinds[w.Verb], Member: raft.Member{Name: w.Name, Incarnation: incarnation}},
+		answer: make(chan result, 1),
+	})
+	if err == nil {
+		event.With(v.r.config.Log, event.VoterChanged).WithField("voter", w.Name).WithField("verb", w.Verb).Info("membership of the group changed")
+	}
+	return err
+}
+
+// incarnationOf returns the incarnation that a change means: that of the node that
+// asks to join, or that of the member.
+func (v *voter) incarnationOf(w wire.Voters) uint64 {
+	if w.Verb == VerbAdd {
+		return v.joining[w.Name]
+	}
+	for _, m := range v.status.Members {
+		if m.Name == w.Name {
+			return m.Incarnation
+		}
+	}
+	return 0
+}
+
+// handOver gives leadership to another voter before this one stops.
+func (v *voter) handOver(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, handOverLimit)
+	defer cancel()
+	for ctx.Err() == nil {
+		done := make(chan bool, 1)
+		select {
+		case v.inbox <- request{run: func() { done <- v.transfer() }}:
+		case <-ctx.Done():
+			return
+		}
+		select {
+		case over := <-done:
+			if over {
+				return
+			}
+		case <-ctx.Done():
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(handOverInterval):
+		}
+	}
+}
+
+// transfer starts to hand leadership over; true when there is nothing to hand over
+// or nobody to take it.
+func (v *voter) transfer() bool {
+	if v.status.Role != raft.Leader {
+		return true
+	}
+	if v.status.Transfer != "" {
+		return false
+	}
+	for _, p := range v.status.Progress {
+		if !p.Member.Learner && p.Ready {
+			v.handTo = p.Member.Name
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/replica/serve.go
@@ -0,0 +1,166 @@
+package replica
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/jaystage/jaystage/internal/event"
+	"github.com/jaystage/jaystage/internal/peer"
+	"github.com/jaystage/jaystage/pkg/raft"
+	"github.com/jaystage/jaystage/pkg/wire"
+)
+
+// awaitLimit is how long the leader holds a question whether a version is in force.
+const awaitLimit = 400 * time.Millisecond
+
+// handlers returns what this node answers to others and to itself.
+func (r *Replica) handlers() map[string]peer.Handler {
+	return map[string]peer.Handler{
+		kindPropose: r.onPropose, kindRenew: r.onRenew, kindAwait: r.onAwait, kindBooking: r.onBooking, kindVoters: r.onVoters,
+	}
+}
+
+// elsewhere reports whether an error means that another node has to be asked.
+func elsewhere(err error) bool {
+	return errors.Is(err, errElsewhere) || errors.Is(err, raft.ErrNotLeader) || errors.Is(err, raft.ErrNotReady) || errors.Is(err, raft.ErrTransfer)
+}
+
+func (r *Replica) onPropose(ctx context.Context, _ string, body []byte) (any, error) {
+	var c wire.Command
+	if err := wire.Unmarshal(body, &c); err != nil {
+		return nil, err
+	}
+	if r.voter == nil {
+		return wire.Proposed{Elsewhere: true, Leader: r.Leader()}, nil
+	}
+	if c.Session != nil && c.Session.Up {
+		// The check for an earlier session needs everything that was committed.
+		if err := r.voter.readable(func(*leadership) {}); err != nil {
+			return wire.Proposed{Elsewhere: true, Leader: r.Leader()}, nil
+		}
+	}
+	o, err := r.voter.propose(ctx, request{command: &c, answer: make(chan result, 1)})
+	switch {
+	case errors.Is(err, errEarlier):
+		return wire.Proposed{Outcome: &wire.Outcome{Fault: faultEarlier}}, nil
+	case elsewhere(err):
+		return wire.Proposed{Elsewhere: true, Leader: r.Leader()}, nil
+	case err != nil:
+		return nil, err
+	}
+	return wire.Proposed{Outcome: &o}, nil
+}
+
+// propose has the loop handle a request and waits for its outcome.
+func (v *voter) propose(ctx context.Context, q request) (wire.Outcome, error) {
+	select {
+	case v.inbox <- q:
+	case <-ctx.Done():
+		return wire.Outcome{}, ctx.Err()
+	}
+	select {
+	case res := <-q.answer:
+		return res.outcome, res.err
+	case <-ctx.Done():
+		return wire.Outcome{}, ctx.Err()
+	}
+}
+
+func (r *Replica) onRenew(_ context.Context, from string, body []byte) (any, error) {
+	var request wire.Renew
+	if err := wire.Unmarshal(body, &request); err != nil {
+		return nil, err
+	}
+	if request.Node != from {
+		return nil, errors.New("a node renews only its own session")
+	}
+	if r.voter == nil {
+		return wire.Grant{Elsewhere: true, Leader: r.Leader()}, nil
+	}
+	var grant wire.Grant
+	err := r.voter.readable(func(l *leadership) { grant = l.renew(request) })
+	if elsewhere(err) {
+		return wire.Grant{Elsewhere: true, Leader: r.Leader()}, nil
+	}
+	return grant, err
+}
+
+func (r *Replica) onAwait(ctx context.Context, _ string, body []byte) (any, error) {
+	var request wire.Await
+	if err := wire.Unmarshal(body, &request); err != nil {
+		return nil, err
+	}
+	if r.voter == nil {
+		return wire.Awaited{Elsewhere: true, Leader: r.Leader()}, nil
+	}
+	reply, err := r.await(ctx, func(l *leadership, answer chan any) { l.awaitForce(request.Version, answer) })
+	if elsewhere(err) {
+		return wire.Awaited{Elsewhere: true, Leader: r.Leader()}, nil
+	}
+	return reply, err
+}
+
+func (r *Replica) onBooking(ctx context.Context, _ string, body []byte) (any, error) {
+	var request wire.Booking
+	if err := wire.Unmarshal(body, &request); err != nil {
+		return nil, err
+	}
+	if r.voter == nil {
+		return wire.Proposed{Elsewhere: true, Leader: r.Leader()}, nil
+	}
+	reply, err := r.await(ctx, func(l *leadership, answer chan any) { l.awaitBooking(request, answer) })
+	if elsewhere(err) {
+		return wire.Proposed{Elsewhere: true, Leader: r.Leader()}, nil
+	}
+	return reply, err
+}
+
+// await registers a question with the leadership and waits for its answer.
+func (r *Replica) await(ctx context.Context, register func(*leadership, chan any)) (any, error) {
+	answer := make(chan any, 1)
+	if err := r.voter.readable(func(l *leadership) { register(l, answer) }); err != nil {
+		return nil, err
+	}
+	select {
+	case reply := <-answer:
+		if reply == nil {
+			return nil, errElsewhere
+		}
+		return reply, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+func (r *Replica) onPush(_ context.Context, from string, body []byte) (any, error) {
+	var delta wire.Delta
+	if err := wire.Unmarshal(body, &delta); err != nil {
+		return nil, err
+	}
+	if !r.lost(from, kindPush) {
+		r.pushed(delta)
+	}
+	return nil, nil
+}
+
+// pushed puts changes in force at once; the renewal that follows tells the leader.
+func (r *Replica) pushed(delta wire.Delta) {
+	if _, err := r.view.push(delta); err != nil {
+		event.With(r.config.Log, event.ViewFailed).WithError(err).Error("configuration cannot be read, lease is not extended")
+	}
+	r.session.wakeUp()
+}
+
+// logLease reports a lease that was lost or gained since the last call.
+func (r *Replica) logLease(now time.Time) {
+	_, valid := r.view.get(now)
+	if r.view.logged.Swap(valid) == valid {
+		return
+	}
+	if valid {
+		event.With(r.config.Log, event.LeaseGained).WithField("version", r.view.version()).Info("node has a session lease")
+		return
+	}
+	event.With(r.config.Log, event.LeaseLost).Warn("session lease has run out, node admits nothing")
+}
--- /dev/null
+++ b/internal/replica/session.go
@@ -0,0 +1,196 @@
+package replica
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/jaystage/jaystage/internal/event"
+	"github.com/jaystage/jaystage/pkg/state"
+	"github.com/jaystage/jaystage/pkg/wire"
+)
+
+const (
+	startPause   = 100 * time.Millisecond
+	closeTimeout = time.Second
+	// pushPause bounds how often pushed changes cause a renewal.
+	pushPause = 10 * time.Millisecond
+)
+
+// session is the node's session with the leader. Each session has a new, higher
+// incarnation; commands are numbered within it.
+type session struct {
+	r    *Replica
+	wake chan struct{}
+
+	mu          sync.Mutex
+	incarnation uint64 // zero without a session
+	latest      uint64 // highest incarnation used
+	jump        time.Duration
+	seq         uint64
+	open        map[uint64]bool // numbers without a known outcome
+}
+
+func newSession(r *Replica) *session {
+	return &session{r: r, wake: make(chan struct{}, 1), open: make(map[uint64]bool)}
+}
+
+// wakeUp causes a renewal at once.
+func (s *session) wakeUp() {
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+// run keeps a session until ctx ends, then ends it.
+func (s *session) run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		var err error
+		if s.present() == 0 {
+			err = s.start(ctx)
+		} else {
+			err = s.renew(ctx)
+		}
+		pause := renewInterval
+		if err != nil {
+			pause = startPause
+			s.r.logLease(time.Now())
+		}
+		select {
+		case <-ctx.Done():
+		case <-s.wake:
+			time.Sleep(pushPause)
+		case <-time.After(pause):
+		}
+	}
+	s.finish(context.WithoutCancel(ctx))
+	return nil
+}
+
+func (s *session) present() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.incarnation
+}
+
+// propose returns a new incarnation. It follows the wall clock, so that it rises
+// over restarts; after a refusal it jumps ahead, because the clock was set back.
+func (s *session) propose() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.latest = max(s.latest+1, uint64(time.Now().Add(s.jump).UnixNano()))
+	return s.latest
+}
+
+func (s *session) start(ctx context.Context) error {
+	incarnation := s.propose()
+	entry := s.r.config.Entry
+	entry.Incarnation = incarnation
+	value, err := json.Marshal(entry)
+	if err != nil {
+		return err
+	}
+	limit, cancel := context.WithTimeout(ctx, sessionTTL)
+	defer cancel()
+	o, err := s.r.submit(limit, wire.Command{Session: &wire.Session{Node: entry.Name, Incarnation: incarnation, Up: true, Value: value}})
+	if err != nil {
+		return err
+	}
+	if o.Fault == state.FaultSession {
+		s.mu.Lock()
+		s.jump = max(time.Second, 2*s.jump)
+		s.mu.Unlock()
+	}
+	if o.Fault != "" {
+		return errors.New(o.Fault)
+	}
+	s.mu.Lock()
+	s.incarnation, s.seq, s.open = incarnation, 0, make(map[uint64]bool)
+	s.mu.Unlock()
+	event.With(s.r.config.Log, event.SessionStarted).WithField("incarnation", incarnation).Info("session started")
+	return s.renew(ctx)
+}
+
+// renew extends the lease. The lease counts from the moment before the request was
+// sent, because the leader counts from the moment it answered.
+func (s *session) renew(ctx context.Context) error {
+	incarnation, version := s.present(), s.r.view.version()
+	limit, cancel := context.WithTimeout(ctx, leaseTTL)
+	defer cancel()
+	request := wire.Renew{Node: s.r.config.Entry.Name, Incarnation: incarnation, Version: version}
+	grant, sent, err := ask(limit, s.r, kindRenew, func() any { return request }, func(g wire.Grant) (bool, string) { return g.Elsewhere, g.Leader })
+	if err != nil {
+		return err
+	}
+	if grant.Ended {
+		s.r.view.void()
+		s.mu.Lock()
+		s.incarnation = 0
+		s.mu.Unlock()
+		event.With(s.r.config.Log, event.SessionEnded).WithField("incarnation", incarnation).Warn("session was ended by the leader")
+		s.wakeUp()
+		return errors.New("the session has ended")
+	}
+	if s.r.config.hooks.leaseReceipt {
+		sent = time.Now()
+	}
+	if err := s.r.view.extend(sent, grant.Delta); err != nil {
+		event.With(s.r.config.Log, event.ViewFailed).WithError(err).Error("configuration cannot be read, lease is not extended")
+		return err
+	}
+	s.r.logLease(time.Now())
+	if s.r.view.version() != version {
+		s.wakeUp() // tells the leader that the new version is in force here
+	}
+	return nil
+}
+
+// finish ends the session, so that nobody has to wait for its lease.
+func (s *session) finish(ctx context.Context) {
+	s.r.view.void()
+	incarnation := s.present()
+	if incarnation == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, closeTimeout)
+	defer cancel()
+	_, err := s.r.submit(ctx, wire.Command{Session: &wire.Session{Node: s.r.config.Entry.Name, Incarnation: incarnation}})
+	if err != nil {
+		event.With(s.r.config.Log, event.SessionEnded).WithError(err).Warn("session could not be ended, the leader ends it when its lease has run out")
+	}
+}
+
+// number gives a command its place in the session. The release must be called once
+// the outcome is known or the command is void.
+func (s *session) number(c *wire.Command) (release func(), err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.incarnation == 0 {
+		return nil, ErrNoSession
+	}
+	s.seq++
+	seq, incarnation := s.seq, s.incarnation
+	s.open[seq] = true
+	floor := seq
+	for open := range s.open {
+		floor = min(floor, open)
+	}
+	c.Node, c.Incarnation, c.Seq, c.Floor = s.r.config.Entry.Name, incarnation, seq, floor
+	return func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if s.incarnation == incarnation {
+			delete(s.open, seq)
+		}
+	}, nil
+}
+
+// sortedKeys returns the keys of a set in order.
+func sortedKeys(set map[string]uint64) []string {
+	return slices.Sorted(maps.Keys(set))
+}
--- /dev/null
+++ b/internal/replica/view.go
@@ -0,0 +1,156 @@
+package replica
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/jaystage/jaystage/internal/config"
+	"github.com/jaystage/jaystage/internal/event"
+	"github.com/jaystage/jaystage/pkg/wire"
+)
+
+const (
+	watchInterval = 100 * time.Millisecond
+	// pauseLimit is how late a timer of a running process may be.
+	pauseLimit = 500 * time.Millisecond
+)
+
+// viewer holds a node's copy of the key space and its lease.
+type viewer struct {
+	hooks  hooks
+	lease  atomic.Pointer[lease]
+	tick   atomic.Pointer[time.Time] // last time the process was seen running
+	logged atomic.Bool               // the lease was valid when last logged
+
+	mu    sync.Mutex
+	items map[string]wire.Item
+}
+
+// lease is a view with the moment its lease runs out.
+type lease struct {
+	view *config.View
+	// sent is when the renewal was sent; the zero time for no lease.
+	sent time.Time
+}
+
+func newViewer(h hooks) *viewer {
+	v := &viewer{hooks: h, items: make(map[string]wire.Item)}
+	view, _ := config.NewView(0, nil)
+	v.lease.Store(&lease{view: view})
+	now := time.Now()
+	v.tick.Store(&now)
+	return v
+}
+
+// get checks the lease on the monotonic clock and on the wall clock: the monotonic
+// clock stands still while the VM is suspended. A process that has not run lately
+// has to renew first.
+func (v *viewer) get(now time.Time) (*config.View, bool) {
+	l := v.lease.Load()
+	if v.hooks.ignoreExpiry {
+		return l.view, !l.sent.IsZero()
+	}
+	if l.sent.IsZero() || now.Sub(l.sent) >= leaseTTL || now.Round(0).Sub(l.sent.Round(0)) >= leaseTTL {
+		return l.view, false
+	}
+	return l.view, now.Sub(*v.tick.Load()) < watchInterval+pauseLimit
+}
+
+func (v *viewer) version() uint64 { return v.lease.Load().view.Version }
+
+// void ends the lease at once.
+func (v *viewer) void() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.lease.Store(&lease{view: v.lease.Load().view})
+}
+
+// extend brings the copy up to date and extends the lease to the renewal that was
+// sent at the given time. A copy that cannot be read extends nothing.
+func (v *viewer) extend(sent time.Time, d *wire.Delta) error {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	old := v.lease.Load()
+	view := old.view
+	if d != nil && d.Version != view.Version {
+		next, err := v.apply(*d, view.Version)
+		if err != nil {
+			return err
+		}
+		view = next
+	}
+	if sent.Before(old.sent) {
+		sent = old.sent
+	}
+	v.lease.Store(&lease{view: view, sent: sent})
+	return nil
+}
+
+// push applies changes between two renewals; false when they do not follow the
+// present version.
+func (v *viewer) push(d wire.Delta) (bool, error) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	old := v.lease.Load()
+	if d.Full || d.From != old.view.Version || d.Version <= d.From {
+		return false, nil
+	}
+	view, err := v.apply(d, old.view.Version)
+	if err != nil {
+		return false, err
+	}
+	v.lease.Store(&lease{view: view, sent: old.sent})
+	return true, nil
+}
+
+func (v *viewer) apply(d wire.Delta, present uint64) (*config.View, error) {
+	if d.Version < present || (!d.Full && d.From > present) {
+		return nil, fmt.Errorf("changes from version %d to %d do not follow version %d", d.From, d.Version, present)
+	}
+	items := maps.Clone(v.items)
+	if d.Full {
+		items = make(map[string]wire.Item, len(d.Items))
+	}
+	for _, item := range d.Items {
+		if item.Deleted {
+			delete(items, item.Key)
+			continue
+		}
+		items[item.Key] = item
+	}
+	view, err := config.NewView(d.Version, items)
+	if err != nil {
+		return nil, err
+	}
+	v.items = items
+	return view, nil
+}
+
+// watch notices that the process has not run for a while. A paused process must
+// not act on a lease it checked before.
+func (v *viewer) watch(ctx context.Context, log logrus.FieldLogger, renew func()) error {
+	ticker := time.NewTicker(watchInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+		now := time.Now()
+		last := *v.tick.Load()
+		late := max(now.Sub(last), now.Round(0).Sub(last.Round(0))) - watchInterval
+		if late > pauseLimit {
+			v.void()
+			event.With(log, event.PauseNoticed).WithField("late", late.String()).Warn("process was paused, lease is checked again")
+			renew()
+		}
+		v.tick.Store(&now)
+	}
+}
--- /dev/null
+++ b/internal/replica/writer.go
@@ -0,0 +1,126 @@
+package replica
+
+import (
+	"github.com/jaystage/jaystage/pkg/raft"
+	"github.com/jaystage/jaystage/pkg/wal"
+)
+
+// job is one write of the consensus core.
+type job struct {
+	group string // non-empty to store the group's name first
+	write *raft.Write
+}
+
+// written reports the newest write that is synced.
+type written struct {
+	number uint64
+	err    error
+}
+
+// writer stores writes in a goroutine of its own. Writes that arrive during a sync
+// are stored together by the next one, so that many commands share one sync.
+type writer struct {
+	log     *wal.Log
+	each    bool
+	jobs    chan []job
+	done    chan written
+	pending []job
+	busy    bool
+}
+
+func newWriter(log *wal.Log, each bool) *writer {
+	return &writer{log: log, each: each, jobs: make(chan []job, 1), done: make(chan written, 1)}
+}
+
+// add queues a write. It and idle are called by the voter's loop only.
+func (w *writer) add(j job) {
+	if j.group == "" && j.write == nil {
+		return
+	}
+	w.pending = append(w.pending, j)
+	w.hand()
+}
+
+// idle tells that a batch was stored.
+func (w *writer) idle() {
+	w.busy = false
+	w.hand()
+}
+
+func (w *writer) hand() {
+	if w.busy || len(w.pending) == 0 {
+		return
+	}
+	n := len(w.pending)
+	if w.each {
+		n = 1
+	}
+	w.jobs <- w.pending[:n:n]
+	w.pending, w.busy = w.pending[n:], true
+}
+
+func (w *writer) run() {
+	for batch := range w.jobs {
+		w.done <- w.store(batch)
+	}
+}
+
+func (w *writer) store(batch []job) written {
+	var last written
+	var merged *raft.Write
+	flush := func() error {
+		if merged == nil {
+			return nil
+		}
+		m := merged
+		merged = nil
+		return w.log.Save(m.State, m.Entries)
+	}
+	for _, j := range batch {
+		if j.group != "" {
+			if err := flush(); err != nil {
+				return written{err: err}
+			}
+			if err := w.log.SetGroup(j.group); err != nil {
+				return written{err: err}
+			}
+		}
+		if j.write == nil {
+			continue
+		}
+		last.number = j.write.Number
+		if j.write.Snapshot != nil {
+			if err := flush(); err != nil {
+				return written{err: err}
+			}
+			if err := w.log.SaveSnapshot(*j.write.Snapshot); err != nil {
+				return written{err: err}
+			}
+		}
+		merged = merge(merged, *j.write)
+	}
+	last.err = flush()
+	return last
+}
+
+// merge joins two writes: the entries of the later one replace those from its
+// first index on.
+func merge(earlier *raft.Write, later raft.Write) *raft.Write {
+	if earlier == nil {
+		return &later
+	}
+	if len(later.Entries) == 0 {
+		later.Entries = earlier.Entries
+		return &later
+	}
+	if len(earlier.Entries) == 0 {
+		return &later
+	}
+	first, start := later.Entries[0].Index, earlier.Entries[0].Index
+	if first <= start {
+		return &later
+	}
+	kept := earlier.Entries[:min(uint64(len(earlier.Entries)), first-start)]
+	later.Entries = append(kept[:len(kept):len(kept)], later.Entries...)
+	return &later
+}
--- a/pkg/cmd/demo/demo.go
+++ b/pkg/cmd/demo/demo.go
@@ -3,9 +3,11 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
+	"os"
 	"os/signal"
 	"syscall"
 	"time"
@@ -26,6 +28,7 @@
 	token             = "demo"
 	readHeaderTimeout = 10 * time.Second
 	tokenInterval     = 30 * time.Millisecond
+	startLimit        = 30 * time.Second
 )
 
 // Options holds what the command uses.
@@ -55,8 +58,13 @@
 	log.SetOutput(opts.Streams.Err)
 	log.SetLevel(logrus.WarnLevel)
 	hash := bearer.Hash(token)
+	data, err := os.MkdirTemp("", "jaystage-demo-")
+	if err != nil {
+		return fmt.Errorf("cannot create a temporary data folder; set TMPDIR: %w", err)
+	}
+	defer os.RemoveAll(data)
 	n, err := node.New(settings.Settings{
-		Node:     settings.Node{Name: "demo", Domain: "local"},
+		Node:     settings.Node{Name: "demo", Domain: "local", Voter: true, Data: data},
 		Listen:   settings.Listen{Callers: opts.Listen, Upstreams: "127.0.0.1:0", Operators: "127.0.0.1:0"},
 		Security: settings.Security{Upstreams: []settings.Token{{Name: "demo", Token: hash}}, Operators: []settings.Token{{Name: "demo", Token: hash}}},
 		Shutdown: settings.Shutdown{Limit: config.Duration(10 * time.Second)},
@@ -68,7 +76,26 @@
 	if err != nil {
 		return err
 	}
-	if _, err := n.State.Change(ctx, wire.Change{ID: "demo", Items: items}); err != nil {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	ended := make(chan error, 1)
+	go func() { ended <- n.Run(ctx) }()
+	if err := serve(ctx, opts, n, items); err != nil {
+		cancel()
+		return errors.Join(err, <-ended)
+	}
+	return <-ended
+}
+
+// serve puts the configuration in force and starts the upstreams of a running node.
+func serve(ctx context.Context, opts *Options, n *node.Node, items []wire.Item) error {
+	limit, cancel := context.WithTimeout(ctx, startLimit)
+	defer cancel()
+	changed, err := n.State.Change(limit, wire.Change{ID: "demo", Items: items})
+	if err != nil {
+		return err
+	}
+	if err := n.State.WaitInForce(limit, changed.Version); err != nil {
 		return err
 	}
 	for _, u := range []struct {
@@ -84,7 +111,7 @@
 		}
 	}
 	printUsage(opts, n)
-	return n.Run(ctx)
+	return nil
 }
 
 func startUpstream(ctx context.Context, opts *Options, announce, id, service, version string, handler http.Handler) error {
--- a/pkg/wire/state.go
+++ b/pkg/wire/state.go
@@ -25,10 +25,13 @@
 
 // Awaited tells whether a version is in force.
 type Awaited struct {
+	// True when the receiver does not lead and has done nothing.
+	Elsewhere bool `json:"elsewhere,omitempty,omitzero"`
+
 	// True when every session has the version or has ended.
 	Force bool `json:"force,omitempty,omitzero"`
 
-	// Name of the leader if known; set when the receiver does not lead.
+	// Name of the leader if known, when the receiver does not lead.
 	Leader string `json:"leader,omitempty,omitzero"`
 
 	// Nodes that lack the version.
@@ -203,10 +206,13 @@
 	// Delta corresponds to the JSON schema field "delta".
 	Delta *Delta `json:"delta,omitempty,omitzero"`
 
+	// True when the receiver does not lead and has done nothing.
+	Elsewhere bool `json:"elsewhere,omitempty,omitzero"`
+
 	// True when the session has ended; the node has to start another one.
 	Ended bool `json:"ended,omitempty,omitzero"`
 
-	// Name of the leader if known; set when the receiver does not lead.
+	// Name of the leader if known, when the receiver does not lead.
 	Leader string `json:"leader,omitempty,omitzero"`
 }
 
@@ -371,6 +377,18 @@
 	Repeated bool `json:"repeated,omitempty,omitzero"`
 }
 
+// Proposed answers a command that was sent to the leader.
+type Proposed struct {
+	// True when the receiver does not lead and has done nothing.
+	Elsewhere bool `json:"elsewhere,omitempty,omitzero"`
+
+	// Name of the leader if known, when the receiver does not lead.
+	Leader string `json:"leader,omitempty,omitzero"`
+
+	// Outcome corresponds to the JSON schema field "outcome".
+	Outcome *Outcome `json:"outcome,omitempty,omitzero"`
+}
+
 // Record describes one accepted change of the key space.
 type Record struct {
 	// Who asked for the change.
@@ -392,12 +410,6 @@
 	Version uint64 `json:"version"`
 }
 
-// Redirect names another node to ask.
-type Redirect struct {
-	// Name of the leader if known.
-	Leader string `json:"leader,omitempty,omitzero"`
-}
-
 // Renew asks the leader to renew a session lease.
 type Renew struct {
 	// Session.
@@ -473,8 +485,8 @@
 	// Outcome corresponds to the JSON schema field "outcome".
 	Outcome *Outcome `json:"outcome,omitempty,omitzero"`
 
-	// Redirect corresponds to the JSON schema field "redirect".
-	Redirect *Redirect `json:"redirect,omitempty,omitzero"`
+	// Proposed corresponds to the JSON schema field "proposed".
+	Proposed *Proposed `json:"proposed,omitempty,omitzero"`
 
 	// Renew corresponds to the JSON schema field "renew".
 	Renew *Renew `json:"renew,omitempty,omitzero"`
