--- a/internal/replica/ask.go
+++ b/internal/replica/ask.go
@@ -79,7 +79,11 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	if target == r.config.Entry.Name {
-		return r.askSelf(ctx, kind, message, reply)
+		err := r.askSelf(ctx, kind, message, reply)
+		if err == nil && r.config.hooks.reply != nil {
+			err = r.config.hooks.reply(kind)
+		}
+		return err
 	}
 	if r.lost(target, kind) {
 		<-ctx.Done()
@@ -92,6 +96,9 @@
 	if err != nil && ctx.Err() != nil {
 		r.config.Links.Suspect(target)
 	}
+	if err == nil && r.config.hooks.reply != nil {
+		err = r.config.hooks.reply(kind)
+	}
 	return err
 }
 
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -84,6 +84,7 @@
 	ignoreExpiry bool                       // admit after the lease has run out
 	sent         *atomic.Int64              // counts messages to other nodes
 	cut          func(to, kind string) bool // loses messages
+	reply        func(kind string) error    // delays or loses the reply to a request
 }
 
 // Replica is a node's part in the replicated state.
