--- /dev/null
+++ b/pkg/routing/grants_test.go
@@ -0,0 +1,179 @@
+package routing
+
+import (
+	"testing"
+	"time"
+
+	_ "github.com/jaystage/jaystage/internal/testseed"
+	"pgregory.net/rapid"
+)
+
+func faults(kinds ...string) *rapid.Generator[[]fault] {
+	one := rapid.Custom(func(t *rapid.T) fault {
+		at := time.Duration(rapid.IntRange(100, 900).Draw(t, "at")) * simStep
+		return fault{
+			At: at, Until: at + time.Duration(rapid.IntRange(5, 400).Draw(t, "length"))*simStep,
+			Kind: rapid.SampledFrom(kinds).Draw(t, "kind"), Node: rapid.IntRange(0, 7).Draw(t, "node"),
+		}
+	})
+	return rapid.SliceOfN(one, 1, 8)
+}
+
+func scenarios(kinds ...string) *rapid.Generator[scenario] {
+	return rapid.Custom(func(t *rapid.T) scenario {
+		limit := rapid.IntRange(1, 24).Draw(t, "limit")
+		return scenario{
+			Seed: rapid.Uint64().Draw(t, "seed"), Nodes: rapid.IntRange(2, 8).Draw(t, "nodes"),
+			Start: limit, Limit: limit, Bears: limit,
+			Load:   rapid.Float64Range(0.2, 3).Draw(t, "load"),
+			Loss:   rapid.Float64Range(0, 0.3).Draw(t, "loss"),
+			Dup:    rapid.Float64Range(0, 0.3).Draw(t, "dup"),
+			Late:   rapid.Float64Range(0, 0.2).Draw(t, "late"),
+			Hold:   time.Duration(rapid.IntRange(50, 3000).Draw(t, "hold")) * time.Millisecond,
+			Faults: faults(kinds...).Draw(t, "faults"), Length: 14 * time.Second,
+		}
+	})
+}
+
+var nodeFaults = []string{"kill", "restart", "cutLeader", "cutPeers"}
+
+func TestSumOfGrantsNeverAboveLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		if err := newWorld(scenarios(nodeFaults...).Draw(t, "scenario")).run(); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
+
+func assertFails(t *testing.T, g *rapid.Generator[scenario], variant string) {
+	t.Helper()
+	for i := range 300 {
+		s := g.Example(i)
+		s.Variant = variant
+		if err := newWorld(s).run(); err != nil {
+			t.Logf("example %d: %v", i, err)
+			return
+		}
+	}
+	t.Errorf("variant %q: got no violation in 300 runs, want one", variant)
+}
+
+func TestSumOfGrantsDetectsNaiveVariants(t *testing.T) {
+	for _, variant := range []string{
+		"grants at once after a takeover", "limit for each node", "forgets grants that were not acknowledged",
+		"applies grants in any order",
+	} {
+		t.Run(variant, func(t *testing.T) { assertFails(t, scenarios(nodeFaults...), variant) })
+	}
+}
+
+func leaving() *rapid.Generator[scenario] {
+	return rapid.Custom(func(t *rapid.T) scenario {
+		s := scenarios(nodeFaults...).Draw(t, "scenario")
+		at := time.Duration(rapid.IntRange(500, 900).Draw(t, "leaves")) * simStep
+		s.Faults = append(s.Faults, fault{At: at, Kind: "leave"})
+		// Nodes that lose the owner just then learn nothing of it.
+		for i := range rapid.IntRange(0, 3).Draw(t, "cut") {
+			s.Faults = append(s.Faults, fault{At: at - simStep, Until: at + 3*time.Second, Kind: "cutPeers", Node: i})
+		}
+		s.Load, s.Hold = 2, 200*time.Millisecond
+		return s
+	})
+}
+
+// The limit of each node's session and of its grants bound how long a node that
+// learns nothing goes on.
+func TestLeavingUpstreamGetsNothingNewAfterTwoSeconds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		if err := newWorld(leaving().Draw(t, "scenario")).run(); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
+
+func TestLeavingDetectsNaiveVariants(t *testing.T) {
+	for _, variant := range []string{"measures a grant from its receipt", "grants do not expire"} {
+		t.Run(variant, func(t *testing.T) { assertFails(t, leaving(), variant) })
+	}
+}
+
+func TestTurnsDetectNaiveVariant(t *testing.T) {
+	s := scenario{
+		Seed: 1, Nodes: 8, Start: 2, Limit: 2, Bears: 2, Load: 4, Hold: 200 * time.Millisecond, Length: 20 * time.Second,
+		Variant: "keeps slots while they are used",
+	}
+	w := newWorld(s)
+	if err := w.run(); err != nil {
+		t.Fatal(err)
+	}
+	starved := 0
+	for _, n := range w.nodes {
+		if w.now-n.last > 8*time.Second {
+			starved++
+		}
+	}
+	if starved == 0 {
+		t.Errorf("variant %q: got no starved node, want some", s.Variant)
+	}
+}
+
+// After the faults are over each live node gets its turn.
+func TestNoNodeStarves(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := scenarios(nodeFaults...).Draw(t, "scenario")
+		s.Loss, s.Late, s.Load, s.SteadyAt, s.Length = min(s.Loss, 0.1), 0, 2, 16*time.Second, 24*time.Second
+		s.Hold = min(s.Hold, 500*time.Millisecond)
+		for i := range s.Faults {
+			if s.Faults[i].Node%s.Nodes == 0 && s.Faults[i].Kind == "kill" {
+				s.Faults[i].Kind = "restart" // one node has to live
+			}
+		}
+		assertNoNodeStarves(t, s)
+	})
+}
+
+func assertNoNodeStarves(t *rapid.T, s scenario) {
+	t.Helper()
+	w := newWorld(s)
+	if err := w.run(); err != nil {
+		t.Fatal(err)
+	}
+	for _, n := range w.nodes {
+		if wait := w.now - n.last; n.alive && wait > 8*time.Second {
+			t.Errorf("node %s: got nothing for %v, want a start within 8s", n.name, wait)
+		}
+	}
+	if got := float64(w.busy) / float64(w.steps) / float64(s.Limit); got < 0.4 {
+		t.Errorf("share of the limit in use after the faults: got %.2f, want at least 0.4", got)
+	}
+}
+
+func cold() *rapid.Generator[scenario] {
+	return rapid.Custom(func(t *rapid.T) scenario {
+		s := scenarios("kill", "restart", "cutLeader", "cutPeers", "cold", "reborn").Draw(t, "scenario")
+		s.Learning, s.Load = true, 2
+		s.Start = rapid.IntRange(1, max(1, s.Limit/4)).Draw(t, "start")
+		s.Hold = min(s.Hold, time.Second)
+		// The upstream is cold from its start for some seconds.
+		s.Faults = append(s.Faults, fault{
+			At: simStep, Until: time.Duration(rapid.IntRange(2, 900).Draw(t, "warm")) * simStep, Kind: "cold",
+		})
+		return s
+	})
+}
+
+// Within 2 s of turning cold without notice an upstream can get more; a newly
+// started one never does.
+func TestColdUpstreamNeverGetsMoreThanItBears(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		if err := newWorld(cold().Draw(t, "scenario")).run(); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
+
+func TestColdDetectsNaiveVariants(t *testing.T) {
+	for _, variant := range []string{"starts at the announced limit", "ignores evidence of a cold upstream", "limit for each node"} {
+		t.Run(variant, func(t *testing.T) { assertFails(t, cold(), variant) })
+	}
+}
--- /dev/null
+++ b/pkg/routing/holder.go
@@ -0,0 +1,321 @@
+package routing
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// Intervals of a node's reports.
+const (
+	// renewEvery leaves three tries before a grant expires.
+	renewEvery = 475 * time.Millisecond
+	// urgentEvery bounds the reports that a change causes.
+	urgentEvery = 5 * time.Millisecond
+)
+
+// Ticket is one used slot. It is returned exactly once.
+type Ticket struct {
+	Upstream string
+	// Generation is that of the limit under which the request started.
+	Generation uint64
+	// Prefill is the number of tokens of a long prompt, zero for a short one.
+	Prefill int
+	// Alone is true for a ticket of TakeAlone.
+	Alone bool
+	late  bool
+}
+
+// Outcome is what a request showed of its upstream.
+type Outcome int
+
+// Outcomes of requests.
+const (
+	// Unknown says nothing of the upstream, such as a caller that went away.
+	Unknown Outcome = iota
+	// Good is a complete answer.
+	Good
+	// Failed is a refusal, a crash or a stall of the upstream.
+	Failed
+)
+
+// Holder is one node's use of the slots that owners grant to it.
+type Holder struct {
+	self  Node
+	view  View
+	slots map[string]*held
+}
+
+type sending struct {
+	sequence uint64
+	at       time.Time
+}
+
+// held is one upstream at a holder.
+type held struct {
+	grant Grant
+	// until is the end of the grant on this node's clock.
+	until   time.Time
+	running int
+	queued  int
+	missed  int
+	prefill int
+	// wantAlone counts requests that wait to run alone; alone is true while one runs.
+	wantAlone int
+	alone     bool
+	// floor is the oldest view version whose grants are applied.
+	floor uint64
+	echo  time.Duration
+	// cold is true from the time that this node saw the upstream cold until a
+	// grant with a newer generation comes.
+	cold bool
+	// fallen is the generation that ended the last cold spell. Failures of requests
+	// that started before it show nothing new.
+	fallen   uint64
+	hint     Hint
+	evidence Evidence
+	sequence uint64
+	// sent holds the last reports, from whose sending grants are measured.
+	sent   [16]sending
+	due    bool
+	last   time.Time
+	active bool
+}
+
+// NewHolder returns a holder without slots. self.Incarnation grows at each start.
+func NewHolder(self Node) *Holder {
+	return &Holder{self: self, slots: make(map[string]*held)}
+}
+
+// View adopts a newer view. Grants of owners that it replaces are given up.
+func (h *Holder) View(v View) {
+	if v.Version <= h.view.Version {
+		return
+	}
+	for id, s := range h.slots {
+		if h.view.process(id) != v.process(id) {
+			s.floor, s.until, s.due = v.Version, time.Time{}, true
+		}
+	}
+	h.view = v
+}
+
+func (h *Holder) entry(upstream string) *held {
+	s, ok := h.slots[upstream]
+	if !ok {
+		s = &held{floor: h.view.Version}
+		h.slots[upstream] = s
+	}
+	return s
+}
+
+// Free returns the number of slots that Take would still give.
+func (h *Holder) Free(now time.Time, upstream string) int {
+	s, ok := h.slots[upstream]
+	if !ok || s.grant.Alone || s.wantAlone > 0 {
+		return 0
+	}
+	return s.free(now)
+}
+
+func (s *held) free(now time.Time) int {
+	if s.cold || s.alone || !now.Before(s.until) {
+		return 0
+	}
+	return max(0, s.grant.Slots-s.running)
+}
+
+// WantAlone asks for (n > 0) or gives up (n = 0) running a request alone on the
+// upstream. Until it is given up this node starts nothing else there.
+func (h *Holder) WantAlone(upstream string, n int) {
+	s := h.entry(upstream)
+	s.wantAlone, s.due = n, true
+}
+
+// TakeAlone uses a slot for a request while no other request runs on the upstream.
+func (h *Holder) TakeAlone(now time.Time, upstream string, prefill int) (Ticket, bool) {
+	s := h.entry(upstream)
+	if s.wantAlone == 0 || !s.grant.Alone || s.running > 0 || s.free(now) == 0 {
+		return Ticket{}, false
+	}
+	s.running, s.alone = 1, true
+	s.prefill += prefill
+	return Ticket{Upstream: upstream, Generation: s.grant.Generation, Prefill: prefill, Alone: true}, true
+}
+
+// Running returns the number of the node's open requests on the upstream.
+func (h *Holder) Running(upstream string) int {
+	if s, ok := h.slots[upstream]; ok {
+		return s.running
+	}
+	return 0
+}
+
+// Prefill returns the long-prompt tokens in flight on the upstream: those of this
+// node and, as last told by the owner, those of other nodes.
+func (h *Holder) Prefill(upstream string) int {
+	if s, ok := h.slots[upstream]; ok {
+		return s.prefill + s.grant.Prefill
+	}
+	return 0
+}
+
+// Take uses a slot for a request that starts now; prefill is the length of a long
+// prompt in tokens, or zero. Without a free slot the demand grows.
+func (h *Holder) Take(now time.Time, upstream string, prefill int) (Ticket, bool) {
+	s := h.entry(upstream)
+	if h.Free(now, upstream) == 0 {
+		s.missed++
+		s.due = true
+		return Ticket{}, false
+	}
+	s.running++
+	s.prefill += prefill
+	return Ticket{Upstream: upstream, Generation: s.grant.Generation, Prefill: prefill}, true
+}
+
+// FirstToken ends the prefill of a long prompt; late is true when the first token
+// missed its target. It is called at most once, before Return.
+func (h *Holder) FirstToken(t *Ticket, late bool) {
+	s, ok := h.slots[t.Upstream]
+	if !ok {
+		return
+	}
+	s.prefill -= t.Prefill
+	t.Prefill = 0
+	if late {
+		t.late = true
+		if s.evidenceOf(t.Generation) {
+			s.evidence.Slow++
+			s.due = true
+		}
+	}
+}
+
+// evidenceOf tells whether outcomes of the generation still count.
+func (s *held) evidenceOf(generation uint64) bool {
+	if s.cold || generation < s.evidence.Generation {
+		return false
+	}
+	if generation > s.evidence.Generation {
+		s.evidence = Evidence{Generation: generation}
+	}
+	return true
+}
+
+// Return gives a slot back with what its request showed of the upstream.
+func (h *Holder) Return(t Ticket, outcome Outcome) {
+	s, ok := h.slots[t.Upstream]
+	if !ok || s.running == 0 {
+		return
+	}
+	s.prefill -= t.Prefill
+	s.running--
+	if t.Alone {
+		s.alone, s.due = false, true
+		s.wantAlone = max(0, s.wantAlone-1)
+	}
+	if s.running >= s.grant.Slots {
+		s.due = true // the owner waits for this slot
+	}
+	switch {
+	case outcome == Failed && t.Generation >= s.fallen:
+		h.Cold(t.Upstream)
+	case outcome == Good && !t.late && s.evidenceOf(t.Generation):
+		s.evidence.Good++
+	}
+}
+
+// Cold stops new requests on an upstream that this node sees cold or failing,
+// until the owner has reduced the limit.
+func (h *Holder) Cold(upstream string) {
+	s, ok := h.slots[upstream]
+	if !ok || s.cold {
+		return
+	}
+	s.cold, s.due = true, true
+	s.evidence = Evidence{Generation: s.grant.Generation}
+}
+
+// Queue sets how many requests wait for a slot of the upstream.
+func (h *Holder) Queue(upstream string, n int) {
+	s := h.entry(upstream)
+	if n > s.queued {
+		s.due = true
+	}
+	s.queued = max(0, n)
+}
+
+// Apply takes an owner's grant. Older grants, and those of owners that the view
+// has replaced, change nothing.
+func (h *Holder) Apply(g Grant) {
+	if g.To != h.self.Name {
+		return
+	}
+	s := h.entry(g.Upstream)
+	if g.Epoch < s.floor || g.Epoch <= h.view.Version && h.view.Owner(g.Upstream) != g.Owner {
+		return
+	}
+	if g.Epoch < s.grant.Epoch || g.Epoch == s.grant.Epoch && g.Number <= s.grant.Number {
+		return
+	}
+	if g.Start != s.grant.Start || g.Owner != s.grant.Owner {
+		s.echo = 0
+	}
+	s.echo = max(s.echo, g.Stamp)
+	if g.Limit > 0 {
+		s.told(g)
+	}
+	s.due = s.due || g.Ask || g.Slots < s.grant.Slots
+	s.grant, s.until = g, time.Time{}
+	if at, ok := s.sentAt(g.Sequence); ok {
+		s.until = at.Add(g.TTL)
+	}
+}
+
+// told keeps the limit of an owner that is ready to grant.
+func (s *held) told(g Grant) {
+	if s.cold && g.Generation > s.evidence.Generation {
+		s.cold, s.fallen = false, g.Generation
+	}
+	s.hint = Hint{Epoch: g.Epoch, Number: g.Number, Incarnation: g.Incarnation, Limit: g.Limit}
+}
+
+func (s *held) sentAt(sequence uint64) (time.Time, bool) {
+	e := s.sent[sequence%uint64(len(s.sent))]
+	return e.at, sequence > 0 && e.sequence == sequence
+}
+
+// Demands returns the reports that are due, one per upstream at most. It is
+// called after each change and every few milliseconds.
+func (h *Holder) Demands(now time.Time) []Demand {
+	var out []Demand
+	for _, id := range slices.Sorted(maps.Keys(h.slots)) {
+		s := h.slots[id]
+		since := now.Sub(s.last)
+		want := s.running + s.queued + s.missed
+		if s.wantAlone > 0 {
+			want = 1
+		}
+		active := want > 0 || s.grant.Slots > 0 && now.Before(s.until)
+		if s.due && since >= urgentEvery || (active || s.active) && since >= renewEvery {
+			s.active = active
+			out = append(out, h.demand(now, id, s, want))
+		}
+	}
+	return out
+}
+
+func (h *Holder) demand(now time.Time, id string, s *held, want int) Demand {
+	s.sequence++
+	s.sent[s.sequence%uint64(len(s.sent))] = sending{s.sequence, now}
+	d := Demand{
+		Upstream: id, Node: h.self.Name, Incarnation: h.self.Incarnation, Sequence: s.sequence,
+		Epoch: max(s.floor, s.grant.Epoch), Running: s.running, Want: want, Prefill: s.prefill, Alone: s.wantAlone > 0,
+		Start: s.grant.Start, Applied: s.grant.Number, Echo: s.echo, Evidence: s.evidence,
+		Hint: s.hint,
+	}
+	d.Evidence.Cold, d.Hint.Cold = s.cold, s.cold
+	s.due, s.last, s.missed = false, now, 0
+	return d
+}
--- /dev/null
+++ b/pkg/routing/limit.go
@@ -0,0 +1,74 @@
+package routing
+
+// limiter learns how many requests at once an upstream bears. The limit rises
+// only after as many good answers as the limit, all started under it while most
+// of it was in use, and falls at once on bad evidence.
+type limiter struct {
+	start int
+	// ceiling is the announced limit, or Policy.Max when none is announced.
+	ceiling int
+	// limit is in [1, ceiling].
+	limit int
+	// generation grows whenever limit changes.
+	generation uint64
+	// fallen is the generation that began with the last fall; evidence from before
+	// it has been acted on already.
+	fallen uint64
+	good   int
+	slow   int
+}
+
+func newLimiter(start, ceiling int, generation uint64) limiter {
+	l := limiter{start: max(1, start), ceiling: max(1, ceiling), generation: generation, fallen: generation}
+	l.limit = min(l.start, l.ceiling)
+	return l
+}
+
+// bound applies an announced limit.
+func (l *limiter) bound(ceiling int) {
+	l.ceiling = max(1, ceiling)
+	if l.limit > l.ceiling {
+		l.set(l.ceiling)
+	}
+}
+
+func (l *limiter) set(limit int) {
+	if limit < l.limit {
+		l.fallen = l.generation + 1
+	}
+	l.limit = limit
+	l.generation++
+	l.good, l.slow = 0, 0
+}
+
+// cold takes the limit back to its start value.
+func (l *limiter) cold() {
+	l.set(min(l.start, l.ceiling))
+	l.fallen = l.generation
+}
+
+// learn takes evidence of one node; running is the number of open requests of
+// all nodes at the time.
+func (l *limiter) learn(e Evidence, running int) {
+	if e.Generation < l.fallen {
+		return
+	}
+	if e.Cold {
+		l.cold()
+		return
+	}
+	l.slow += e.Slow
+	if e.Generation == l.generation && 4*(running+e.Good) >= 3*l.limit {
+		l.good += e.Good
+	}
+	switch {
+	case l.slow >= 2 && 5*l.slow > l.good:
+		l.set(max(1, l.limit*7/10))
+	case l.good >= l.limit && 10*l.slow <= l.good && l.limit < l.ceiling:
+		// Steps of an eighth keep an overshoot inside the range in which engines
+		// answer slowly but do not fail.
+		l.set(min(l.ceiling, l.limit+max(1, l.limit/8)))
+	case l.good >= 10*l.limit:
+		l.good, l.slow = 0, 0
+	}
+}
--- /dev/null
+++ b/pkg/routing/share.go
@@ -0,0 +1,65 @@
+package routing
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// turn is how long a node keeps a slot while other nodes that want the upstream
+// have none. It bounds the wait when there are fewer slots than nodes.
+const turn = time.Second
+
+// shares divides total slots among the peers by max-min fairness over their
+// wants. Slots that nobody wants go to the nodes that use the upstream.
+func shares(now time.Time, total int, peers map[string]*peer) map[string]int {
+	names := make([]string, 0, len(peers))
+	for name, p := range peers {
+		if p.want > 0 {
+			names = append(names, name)
+		}
+	}
+	slices.SortFunc(names, func(a, b string) int {
+		return cmp.Or(peers[a].key(now).Compare(peers[b].key(now)), cmp.Compare(a, b))
+	})
+	out := make(map[string]int, len(names))
+	for left := total; left > 0; {
+		given := 0
+		for _, name := range names {
+			if given < left && out[name] < peers[name].want {
+				out[name]++
+				given++
+			}
+		}
+		if given == 0 {
+			break
+		}
+		left -= given
+		total = left
+	}
+	for i := 0; i < total && len(names) > 0 && i < 2*len(names); i++ {
+		out[names[i%len(names)]]++
+	}
+	return out
+}
+
+// key orders nodes for scarce slots: those within their turn first, then those
+// that have waited longest, then those whose turn is over.
+func (p *peer) key(now time.Time) time.Time {
+	switch {
+	case !p.holding:
+		return p.since
+	case now.Sub(p.since) < turn:
+		return time.Time{}
+	default:
+		return now
+	}
+}
+
+// place records whether the peer holds slots, for key.
+func (p *peer) place(now time.Time, slots int) {
+	holding := slots > 0
+	if holding != p.holding {
+		p.holding, p.since = holding, now
+	}
+}
--- /dev/null
+++ b/pkg/routing/sim_test.go
@@ -0,0 +1,497 @@
+package routing
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/jaystage/jaystage/pkg/wire"
+)
+
+const simStep = 10 * time.Millisecond
+
+var simStart = time.Unix(0, 0)
+
+// fault is one injected fault. Faults last until Until where that applies.
+type fault struct {
+	At, Until time.Duration
+	Kind      string // kill, restart, cutLeader, cutPeers, leave, reborn, cold
+	Node      int
+}
+
+// scenario is the input of one simulated run.
+type scenario struct {
+	Seed     uint64
+	Nodes    int
+	Start    int
+	Limit    int
+	Bears    int // what the upstream bears when warm
+	Load     float64
+	Loss     float64
+	Dup      float64
+	Late     float64 // share of messages that are late by up to 3 s
+	Faults   []fault
+	Variant  string
+	Length   time.Duration
+	Hold     time.Duration // mean length of a request
+	Learning bool
+	Mode     string // grants (default), split, forward
+	SteadyAt time.Duration
+}
+
+type simRequest struct {
+	node   *simNode
+	ticket Ticket
+	ends   time.Duration
+	first  time.Duration // when the first token comes, or 0 once it came
+	late   bool
+	bad    Outcome
+}
+
+type simNode struct {
+	name    string
+	start   uint64
+	rate    float64
+	owner   *Owner
+	holder  *Holder
+	lease   time.Time
+	view    View
+	alive   bool
+	cutL    bool
+	cutP    bool
+	renewed time.Time
+	running int
+	started int
+	queue   int
+	last    time.Duration // when it last started a request
+}
+
+// world is a cell of nodes with one upstream, a leader and a faulty network.
+type world struct {
+	scenario
+	rng      *rand.Rand
+	now      time.Duration
+	nodes    []*simNode
+	view     View
+	seen     map[string]time.Duration
+	up       wire.Announce
+	bears    int
+	open     []*simRequest
+	ghosts   []time.Duration
+	history  []int
+	inbox    []simMessage
+	beat     time.Duration
+	turned   time.Duration // when the upstream last turned cold
+	quiet    time.Duration // when the upstream began to leave, or 0
+	peak     int
+	worst    int // highest excess at which the upstream failed a request
+	started  int
+	full     time.Duration
+	busy     int
+	steps    int
+	messages int
+}
+
+type simMessage struct {
+	at   time.Duration
+	what func()
+}
+
+func newWorld(s scenario) *world {
+	w := &world{scenario: s, rng: rand.New(rand.NewPCG(s.Seed, 1)), seen: map[string]time.Duration{}, bears: s.Bears}
+	w.up = wire.Announce{ID: "u", Incarnation: 1, Limit: uint64(s.Limit), Ready: true}
+	for i := range s.Nodes {
+		n := &simNode{name: "n" + strconv.Itoa(i), rate: 1 + 0.048*w.rng.Float64(), alive: true}
+		w.nodes = append(w.nodes, n)
+		w.boot(n)
+	}
+	return w
+}
+
+func (w *world) boot(n *simNode) {
+	n.start++
+	n.alive, n.view, n.lease, n.running, n.queue = true, View{}, time.Time{}, 0, 0
+	self := Node{n.name, n.start}
+	n.owner = NewOwner(w.local(n), self, DefaultPolicy())
+	n.holder = NewHolder(self)
+}
+
+// local is the node's clock. Rates differ by at most 4.8%.
+func (w *world) local(n *simNode) time.Time {
+	return simStart.Add(time.Duration(float64(w.now) * n.rate))
+}
+
+func (w *world) send(what func()) {
+	w.messages++
+	if w.rng.Float64() < w.Loss {
+		return
+	}
+	copies := 1
+	if w.rng.Float64() < w.Dup {
+		copies = 2
+	}
+	for range copies {
+		delay := time.Millisecond + time.Duration(w.rng.Int64N(int64(4*time.Millisecond)))
+		if w.rng.Float64() < w.Late {
+			delay += time.Duration(w.rng.Int64N(int64(3 * time.Second)))
+		}
+		w.inbox = append(w.inbox, simMessage{w.now + delay, what})
+	}
+}
+
+func (w *world) deliver() {
+	due := w.inbox
+	w.inbox = nil
+	slices.SortStableFunc(due, func(a, b simMessage) int { return int(a.at - b.at) })
+	for _, m := range due {
+		if m.at <= w.now {
+			m.what()
+		} else {
+			w.inbox = append(w.inbox, m)
+		}
+	}
+}
+
+func (w *world) node(name string) *simNode {
+	for _, n := range w.nodes {
+		if n.name == name && n.alive {
+			return n
+		}
+	}
+	return nil
+}
+
+// renew keeps a node's session with the leader.
+func (w *world) renew(n *simNode) {
+	at := w.local(n)
+	if at.Sub(n.renewed) < 500*time.Millisecond {
+		return
+	}
+	n.renewed = at
+	start := n.start
+	if n.cutL {
+		return
+	}
+	w.send(func() {
+		if n.cutL || n.start != start {
+			return
+		}
+		w.seen[n.name] = w.now
+		w.member(Node{n.name, start})
+		v := w.view
+		w.send(func() {
+			if n.cutL || n.start != start || !n.alive {
+				return
+			}
+			if end := at.Add(SessionTTL); end.After(n.lease) {
+				n.lease = end
+			}
+			if v.Version > n.view.Version {
+				n.view = v
+				n.holder.View(v)
+				n.owner.Lease(n.lease)
+				w.grants(n, n.owner.View(w.local(n), v))
+				w.naive(n)
+			}
+			n.owner.Lease(n.lease)
+		})
+	})
+}
+
+func (w *world) member(n Node) {
+	if w.view.Member(n) {
+		return
+	}
+	nodes := slices.DeleteFunc(slices.Clone(w.view.Nodes), func(o Node) bool { return o.Name == n.Name })
+	w.view = View{w.view.Version + 1, append(nodes, n)}
+}
+
+// sessions drops nodes whose session has ended on the leader's clock, which runs
+// at rate 1.
+func (w *world) sessions() {
+	for _, n := range w.view.Nodes {
+		if w.now-w.seen[n.Name] >= 2100*time.Millisecond {
+			nodes := slices.DeleteFunc(slices.Clone(w.view.Nodes), func(o Node) bool { return o.Name == n.Name })
+			w.view = View{w.view.Version + 1, nodes}
+		}
+	}
+}
+
+// naive applies the faults of design that the properties must detect.
+func (w *world) naive(n *simNode) {
+	for _, r := range n.owner.records {
+		switch w.Variant {
+		case "grants at once after a takeover":
+			r.gained, n.owner.joined = time.Time{}, time.Time{}
+			r.ghost, r.exact = 0, true
+		case "keeps slots while they are used":
+			for _, p := range r.peers {
+				p.since = w.local(n)
+			}
+		case "ignores evidence of a cold upstream":
+			if r.announce.Ready {
+				r.limiter.set(w.Limit)
+			}
+		case "forgets grants that were not acknowledged":
+			for _, p := range r.peers {
+				p.out = nil
+			}
+		}
+	}
+}
+
+func (w *world) grants(from *simNode, gs []Grant) {
+	for _, g := range gs {
+		if w.Variant == "limit for each node" && g.Slots > 0 {
+			g.Slots = w.Limit
+		}
+		to := w.node(g.To)
+		if to == nil || from.cutP && to != from {
+			continue
+		}
+		start := to.start
+		w.send(func() {
+			if !to.alive || to.start != start {
+				return
+			}
+			if w.Variant == "applies grants in any order" {
+				last := &to.holder.entry(g.Upstream).grant
+				last.Number, last.Epoch = 0, 0
+			}
+			to.holder.Apply(g)
+			if s := to.holder.slots[g.Upstream]; w.Variant == "measures a grant from its receipt" && s.grant.Number == g.Number {
+				s.until = w.local(to).Add(g.TTL)
+			}
+			if s := to.holder.slots[g.Upstream]; w.Variant == "grants do not expire" && s.grant.Slots > 0 {
+				s.until = w.local(to).Add(time.Hour)
+			}
+		})
+	}
+}
+
+func (w *world) demands(n *simNode) {
+	for _, d := range n.holder.Demands(w.local(n)) {
+		to := w.node(n.view.Owner(d.Upstream))
+		if to == nil || n.cutP && to != n {
+			continue
+		}
+		w.send(func() {
+			if !to.alive {
+				return
+			}
+			w.naive(to)
+			w.grants(to, to.owner.Demand(w.local(to), d))
+		})
+	}
+}
+
+// heartbeat announces the upstream with a load report that lags by up to 900 ms.
+func (w *world) heartbeat() {
+	w.history = append(w.history, len(w.open)+len(w.ghosts))
+	if w.now < w.beat {
+		return
+	}
+	w.beat = w.now + time.Second
+	w.announce()
+}
+
+func (w *world) announce() {
+	w.up.Sequence++
+	lag := w.rng.IntN(90)
+	w.up.Load.Running = uint64(w.history[max(0, len(w.history)-1-lag)])
+	a, start := w.up, w.Start
+	if w.Variant == "starts at the announced limit" {
+		start = w.Limit
+	}
+	w.send(func() {
+		for _, i := range w.rng.Perm(len(w.nodes)) {
+			via := w.nodes[i]
+			to := w.node(via.view.Owner("u"))
+			if !via.alive || to == nil || via.cutP && via != to {
+				continue
+			}
+			w.send(func() {
+				if to.alive {
+					_, gs := to.owner.Heartbeat(w.local(to), a, start)
+					w.grants(to, gs)
+					w.naive(to)
+				}
+			})
+			return
+		}
+	})
+}
+
+func (w *world) inject() {
+	for _, f := range w.Faults {
+		n := w.nodes[f.Node%len(w.nodes)]
+		if f.Until == w.now {
+			switch f.Kind {
+			case "cutLeader":
+				n.cutL = false
+			case "cutPeers":
+				n.cutP = false
+			case "cold":
+				w.bears = w.Bears
+			}
+		}
+		if f.At != w.now {
+			continue
+		}
+		switch f.Kind {
+		case "kill", "restart":
+			w.kill(n)
+			if f.Kind == "restart" {
+				w.boot(n)
+			}
+		case "cutLeader":
+			n.cutL = true
+		case "cutPeers":
+			n.cutP = true
+		case "cold":
+			w.bears = w.Start
+			if f.At > simStep {
+				w.turned = w.now
+			}
+		case "leave":
+			w.up.Leaving, w.quiet = true, w.now
+			w.announce()
+		case "reborn":
+			w.reborn()
+		}
+	}
+}
+
+func (w *world) reborn() {
+	w.turned = w.now
+	w.up.Incarnation++
+	w.up.Sequence = 0
+	for _, r := range w.open {
+		if r.node.alive {
+			r.node.holder.Return(r.ticket, Failed)
+			r.node.running--
+		}
+	}
+	w.open, w.ghosts = nil, nil
+}
+
+// kill ends a process; the upstream notices its closed connections after 200 ms.
+func (w *world) kill(n *simNode) {
+	n.alive, n.cutL, n.cutP = false, false, false
+	w.open = slices.DeleteFunc(w.open, func(r *simRequest) bool {
+		if r.node == n {
+			w.ghosts = append(w.ghosts, w.now+200*time.Millisecond)
+		}
+		return r.node == n
+	})
+}
+
+func (w *world) finish() {
+	w.open = slices.DeleteFunc(w.open, func(r *simRequest) bool {
+		if r.first > 0 && r.first <= w.now && r.bad != Failed {
+			r.first = 0
+			r.node.holder.FirstToken(&r.ticket, r.late)
+		}
+		if r.ends > w.now {
+			return false
+		}
+		r.node.running--
+		r.node.holder.Return(r.ticket, r.bad)
+		return true
+	})
+	w.ghosts = slices.DeleteFunc(w.ghosts, func(at time.Duration) bool { return at <= w.now })
+}
+
+func (w *world) arrive(n *simNode) error {
+	want := w.Load * float64(w.Bears) / float64(w.Nodes) / w.Hold.Seconds() * simStep.Seconds()
+	tries := int(want)
+	if w.rng.Float64() < want-float64(tries) {
+		tries++
+	}
+	n.queue = min(n.queue+tries, 100)
+	for n.queue > 0 && n.lease.After(w.local(n)) {
+		t, ok := n.holder.Take(w.local(n), "u", 0)
+		if !ok {
+			break
+		}
+		n.queue--
+		if w.quiet > 0 && w.now-w.quiet > 2*time.Second {
+			return fmt.Errorf("%v: %s started a request %v after the upstream began to leave", w.now, n.name, w.now-w.quiet)
+		}
+		w.begin(n, t)
+	}
+	n.holder.Queue("u", n.queue)
+	return nil
+}
+
+func (w *world) begin(n *simNode, t Ticket) {
+	hold := time.Duration((0.5 + w.rng.Float64()) * float64(w.Hold))
+	r := &simRequest{node: n, ticket: t, ends: w.now + hold, first: w.now + hold/4, bad: Good}
+	w.open = append(w.open, r)
+	n.running++
+	n.started++
+	n.last = w.now
+	w.started++
+	over := len(w.open) + len(w.ghosts) - w.bears
+	r.late = over > 0
+	if over > max(1, w.bears/4) {
+		r.bad, r.ends = Failed, w.now+50*time.Millisecond
+		if w.turned == 0 || w.now-w.turned > 2*time.Second {
+			w.worst = max(w.worst, over)
+		}
+	}
+}
+
+// step runs one step and checks the sum of grants and uncovered requests.
+func (w *world) step() error {
+	w.now += simStep
+	w.inject()
+	w.finish()
+	w.deliver()
+	w.sessions()
+	w.heartbeat()
+	sum := len(w.ghosts)
+	for _, n := range w.nodes {
+		if !n.alive {
+			continue
+		}
+		w.renew(n)
+		w.grants(n, n.owner.Tick(w.local(n)))
+		if err := w.arrive(n); err != nil {
+			return err
+		}
+		w.demands(n)
+		free := 0
+		if n.lease.After(w.local(n)) {
+			free = n.holder.Free(w.local(n), "u")
+		}
+		sum += n.running + free
+	}
+	running := len(w.open) + len(w.ghosts)
+	w.peak = max(w.peak, running)
+	if w.full == 0 && running >= w.Bears {
+		w.full = w.now
+	}
+	if w.now > w.SteadyAt {
+		w.busy += running
+		w.steps++
+	}
+	if w.worst > 0 {
+		return fmt.Errorf("%v: upstream got %d requests more than the %d that it bears", w.now, w.worst, w.bears)
+	}
+	if !w.Learning && sum > w.Limit {
+		return fmt.Errorf("%v: slots and open requests sum to %d, the limit is %d", w.now, sum, w.Limit)
+	}
+	return nil
+}
+
+func (w *world) run() error {
+	for w.now < w.Length {
+		if err := w.step(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/pkg/routing/view.go
@@ -0,0 +1,55 @@
+package routing
+
+import (
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Node is one process of the cell.
+type Node struct {
+	Name string
+	// Incarnation grows at each start of the process.
+	Incarnation uint64
+}
+
+// View is the cell's membership at one version of the replicated key space.
+type View struct {
+	// Version never falls and is the same on all nodes for the same membership.
+	Version uint64
+	Nodes   []Node
+}
+
+// Has tells whether a node of that name is a member.
+func (v View) Has(name string) bool {
+	return slices.ContainsFunc(v.Nodes, func(n Node) bool { return n.Name == name })
+}
+
+// Owner returns the name of the node that owns the upstream by rendezvous
+// hashing, or an empty string for an empty view. A node's departure moves only
+// the upstreams that it owned.
+func (v View) Owner(upstream string) string {
+	var owner string
+	var best uint64
+	for _, n := range v.Nodes {
+		score := xxhash.Sum64String(n.Name + "\x00" + upstream)
+		if owner == "" || score > best || score == best && n.Name < owner {
+			owner, best = n.Name, score
+		}
+	}
+	return owner
+}
+
+// Member tells whether exactly this process is a member.
+func (v View) Member(n Node) bool { return slices.Contains(v.Nodes, n) }
+
+// process returns the process that owns the upstream.
+func (v View) process(upstream string) Node {
+	name := v.Owner(upstream)
+	for _, n := range v.Nodes {
+		if n.Name == name {
+			return n
+		}
+	}
+	return Node{}
+}
