--- /dev/null
+++ b/pkg/rollout/allocator.go
@@ -0,0 +1,217 @@
+package rollout
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Amount is a number of requests and of tokens.
+type Amount struct {
+	Requests float64 `json:"requests"`
+	Tokens   float64 `json:"tokens"`
+}
+
+// Usage is what a node tells the leader of one service's traffic. All numbers
+// are totals since the node's process saw the rollout.
+type Usage struct {
+	Rollout     string
+	Node        string
+	Incarnation uint64
+	// Term is the highest leader term that the node has seen.
+	Term uint64
+	// Share is the share that the node applied last.
+	Share float64
+	// Total counts all requests that the node admitted for the service.
+	Total Amount
+	// Granted is the node's present limit and Spent what it has used of it.
+	Granted, Spent Amount
+}
+
+// Grant tells a node how much the new version may have got from it in total,
+// since its process saw the rollout. A repeated or overtaken grant changes nothing.
+type Grant struct {
+	Rollout     string
+	Node        string
+	Incarnation uint64
+	Term        uint64
+	Limit       Amount
+}
+
+// carryRequests bounds the credit that is kept for later when no node needs it.
+// Tokens are bounded by four times the tokens of that many mean requests, so
+// that long requests find enough.
+const carryRequests = 64
+
+// spareRequests and spareReports bound a node's unspent permits: a few requests,
+// and what it could spend within that many reports. Without the bound, permits
+// left over from a time without upstreams would be spent in one burst.
+const (
+	spareRequests = 2
+	spareReports  = 4
+)
+
+type account struct {
+	usage Usage
+	limit Amount
+	// spare is the most unspent permits for requests.
+	spare float64
+}
+
+// Allocator hands out permits for the new version on the leader. The sum of all
+// permits never exceeds the share times the traffic that nodes reported, for
+// requests and for tokens. A new leader starts with an empty Allocator: permits
+// of its predecessor stay valid, and traffic reported before its term earns
+// nothing more.
+type Allocator struct {
+	rollout string
+	term    uint64
+	nodes   map[string]*account
+	credit  Amount
+	seen    Amount
+}
+
+// NewAllocator returns an allocator for one leader term and rollout.
+func NewAllocator(rollout string, term uint64) *Allocator {
+	return &Allocator{rollout: rollout, term: term, nodes: make(map[string]*account)}
+}
+
+// Report takes one node's usage. The traffic since the node's last report earns
+// credit at the lower share of the two reports. A first report in this term and
+// a new incarnation earn nothing: part of that traffic may have been counted
+// before.
+func (a *Allocator) Report(u Usage) {
+	if u.Rollout != a.rollout || u.Term != a.term {
+		return
+	}
+	n, ok := a.nodes[u.Node]
+	if !ok || u.Incarnation > n.usage.Incarnation {
+		a.nodes[u.Node] = &account{usage: u, limit: u.Granted, spare: spareRequests}
+		return
+	}
+	if u.Incarnation < n.usage.Incarnation || u.Total.Requests < n.usage.Total.Requests ||
+		u.Total.Tokens < n.usage.Total.Tokens {
+		return
+	}
+	share := min(1, max(0, min(u.Share, n.usage.Share)))
+	gain := Amount{u.Total.Requests - n.usage.Total.Requests, u.Total.Tokens - n.usage.Total.Tokens}
+	u.Spent.Requests = max(u.Spent.Requests, n.usage.Spent.Requests)
+	u.Spent.Tokens = max(u.Spent.Tokens, n.usage.Spent.Tokens)
+	n.usage = u
+	n.spare = spareRequests + spareReports*share*gain.Requests
+	a.seen.Requests += gain.Requests
+	a.seen.Tokens += gain.Tokens
+	a.credit.Requests = min(a.credit.Requests+share*gain.Requests, carryRequests+share*gain.Requests)
+	if a.seen.Requests > 0 {
+		mean := a.seen.Tokens / a.seen.Requests
+		a.credit.Tokens = min(a.credit.Tokens+share*gain.Tokens, 4*carryRequests*mean+share*gain.Tokens)
+	}
+}
+
+// Grants divides the credit among the nodes and returns each node's limit. The
+// node with the fewest unspent permits for its traffic is served first.
+func (a *Allocator) Grants() []Grant {
+	nodes := make([]*account, 0, len(a.nodes))
+	for _, n := range a.nodes {
+		nodes = append(nodes, n)
+	}
+	slices.SortFunc(nodes, func(x, y *account) int { return cmp.Compare(x.usage.Node, y.usage.Node) })
+	if len(nodes) > 0 {
+		a.divide(nodes)
+	}
+	grants := make([]Grant, 0, len(nodes))
+	for _, n := range nodes {
+		grants = append(grants, Grant{
+			Rollout: a.rollout, Node: n.usage.Node, Incarnation: n.usage.Incarnation, Term: a.term, Limit: n.limit,
+		})
+	}
+	return grants
+}
+
+func (a *Allocator) divide(nodes []*account) {
+	whole := math.Floor(a.credit.Requests + 1e-9)
+	tokens := a.credit.Tokens / max(1, whole)
+	for range int(whole) {
+		best := slices.MinFunc(nodes, func(x, y *account) int { return cmp.Compare(x.stock(), y.stock()) })
+		if best.limit.Requests-best.usage.Spent.Requests >= best.spare {
+			return
+		}
+		best.limit.Requests++
+		best.limit.Tokens += tokens
+		a.credit.Requests--
+		a.credit.Tokens -= tokens
+	}
+}
+
+// stock relates the unspent permits to the most that the node may hold.
+func (n *account) stock() float64 {
+	return (n.limit.Requests - n.usage.Spent.Requests) / n.spare
+}
+
+// Holder spends a node's permits for one rollout. Its zero value, and a holder
+// of a restarted process, has no permits.
+type Holder struct {
+	usage Usage
+	void  bool
+}
+
+// NewHolder returns the holder of one node process for one rollout.
+func NewHolder(rollout, node string, incarnation uint64) *Holder {
+	return &Holder{usage: Usage{Rollout: rollout, Node: node, Incarnation: incarnation}}
+}
+
+// Follow tells the holder of the leader's term and of the share that is in force
+// on this node. Grants of earlier terms are refused from then on, so that the
+// new leader's view of them is final.
+func (h *Holder) Follow(term uint64, share float64) {
+	h.usage.Term = max(h.usage.Term, term)
+	h.usage.Share = share
+}
+
+// Accept takes a grant.
+func (h *Holder) Accept(g Grant) {
+	if g.Rollout != h.usage.Rollout || g.Node != h.usage.Node || g.Incarnation != h.usage.Incarnation ||
+		g.Term < h.usage.Term {
+		return
+	}
+	h.usage.Term = g.Term
+	h.usage.Granted.Requests = max(h.usage.Granted.Requests, g.Limit.Requests)
+	h.usage.Granted.Tokens = max(h.usage.Granted.Tokens, g.Limit.Tokens)
+}
+
+// Void ends the use of all permits, present and later. The node calls it when
+// the share entry says that the new version is bad or gets no traffic.
+func (h *Holder) Void() { h.void = true }
+
+// Admit counts a request of the service. It returns true when the request goes
+// to the new version, which needs wanted and permits for one request and for its
+// tokens (prompt and the most output).
+func (h *Holder) Admit(tokens float64, wanted bool) bool {
+	h.usage.Total.Requests++
+	h.usage.Total.Tokens += tokens
+	if h.void || !wanted || h.usage.Spent.Requests+1 > h.usage.Granted.Requests+1e-9 ||
+		h.usage.Spent.Tokens+tokens > h.usage.Granted.Tokens+1e-6 {
+		return false
+	}
+	h.usage.Spent.Requests++
+	h.usage.Spent.Tokens += tokens
+	return true
+}
+
+// Usage returns the report for the leader.
+func (h *Holder) Usage() Usage { return h.usage }
+
+// stickyPart is the part of the share that sessions are assigned to, so that
+// sessions seldom find the node without a permit.
+const stickyPart = 0.8
+
+// Sticky tells whether a session belongs to the new version at this share. All
+// nodes give the same answer; while the share rises, a session changes at most
+// once. The share limit prevails: without a permit, Admit still says false, and
+// that request of the session goes to the old version.
+func Sticky(rollout, session string, share float64) bool {
+	h := xxhash.Sum64String(rollout + "\x00" + session)
+	return float64(h>>11)/(1<<53) < stickyPart*share
+}
--- /dev/null
+++ b/pkg/rollout/sim/measure_test.go
@@ -0,0 +1,43 @@
+package sim
+
+import (
+	"flag"
+	"os"
+	"testing"
+	"time"
+
+	_ "github.com/jaystage/jaystage/internal/testseed"
+	"github.com/jaystage/jaystage/pkg/rollout"
+)
+
+var rollouts = flag.Int("rollouts", 96, "number of generated rollouts of the measurement")
+
+// Guards against a judgement that undoes good versions, passes bad ones, or lets
+// a bad one take more than its share. The bounds are the design's targets.
+func TestMeasurement(t *testing.T) {
+	m := Measure(Scenarios(*rollouts), "")
+	m.Print(os.Stdout)
+	if m.GoodInTime+m.FalseUndo != m.Good || float64(m.FalseUndo) >= 0.01*float64(m.Good) {
+		t.Errorf("got %d of %d good versions done in time, %d judged bad", m.GoodInTime, m.Good, m.FalseUndo)
+	}
+	if m.BadUndone != m.Bad || m.Late > 0 {
+		t.Errorf("got %d of %d bad versions undone, %d rollouts late", m.BadUndone, m.Bad, m.Late)
+	}
+	if m.Over > 1e-6 {
+		t.Errorf("the share limit was exceeded by %.3f requests", m.Over)
+	}
+	for _, r := range m.Missed {
+		t.Errorf("seed %d %s %s: %s at step %d, %+v", r.Scenario.Seed, r.Scenario.Fault, r.Scenario.Onset,
+			r.Rollout.Phase, r.Rollout.Step, r.Rollout.Cause)
+	}
+	for _, r := range m.Results {
+		bad := r.Scenario.Fault != None
+		if part := r.Bad / r.All; bad && part > 0.05 {
+			t.Errorf("seed %d %s %s: the bad version got %.4f of the traffic at %.1f/s, %+v",
+				r.Scenario.Seed, r.Scenario.Fault, r.Scenario.Onset, part, r.Scenario.Rate, r.Rollout.Cause)
+		}
+		if bad && r.Rollout.Phase == rollout.Undone && r.LastNew-r.Judged > 5*time.Second {
+			t.Errorf("seed %d: last request %s after the verdict", r.Scenario.Seed, r.LastNew-r.Judged)
+		}
+	}
+}
--- /dev/null
+++ b/pkg/rollout/sim/naive.go
@@ -0,0 +1,58 @@
+package sim
+
+import (
+	"math"
+	"time"
+
+	"github.com/jaystage/jaystage/pkg/rollout"
+)
+
+// naiveEvidence returns what Step would get from a variant's collection.
+func naiveEvidence(v Variant, e rollout.Evidence) rollout.Evidence {
+	switch v {
+	case GlobalAverage:
+		e.Total, e.Recent = average(e.Total), average(e.Recent)
+	case TotalsOnly:
+		e.Recent, e.Window = nil, 0
+	}
+	return e
+}
+
+func average(s rollout.Set) rollout.Set {
+	out := rollout.Set{}
+	for k, c := range s {
+		out.At(rollout.Key{Version: k.Version, Cold: k.Cold}).Merge(c)
+	}
+	return out
+}
+
+// fixedSample judges by a one-sided test at the 1% level for a single look, and
+// looks every second.
+func fixedSample(now time.Time, r rollout.Rollout, e rollout.Evidence, d rollout.Decision) rollout.Decision {
+	var n, bad [2]float64
+	for k, c := range e.Total {
+		if k.Cold {
+			continue
+		}
+		i := 0
+		if k.Version == r.To {
+			i = 1
+		}
+		n[i] += float64(c.Runs)
+		bad[i] += float64(c.Failures + c.Crashes + c.Cut)
+	}
+	if n[0] < 30 || n[1] < 30 {
+		return d
+	}
+	p := (bad[0] + bad[1]) / (n[0] + n[1])
+	z := (bad[1]/n[1] - bad[0]/n[0]) / math.Sqrt(max(1e-9, p*(1-p)*(1/n[0]+1/n[1])))
+	if z < 2.33 {
+		return d
+	}
+	next, err := rollout.Undo(now, r, "fixed-sample test")
+	if err != nil {
+		return d
+	}
+	next.Bad = true
+	return rollout.Decision{Rollout: next, Changed: true}
+}
