--- /dev/null
+++ b/pkg/stream/request.go
@@ -0,0 +1,212 @@
+package stream
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"strconv"
+)
+
+// Kind is the form of a completion request.
+type Kind int
+
+// Kinds of requests.
+const (
+	// Chat is a request of POST /v1/chat/completions.
+	Chat Kind = iota
+	// Text is a request of POST /v1/completions.
+	Text
+)
+
+// bytesPerToken estimates the tokens of a prompt from its length.
+const bytesPerToken = 4
+
+// Request is a caller's completion request.
+type Request struct {
+	Kind  Kind
+	Model string
+	// Stream is true when the caller wants server-sent events.
+	Stream bool
+	// Usage is true when the caller wants the usage in the stream.
+	Usage bool
+	// MaxTokens is the longest answer in tokens; zero when the caller sets none.
+	MaxTokens int
+	// Prompt is the estimated length of the prompt in tokens.
+	Prompt int
+	// Whole says why the answer can only be restarted, not continued; empty when it
+	// can be continued.
+	Whole string
+
+	body    []byte
+	fields  map[string]json.RawMessage
+	choices int
+	// resumes is true when the caller's last message is itself the beginning of
+	// the answer.
+	resumes bool
+}
+
+type requestFields struct {
+	Model         string            `json:"model"`
+	Stream        bool              `json:"stream"`
+	MaxTokens     *int              `json:"max_tokens"`
+	MaxCompletion *int              `json:"max_completion_tokens"`
+	N             *int              `json:"n"`
+	BestOf        *int              `json:"best_of"`
+	Echo          bool              `json:"echo"`
+	Logprobs      json.RawMessage   `json:"logprobs"`
+	Tools         []json.RawMessage `json:"tools"`
+	Functions     []json.RawMessage `json:"functions"`
+	Messages      []json.RawMessage `json:"messages"`
+	Prompt        json.RawMessage   `json:"prompt"`
+	Continue      bool              `json:"continue_final_message"`
+	Format        struct {
+		Type string `json:"type"`
+	} `json:"response_format"`
+	Options struct {
+		Usage bool `json:"include_usage"`
+	} `json:"stream_options"`
+}
+
+// ParseRequest reads the body of a completion request.
+func ParseRequest(kind Kind, body []byte) (*Request, error) {
+	var f requestFields
+	r := &Request{Kind: kind, body: body, choices: 1}
+	if err := json.Unmarshal(body, &f); err != nil {
+		return nil, fmt.Errorf("the body is not a completion request: %w", err)
+	}
+	if err := json.Unmarshal(body, &r.fields); err != nil {
+		return nil, fmt.Errorf("the body is not a JSON object: %w", err)
+	}
+	r.Model, r.Stream, r.Usage, r.resumes = f.Model, f.Stream, f.Options.Usage, f.Continue
+	if f.MaxTokens != nil {
+		r.MaxTokens = *f.MaxTokens
+	}
+	if f.MaxCompletion != nil {
+		r.MaxTokens = *f.MaxCompletion
+	}
+	if f.N != nil {
+		r.choices = max(1, *f.N)
+	}
+	r.Prompt = (len(r.fields["messages"]) + len(f.Prompt)) / bytesPerToken
+	r.Whole = f.whole(kind, r.choices, r.fields)
+	return r, nil
+}
+
+// whole returns why an answer to the request cannot be continued.
+func (f *requestFields) whole(kind Kind, choices int, fields map[string]json.RawMessage) string {
+	prompt := bytes.TrimSpace(f.Prompt)
+	switch {
+	case choices > 1 || f.BestOf != nil && *f.BestOf > 1:
+		return "several choices"
+	case len(f.Tools) > 0 || len(f.Functions) > 0:
+		return "tool calls"
+	case !isAbsent(f.Logprobs) && string(f.Logprobs) != "false":
+		return "log probabilities"
+	case f.Echo:
+		return "echo of the prompt"
+	case f.Format.Type != "" && f.Format.Type != "text":
+		return "structured output"
+	case kind == Text && (len(prompt) == 0 || prompt[0] != '"'):
+		return "a prompt that is not one text"
+	case kind == Chat && len(f.Messages) == 0:
+		return "no messages"
+	}
+	for _, name := range []string{"guided_json", "guided_regex", "guided_choice", "guided_grammar", "structured_outputs"} {
+		if !isAbsent(fields[name]) {
+			return "structured output"
+		}
+	}
+	return ""
+}
+
+func isAbsent(raw json.RawMessage) bool { return len(raw) == 0 || string(raw) == "null" }
+
+// Direct is true when the request goes to the upstream unstreamed, because its
+// answer cannot be assembled from a stream.
+func (r *Request) Direct() bool { return r.Whole != "" && !r.Stream }
+
+// body returns the body for an upstream; delivered is the text that the caller
+// already has, of the given number of tokens.
+func (r *Request) encode(delivered string, tokens int, options Options) ([]byte, error) {
+	fields := maps.Clone(r.fields)
+	if !r.Direct() {
+		fields["stream"] = json.RawMessage("true")
+		fields["stream_options"] = json.RawMessage(`{"include_usage":true,"continuous_usage_stats":true}`)
+	}
+	if options.Priority != 0 {
+		fields["priority"] = json.RawMessage(strconv.Itoa(options.Priority))
+	}
+	if len(options.KV) > 0 {
+		fields["kv_transfer_params"] = options.KV
+	}
+	if delivered != "" {
+		if err := r.resume(fields, delivered, tokens); err != nil {
+			return nil, err
+		}
+	}
+	return json.Marshal(fields)
+}
+
+// resume turns the fields into a request that continues the delivered text.
+func (r *Request) resume(fields map[string]json.RawMessage, delivered string, tokens int) error {
+	for _, name := range []string{"max_tokens", "max_completion_tokens", "min_tokens"} {
+		var n int
+		if isAbsent(fields[name]) {
+			continue
+		}
+		if err := json.Unmarshal(fields[name], &n); err != nil {
+			return err
+		}
+		least := 1
+		if name == "min_tokens" {
+			least = 0
+		}
+		fields[name] = json.RawMessage(strconv.Itoa(max(least, n-tokens)))
+	}
+	if r.Kind == Text {
+		var prompt string
+		if err := json.Unmarshal(fields["prompt"], &prompt); err != nil {
+			return err
+		}
+		joined, err := json.Marshal(prompt + delivered)
+		fields["prompt"] = joined
+		return err
+	}
+	messages, err := r.messages(fields["messages"], delivered)
+	fields["messages"] = messages
+	fields["continue_final_message"] = json.RawMessage("true")
+	fields["add_generation_prompt"] = json.RawMessage("false")
+	return err
+}
+
+func (r *Request) messages(raw json.RawMessage, delivered string) (json.RawMessage, error) {
+	var list []json.RawMessage
+	if err := json.Unmarshal(raw, &list); err != nil {
+		return nil, err
+	}
+	message := map[string]any{"role": "assistant", "content": delivered}
+	if r.resumes {
+		var last struct {
+			Content string `json:"content"`
+		}
+		if err := json.Unmarshal(list[len(list)-1], &last); err != nil {
+			return nil, err
+		}
+		message["content"] = last.Content + delivered
+		list = list[:len(list)-1]
+	}
+	added, err := json.Marshal(message)
+	if err != nil {
+		return nil, err
+	}
+	return json.Marshal(append(list, added))
+}
+
+// Options are the parts of a request to an upstream that jaystage sets.
+type Options struct {
+	// Priority goes into the body field priority unless it is zero.
+	Priority int
+	// KV goes into the body field kv_transfer_params unless it is empty.
+	KV json.RawMessage
+}
