--- /dev/null
+++ b/pkg/fleet/sim/site.go
@@ -0,0 +1,104 @@
+// Package sim runs a deployment's fleet through generated load, prices, reclaims
+// and refused starts. It is deterministic: the seed decides everything.
+package sim
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"github.com/jaystage/jaystage/pkg/fleet"
+)
+
+// Site is a simulated deployment.
+type Site struct {
+	Name    string
+	Domains []string
+	Pools   []Pool
+	Rules   fleet.Rules
+	// Waves is the mean number of reclaim waves per failure domain and day, and
+	// Single the rate of single reclaims per VM and hour.
+	Waves, Single float64
+	// Refuse is the probability that a start is refused; LoseAnswer that the answer
+	// to an order is lost.
+	Refuse, LoseAnswer float64
+	// LeaseLoss is the probability per plan that the lease is lost for a minute.
+	LeaseLoss float64
+	// Noise is the relative random part of the load, and Flat removes its daily
+	// course.
+	Noise float64
+	Flat  bool
+	Hours float64
+}
+
+// Pool is a pool with its peak load.
+type Pool struct {
+	fleet.Pool
+	Peak float64
+}
+
+type class struct {
+	name            string
+	onDemand, cheap float64
+}
+
+var classes = []class{{"gpu-a", 2.0, 0.7}, {"gpu-b", 4.2, 1.3}, {"cpu", 0.2, 0.07}}
+
+func site(name string, domains []string, models, plain float64) Site {
+	model := fleet.Pool{
+		Name: "model", Service: "desk", Model: "base", Adapter: "site", Version: "1", Role: "mixed", Priority: 1,
+		Capacity: map[string]float64{"gpu-a": 1000, "gpu-b": 1800}, ColdStart: 4 * time.Minute, Weights: 30e9, Recompute: 20,
+	}
+	booking := fleet.Pool{
+		Name: "booking", Service: "booking", Version: "1", Role: "plain", Capacity: map[string]float64{"cpu": 50},
+		ColdStart: time.Minute, Weights: 1e9,
+	}
+	return Site{
+		Name: name, Domains: domains, Pools: []Pool{{model, models}, {booking, plain}},
+		Rules: fleet.Rules{
+			Headroom: 1, Margin: 1.15, OnDemand: 0.25, Hold: 15 * time.Minute, MinAge: time.Hour, StoreRate: 1e9,
+		},
+		Waves: 2, Single: 0.02, Refuse: 0.1, Noise: 0.05, Hours: 24,
+	}
+}
+
+// Consortium has about 12 model runners and 4 booking runners at peak.
+func Consortium() Site {
+	return site("consortium", []string{"gulberg", "model-town", "johar-town", "cantt"}, 7800, 130)
+}
+
+// Federwerk has about 9 model runners and 4 order runners at peak.
+func Federwerk() Site {
+	return site("federwerk", []string{"vienna-1", "vienna-2", "vienna-3", "lower-austria"}, 5900, 130)
+}
+
+// Strategy selects how VMs are chosen.
+type Strategy string
+
+// Strategies. Planned is the product; the others are compared with it or show
+// that a property can fail.
+const (
+	Planned        Strategy = "planned"
+	AllOnDemand    Strategy = "all-on-demand"
+	CheapestDomain Strategy = "cheapest-domain-only"
+	NoHeadroom     Strategy = "no-headroom"
+	IgnoreNotices  Strategy = "notices-ignored"
+	StaleLease     Strategy = "lease-not-checked"
+	NoHold         Strategy = "no-hold"
+	ForgetPending  Strategy = "orders-forgotten"
+)
+
+// load is the share of the peak at a time of day: low at night, with a peak in
+// the evening and a quick rise at 9.
+func (s *Site) load(t time.Duration, rng *rand.Rand) float64 {
+	share := 0.7
+	if !s.Flat {
+		h := math.Mod(t.Hours(), 24)
+		bump := func(at, width float64) float64 { return math.Exp(-(h - at) * (h - at) / (2 * width * width)) }
+		share = 0.2 + 0.45*bump(12, 3) + 0.75*bump(19.5, 2)
+		if h >= 9 && h < 18 {
+			share += 0.1 * min(1, (h-9)*6)
+		}
+	}
+	return min(1, share) * (1 + s.Noise*rng.NormFloat64())
+}
