--- a/pkg/fleet/plan_test.go
+++ b/pkg/fleet/plan_test.go
@@ -60,6 +60,7 @@
 // Guards against an offer that is asked for again and again after refusals.
 func TestRefusedStartFallsBackToAnotherOffer(t *testing.T) {
 	in := inputs(150)
+	in.Rules.StoreRate = 0 // the store would delay the second start
 	d := Plan(now, in)
 	in.Memory = d.Memory
 	refused := d.Orders[0]
