--- /dev/null
+++ b/internal/fake/platform.go
@@ -0,0 +1,244 @@
+// Package fake holds in-process stand-ins for the systems that jaystage talks
+// to: upstreams, a booking service and the platform.
+package fake
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"github.com/jaystage/jaystage/internal/platform"
+)
+
+// Platform is a stand-in for the cloud API on a loopback socket. Time advances
+// with Advance only.
+type Platform struct {
+	// URL is the address of the API.
+	URL string
+
+	server *httptest.Server
+	token  string
+
+	mu      sync.Mutex
+	now     time.Time
+	vms     map[string]*vm
+	orders  map[string]string
+	prices  []platform.Price
+	refuse  func(platform.Start) bool
+	fenced  uint64
+	loseIn  int
+	hangIn  int
+	release chan struct{}
+}
+
+type vm struct {
+	platform.VM
+	reclaim time.Time
+}
+
+// NewPlatform starts the stand-in with the given bearer token and prices.
+func NewPlatform(token string, prices []platform.Price) *Platform {
+	p := &Platform{
+		token: token, prices: slices.Clone(prices), vms: make(map[string]*vm), orders: make(map[string]string),
+		now: time.Date(2026, 12, 4, 9, 0, 0, 0, time.UTC), release: make(chan struct{}),
+	}
+	r := mux.NewRouter()
+	r.HandleFunc("/v1/vms", p.list).Methods(http.MethodGet)
+	r.HandleFunc("/v1/vms", p.start).Methods(http.MethodPost)
+	r.HandleFunc("/v1/vms/{id}", p.stop).Methods(http.MethodDelete)
+	r.HandleFunc("/v1/prices", p.listPrices).Methods(http.MethodGet)
+	r.HandleFunc("/v1/notices", p.notices).Methods(http.MethodGet)
+	p.server = httptest.NewServer(p.front(r))
+	p.URL = p.server.URL
+	return p
+}
+
+// Close ends the stand-in and all answers that hang.
+func (p *Platform) Close() {
+	close(p.release)
+	p.server.Close()
+}
+
+// Refuse sets the starts that are refused; nil refuses none. An order whose VM
+// exists is never refused.
+func (p *Platform) Refuse(f func(platform.Start) bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.refuse = f
+}
+
+// LoseAnswers makes the next n calls take effect with their answers lost.
+func (p *Platform) LoseAnswers(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.loseIn = n
+}
+
+// HangAnswers makes the next n calls take effect with no answer until Close.
+func (p *Platform) HangAnswers(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.hangIn = n
+}
+
+// Reclaim gives a notice to all reclaimable VMs of a failure domain.
+func (p *Platform) Reclaim(domain string, notice time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, v := range p.vms {
+		if v.Domain == domain && v.Reclaimable && v.reclaim.IsZero() {
+			v.reclaim = p.now.Add(notice)
+		}
+	}
+}
+
+// Advance moves the time on; VMs whose notice is over are gone.
+func (p *Platform) Advance(d time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.now = p.now.Add(d)
+	maps.DeleteFunc(p.vms, func(_ string, v *vm) bool { return !v.reclaim.IsZero() && !p.now.Before(v.reclaim) })
+}
+
+// Running returns the number of VMs.
+func (p *Platform) Running() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.vms)
+}
+
+// front checks the token and takes answers away after the call took effect.
+func (p *Platform) front(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("Authorization") != "Bearer "+p.token {
+			problem(w, http.StatusUnauthorized, "unauthenticated", "unknown token")
+			return
+		}
+		rec := httptest.NewRecorder()
+		next.ServeHTTP(rec, r)
+		p.mu.Lock()
+		lose, hang := p.loseIn > 0, p.hangIn > 0
+		p.loseIn, p.hangIn = max(0, p.loseIn-1), max(0, p.hangIn-1)
+		p.mu.Unlock()
+		if hang {
+			<-p.release
+		}
+		if lose || hang {
+			panic(http.ErrAbortHandler) // closes the connection without an answer
+		}
+		maps.Copy(w.Header(), rec.Header())
+		w.WriteHeader(rec.Code)
+		_, _ = w.Write(rec.Body.Bytes())
+	})
+}
+
+func problem(w http.ResponseWriter, status int, code, detail string) {
+	answer(w, status, platform.Problem{Code: code, Detail: detail})
+}
+
+func answer(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+func (p *Platform) list(w http.ResponseWriter, _ *http.Request) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := []platform.VM{}
+	for _, id := range slices.Sorted(maps.Keys(p.vms)) {
+		out = append(out, p.vms[id].VM)
+	}
+	answer(w, http.StatusOK, out)
+}
+
+func (p *Platform) start(w http.ResponseWriter, r *http.Request) {
+	var s platform.Start
+	if err := json.NewDecoder(r.Body).Decode(&s); err != nil || s.Order == "" {
+		problem(w, http.StatusBadRequest, "bad-request", "a start needs an order id")
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.fence(w, s.Fencing) {
+		return
+	}
+	if id, ok := p.orders[s.Order]; ok {
+		v, here := p.vms[id]
+		if !here {
+			problem(w, http.StatusGone, "gone", "the VM of this order has ended")
+			return
+		}
+		answer(w, http.StatusOK, v.VM)
+		return
+	}
+	i := slices.IndexFunc(p.prices, func(q platform.Price) bool {
+		return q.Class == s.Class && q.Domain == s.Domain && q.Reclaimable == s.Reclaimable
+	})
+	if i < 0 || (p.refuse != nil && p.refuse(s)) {
+		problem(w, http.StatusConflict, "refused", fmt.Sprintf("no %s in %s", s.Class, s.Domain))
+		return
+	}
+	v := &vm{VM: platform.VM{
+		ID: "vm-" + strconv.Itoa(len(p.orders)+1), Order: s.Order, Class: s.Class, Domain: s.Domain,
+		Reclaimable: s.Reclaimable, Pool: s.Pool, State: "running", Started: p.now.UnixMilli(), Hour: p.prices[i].Hour,
+	}}
+	p.vms[v.ID], p.orders[s.Order] = v, v.ID
+	answer(w, http.StatusCreated, v.VM)
+}
+
+// fence refuses a token older than the newest one seen.
+func (p *Platform) fence(w http.ResponseWriter, token uint64) bool {
+	if token < p.fenced {
+		problem(w, http.StatusConflict, "fenced", fmt.Sprintf("token %d is older than %d", token, p.fenced))
+		return false
+	}
+	p.fenced = token
+	return true
+}
+
+func (p *Platform) stop(w http.ResponseWriter, r *http.Request) {
+	token, err := strconv.ParseUint(r.URL.Query().Get("fencing"), 10, 64)
+	if err != nil {
+		problem(w, http.StatusBadRequest, "bad-request", "a stop needs a fencing token")
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.fence(w, token) {
+		return
+	}
+	id := mux.Vars(r)["id"]
+	if _, ok := p.vms[id]; !ok {
+		problem(w, http.StatusNotFound, "not-found", "no such VM")
+		return
+	}
+	delete(p.vms, id)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (p *Platform) listPrices(w http.ResponseWriter, _ *http.Request) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	answer(w, http.StatusOK, p.prices)
+}
+
+func (p *Platform) notices(w http.ResponseWriter, _ *http.Request) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := []platform.Notice{}
+	for _, id := range slices.Sorted(maps.Keys(p.vms)) {
+		if v := p.vms[id]; !v.reclaim.IsZero() {
+			out = append(out, platform.Notice{VM: id, Seconds: v.reclaim.Sub(p.now).Seconds()})
+		}
+	}
+	answer(w, http.StatusOK, out)
+}
--- /dev/null
+++ b/internal/fake/platform_test.go
@@ -0,0 +1,110 @@
+package fake
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/jaystage/jaystage/internal/platform"
+	_ "github.com/jaystage/jaystage/internal/testseed"
+)
+
+func open(t *testing.T) (*Platform, *platform.Client) {
+	t.Helper()
+	p := NewPlatform("secret", []platform.Price{
+		{Class: "gpu-a", Domain: "gulberg", Reclaimable: true, Hour: 0.7}, {Class: "gpu-a", Domain: "cantt", Hour: 2},
+	})
+	t.Cleanup(p.Close)
+	c, err := platform.New(p.URL, "secret", 2*time.Second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(c.Close)
+	return p, c
+}
+
+func order(id string, fencing uint64) platform.Start {
+	return platform.Start{Order: id, Fencing: fencing, Class: "gpu-a", Domain: "gulberg", Reclaimable: true, Pool: "model"}
+}
+
+// Guards against a second VM when the answer to the first submission was lost.
+func TestStartAfterLostAnswerReturnsTheSameVM(t *testing.T) {
+	p, c := open(t)
+	ctx := context.Background()
+	p.LoseAnswers(1)
+	if _, err := c.Start(ctx, order("1-1", 1)); err == nil || errors.Is(err, platform.ErrRefused) {
+		t.Fatalf("got %v for a lost answer", err)
+	}
+	v, err := c.Start(ctx, order("1-1", 1))
+	if err != nil {
+		t.Fatal(err)
+	}
+	list, err := c.VMs(ctx)
+	if err != nil || len(list) != 1 || list[0] != v || v.Order != "1-1" {
+		t.Errorf("got %+v, %v, want one VM %+v", list, err, v)
+	}
+}
+
+// Guards against errors that callers cannot tell apart.
+func TestErrorsNameWhatToDo(t *testing.T) {
+	p, c := open(t)
+	ctx := context.Background()
+	p.Refuse(func(platform.Start) bool { return true })
+	if _, err := c.Start(ctx, order("2-1", 2)); !errors.Is(err, platform.ErrRefused) {
+		t.Errorf("got %v, want %v", err, platform.ErrRefused)
+	}
+	p.Refuse(nil)
+	if _, err := c.Start(ctx, order("1-9", 1)); !errors.Is(err, platform.ErrFenced) {
+		t.Errorf("got %v, want %v", err, platform.ErrFenced)
+	}
+	if _, err := c.Start(ctx, order("", 2)); !errors.Is(err, platform.ErrRequest) {
+		t.Errorf("got %v, want %v", err, platform.ErrRequest)
+	}
+	if p.Running() != 0 {
+		t.Errorf("got %d VMs, want 0", p.Running())
+	}
+}
+
+// Guards against a call that never returns.
+func TestHangingAnswerTimesOut(t *testing.T) {
+	p, _ := open(t)
+	c, err := platform.New(p.URL, "secret", 50*time.Millisecond)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	p.HangAnswers(1)
+	if _, err := c.Prices(context.Background()); !errors.Is(err, context.DeadlineExceeded) {
+		t.Errorf("got %v, want %v", err, context.DeadlineExceeded)
+	}
+}
+
+// Guards against notices that are missed and stops that fail for VMs that went.
+func TestReclaimWave(t *testing.T) {
+	p, c := open(t)
+	ctx := context.Background()
+	for _, id := range []string{"1-1", "1-2"} {
+		if _, err := c.Start(ctx, order(id, 1)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if _, err := c.Start(ctx, platform.Start{Order: "1-3", Fencing: 1, Class: "gpu-a", Domain: "cantt", Pool: "model"}); err != nil {
+		t.Fatal(err)
+	}
+	p.Reclaim("gulberg", 30*time.Second)
+	notices, err := c.Notices(ctx)
+	if err != nil || len(notices) != 2 || notices[0].Seconds != 30 {
+		t.Errorf("got %+v, %v, want two notices of 30 s", notices, err)
+	}
+	p.Advance(30 * time.Second)
+	if p.Running() != 1 {
+		t.Errorf("got %d VMs after the wave, want 1", p.Running())
+	}
+	if err := c.Stop(ctx, notices[0].VM, "1-4", 1); err != nil {
+		t.Errorf("stopping a VM that is gone: %v", err)
+	}
+	if err := c.Stop(ctx, "vm-3", "1-5", 1); err != nil || p.Running() != 0 {
+		t.Errorf("got %d VMs, %v", p.Running(), err)
+	}
+}
--- /dev/null
+++ b/internal/platform/platform.go
@@ -0,0 +1,207 @@
+// Package platform is the client of the platform's cloud API: it lists, starts
+// and stops VMs and reads prices and reclaim notices.
+package platform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// VM is a VM as the platform lists it.
+type VM struct {
+	ID          string `json:"id"`
+	Order       string `json:"order"`
+	Class       string `json:"class"`
+	Domain      string `json:"domain"`
+	Reclaimable bool   `json:"reclaimable"`
+	Pool        string `json:"pool"`
+	// State is starting, running or stopping.
+	State string `json:"state"`
+	// Started is Unix time in milliseconds.
+	Started int64 `json:"started"`
+	// Hour is the price for one hour.
+	Hour float64 `json:"hour"`
+}
+
+// Start asks for a VM. The same Order returns the same VM.
+type Start struct {
+	Order       string `json:"order"`
+	Fencing     uint64 `json:"fencing"`
+	Class       string `json:"class"`
+	Domain      string `json:"domain"`
+	Reclaimable bool   `json:"reclaimable"`
+	Pool        string `json:"pool"`
+}
+
+// Price is the present price of one kind of VM.
+type Price struct {
+	Class       string  `json:"class"`
+	Domain      string  `json:"domain"`
+	Reclaimable bool    `json:"reclaimable"`
+	Hour        float64 `json:"hour"`
+}
+
+// Notice says that the platform takes a VM soon.
+type Notice struct {
+	VM string `json:"vm"`
+	// Seconds is the time left.
+	Seconds float64 `json:"seconds"`
+}
+
+// Problem is the body of an error answer.
+type Problem struct {
+	Code   string `json:"code"`
+	Detail string `json:"detail"`
+}
+
+// Errors by which callers decide. Any other error of Start or Stop leaves open
+// whether the order took effect; it is safe to repeat it under the same id.
+var (
+	// ErrRefused means that the platform has no such VM now.
+	ErrRefused = errors.New("the platform refused the start")
+	// ErrFenced means that a holder of a newer fencing token gave orders.
+	ErrFenced = errors.New("the platform has seen a newer fencing token")
+	// ErrRequest means that the platform will never accept the order.
+	ErrRequest = errors.New("the platform does not accept the order")
+)
+
+// maxBody bounds an answer of the platform.
+const maxBody = 16 << 20
+
+// Client talks to one platform. It is safe for concurrent use.
+type Client struct {
+	base    *url.URL
+	token   string
+	timeout time.Duration
+	http    *http.Client
+}
+
+// New returns a client for the API at base, such as http://127.0.0.1:8080. Each
+// call takes at most timeout.
+func New(base, token string, timeout time.Duration) (*Client, error) {
+	u, err := url.Parse(base)
+	if err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
+		return nil, eris.Errorf("platform address %q is not an http or https URL", base)
+	}
+	if timeout <= 0 {
+		return nil, eris.New("the timeout of platform calls must be above zero")
+	}
+	transport := &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute}
+	return &Client{base: u, token: token, timeout: timeout, http: &http.Client{Transport: transport}}, nil
+}
+
+// Close closes idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// VMs lists all VMs, with the orders that started them.
+func (c *Client) VMs(ctx context.Context) ([]VM, error) {
+	var out []VM
+	err := c.call(ctx, http.MethodGet, "/v1/vms", nil, nil, &out)
+	return out, eris.Wrap(err, "list VMs")
+}
+
+// Start starts a VM. Repeating an order returns the VM of the first submission.
+func (c *Client) Start(ctx context.Context, s Start) (VM, error) {
+	var out VM
+	err := c.call(ctx, http.MethodPost, "/v1/vms", nil, s, &out)
+	return out, eris.Wrapf(err, "start VM for order %s", s.Order)
+}
+
+// Stop stops a VM. Stopping a VM that is gone succeeds.
+func (c *Client) Stop(ctx context.Context, id, order string, fencing uint64) error {
+	query := url.Values{"order": {order}, "fencing": {jsonNumber(fencing)}}
+	err := c.call(ctx, http.MethodDelete, "/v1/vms/"+url.PathEscape(id), query, nil, nil)
+	return eris.Wrapf(err, "stop VM %s for order %s", id, order)
+}
+
+// Prices lists the present prices.
+func (c *Client) Prices(ctx context.Context) ([]Price, error) {
+	var out []Price
+	err := c.call(ctx, http.MethodGet, "/v1/prices", nil, nil, &out)
+	return out, eris.Wrap(err, "list prices")
+}
+
+// Notices lists the reclaim notices that are open.
+func (c *Client) Notices(ctx context.Context) ([]Notice, error) {
+	var out []Notice
+	err := c.call(ctx, http.MethodGet, "/v1/notices", nil, nil, &out)
+	return out, eris.Wrap(err, "list notices")
+}
+
+func jsonNumber(n uint64) string {
+	b, _ := json.Marshal(n)
+	return string(b)
+}
+
+func (c *Client) call(ctx context.Context, method, path string, query url.Values, in, out any) error {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	var body io.Reader
+	if in != nil {
+		data, err := json.Marshal(in)
+		if err != nil {
+			return err
+		}
+		body = bytes.NewReader(data)
+	}
+	u := *c.base
+	u.RawPath = u.EscapedPath() + path
+	unescaped, err := url.PathUnescape(u.RawPath)
+	if err != nil {
+		return err
+	}
+	u.Path, u.RawQuery = unescaped, query.Encode()
+	req, err := http.NewRequestWithContext(ctx, method, u.String(), body)
+	if err != nil {
+		return err
+	}
+	req.Header.Set("Authorization", "Bearer "+c.token)
+	if in != nil {
+		req.Header.Set("Content-Type", "application/json")
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxBody+1))
+	if err != nil {
+		return err
+	}
+	if len(data) > maxBody {
+		return eris.Errorf("the answer is larger than %d bytes", maxBody)
+	}
+	return decode(method, resp.StatusCode, data, out)
+}
+
+func decode(method string, status int, data []byte, out any) error {
+	switch {
+	case status >= 200 && status < 300:
+		if out == nil {
+			return nil
+		}
+		return eris.Wrapf(json.Unmarshal(data, out), "answer with status %d", status)
+	case method == http.MethodDelete && status == http.StatusNotFound:
+		return nil
+	}
+	var p Problem
+	_ = json.Unmarshal(data, &p) // an unreadable problem leaves the status
+	kind := errors.New("the platform failed")
+	switch {
+	case p.Code == "refused":
+		kind = ErrRefused
+	case p.Code == "fenced":
+		kind = ErrFenced
+	case status >= 400 && status < 500 && status != http.StatusTooManyRequests && status != http.StatusRequestTimeout:
+		kind = ErrRequest
+	}
+	return eris.Wrapf(kind, "status %d, %s", status, p.Detail)
+}
