--- /dev/null
+++ b/internal/fake/output.go
@@ -0,0 +1,107 @@
+package fake
+
+import (
+	"encoding/json"
+	"fmt"
+	"strconv"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+type chatMessage struct {
+	Role    string `json:"role"`
+	Content any    `json:"content"`
+}
+
+type completionRequest struct {
+	Model     string        `json:"model"`
+	Messages  []chatMessage `json:"messages"`
+	Prompt    string        `json:"prompt"`
+	MaxTokens int           `json:"max_tokens"`
+	MaxNew    int           `json:"max_completion_tokens"`
+	Stream    bool          `json:"stream"`
+	Priority  int           `json:"priority"`
+	// Continue means that the last message is the beginning of the answer.
+	Continue bool `json:"continue_final_message"`
+	Options  struct {
+		Usage      bool `json:"include_usage"`
+		Continuous bool `json:"continuous_usage_stats"`
+	} `json:"stream_options"`
+	KV *KV `json:"kv_transfer_params"`
+}
+
+// KV names an exported KV cache.
+type KV struct {
+	Source string `json:"source"`
+	Key    string `json:"key"`
+	Tokens int    `json:"tokens"`
+}
+
+const (
+	defaultMaxTokens = 16
+	bytesPerToken    = 4
+)
+
+// limit returns the number of tokens of the answer.
+func (r *completionRequest) limit() int {
+	switch {
+	case r.MaxTokens > 0:
+		return r.MaxTokens
+	case r.MaxNew > 0:
+		return r.MaxNew
+	}
+	return defaultMaxTokens
+}
+
+// prompt returns the prompt and the number of answer tokens that it continues.
+func (r *completionRequest) prompt(chat bool) (prompt string, first int) {
+	if !chat {
+		return splitContinued(r.Prompt)
+	}
+	messages := r.Messages
+	if r.Continue && len(messages) > 0 {
+		first = len(strings.Fields(fmt.Sprint(messages[len(messages)-1].Content)))
+		messages = messages[:len(messages)-1]
+	}
+	var b strings.Builder
+	for _, m := range messages {
+		content, ok := m.Content.(string)
+		if !ok {
+			raw, _ := json.Marshal(m.Content)
+			content = string(raw)
+		}
+		b.WriteString(m.Role + ": " + content + "\n")
+	}
+	return b.String(), first
+}
+
+// splitContinued separates a text prompt from the answer tokens at its end.
+func splitContinued(prompt string) (original string, tokens int) {
+	for at := 0; at < len(prompt); at++ {
+		if rest := prompt[at:]; strings.HasPrefix(rest, Token(prompt[:at], 0)) {
+			n := len(strings.Fields(rest))
+			if rest == Text(prompt[:at], n) {
+				return prompt[:at], n
+			}
+		}
+	}
+	return prompt, 0
+}
+
+// Token returns the n-th token of the answer to a prompt.
+func Token(prompt string, n int) string {
+	return strconv.FormatUint(xxhash.Sum64String(prompt)&0xffff, 16) + "." + strconv.Itoa(n) + " "
+}
+
+// Text returns the first n tokens of the answer to a prompt.
+func Text(prompt string, n int) string {
+	var b strings.Builder
+	for i := range n {
+		b.WriteString(Token(prompt, i))
+	}
+	return b.String()
+}
+
+// ChatPrompt returns the prompt that stands for one user message.
+func ChatPrompt(content string) string { return "user: " + content + "\n" }
--- /dev/null
+++ b/internal/fake/process.go
@@ -0,0 +1,165 @@
+package fake
+
+import (
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+const (
+	processHeaderTimeout = 10 * time.Second
+	rebindTries          = 100
+	rebindWait           = 10 * time.Millisecond
+)
+
+// Process serves a stand-in on a loopback address that stays the same when the
+// stand-in is killed and started again.
+type Process struct {
+	Handler http.Handler
+
+	mu          sync.Mutex
+	address     string
+	server      *http.Server
+	incarnation uint64
+	conns       map[*gatedConn]struct{}
+	accepted    int
+}
+
+// Start returns a running process.
+func Start(h http.Handler) (*Process, error) {
+	p := &Process{Handler: h, address: "127.0.0.1:0", conns: make(map[*gatedConn]struct{})}
+	return p, p.Restart()
+}
+
+// Address is host and port of the process.
+func (p *Process) Address() string { return p.address }
+
+// Incarnation is the number of starts so far.
+func (p *Process) Incarnation() uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.incarnation
+}
+
+// Accepted is the number of connections accepted so far.
+func (p *Process) Accepted() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.accepted
+}
+
+// Kill ends the process: its listener and all connections close at once.
+func (p *Process) Kill() {
+	p.mu.Lock()
+	server := p.server
+	p.server = nil
+	p.mu.Unlock()
+	if server != nil {
+		_ = server.Close()
+	}
+}
+
+// Restart starts a killed process under a new incarnation.
+func (p *Process) Restart() error {
+	var l net.Listener
+	var err error
+	for range rebindTries {
+		if l, err = net.Listen("tcp", p.address); err == nil {
+			break
+		}
+		time.Sleep(rebindWait)
+	}
+	if err != nil {
+		return err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.server != nil {
+		return errors.Join(errors.New("the process runs already"), l.Close())
+	}
+	p.address = l.Addr().String()
+	p.incarnation++
+	p.server = &http.Server{Handler: p.Handler, ReadHeaderTimeout: processHeaderTimeout}
+	go func(s *http.Server) { _ = s.Serve(&gatedListener{l, p}) }(p.server)
+	return nil
+}
+
+// Crash kills the process and starts it again.
+func (p *Process) Crash() {
+	p.Kill()
+	_ = p.Restart()
+}
+
+// Silence makes all open connections go silent for good: nothing arrives and
+// nothing leaves, while new connections work.
+func (p *Process) Silence() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.conns {
+		c.silence()
+	}
+}
+
+// Close ends the process.
+func (p *Process) Close() { p.Kill() }
+
+type gatedListener struct {
+	net.Listener
+	process *Process
+}
+
+func (l *gatedListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	c := &gatedConn{Conn: conn, process: l.process, silent: make(chan struct{}), closed: make(chan struct{})}
+	l.process.mu.Lock()
+	defer l.process.mu.Unlock()
+	l.process.conns[c] = struct{}{}
+	l.process.accepted++
+	return c, nil
+}
+
+// gatedConn is a connection that can go silent.
+type gatedConn struct {
+	net.Conn
+	process            *Process
+	silent, closed     chan struct{}
+	silenced, finished sync.Once
+}
+
+func (c *gatedConn) silence() { c.silenced.Do(func() { close(c.silent) }) }
+
+// Read implements net.Conn.
+func (c *gatedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	select {
+	case <-c.silent:
+		<-c.closed
+		return 0, net.ErrClosed
+	default:
+		return n, err
+	}
+}
+
+// Write implements net.Conn.
+func (c *gatedConn) Write(b []byte) (int, error) {
+	select {
+	case <-c.silent:
+		return len(b), nil
+	default:
+		return c.Conn.Write(b)
+	}
+}
+
+// Close implements net.Conn.
+func (c *gatedConn) Close() error {
+	c.finished.Do(func() { close(c.closed) })
+	c.process.mu.Lock()
+	delete(c.process.conns, c)
+	c.process.mu.Unlock()
+	return c.Conn.Close()
+}
