--- a/pkg/routing/holder.go
+++ b/pkg/routing/holder.go
@@ -23,26 +23,15 @@
 	Prefill int
 	// Alone is true for a ticket of TakeAlone.
 	Alone bool
-	late  bool
+	// full is true when the request took the node's last slot.
+	full bool
 }
 
-// Outcome is what a request showed of its upstream.
-type Outcome int
-
-// Outcomes of requests.
-const (
-	// Unknown says nothing of the upstream, such as a caller that went away.
-	Unknown Outcome = iota
-	// Good is a complete answer.
-	Good
-	// Failed is a refusal, a crash or a stall of the upstream.
-	Failed
-)
-
 // Holder is one node's use of the slots that owners grant to it.
 type Holder struct {
 	self  Node
 	view  View
+	lease time.Time
 	slots map[string]*held
 }
 
@@ -87,17 +76,24 @@
 	return &Holder{self: self, slots: make(map[string]*held)}
 }
 
-// View adopts a newer view. Grants of owners that it replaces are given up.
-func (h *Holder) View(v View) {
-	if v.Version <= h.view.Version {
-		return
+// Renew takes the reply to a session renewal: the node's view and the end of its
+// session lease, after which no slot is given. Grants of owners that the view
+// replaces are given up, and all grants when the lease had lapsed: the node may
+// have been dropped from the view in between.
+func (h *Holder) Renew(now time.Time, v View, lease time.Time) {
+	lapsed := !h.lease.After(now)
+	if lease.After(h.lease) {
+		h.lease = lease
 	}
+	newer := v.Version > h.view.Version
 	for id, s := range h.slots {
-		if h.view.process(id) != v.process(id) {
-			s.floor, s.until, s.due = v.Version, time.Time{}, true
+		if lapsed || newer && h.view.process(id) != v.process(id) {
+			s.floor, s.until, s.due = max(v.Version, s.floor), time.Time{}, true
 		}
 	}
-	h.view = v
+	if newer {
+		h.view = v
+	}
 }
 
 func (h *Holder) entry(upstream string) *held {
@@ -112,7 +108,7 @@
 // Free returns the number of slots that Take would still give.
 func (h *Holder) Free(now time.Time, upstream string) int {
 	s, ok := h.slots[upstream]
-	if !ok || s.grant.Alone || s.wantAlone > 0 {
+	if !ok || s.grant.Alone || s.wantAlone > 0 || !now.Before(h.lease) {
 		return 0
 	}
 	return s.free(now)
@@ -135,7 +131,7 @@
 // TakeAlone uses a slot for a request while no other request runs on the upstream.
 func (h *Holder) TakeAlone(now time.Time, upstream string, prefill int) (Ticket, bool) {
 	s := h.entry(upstream)
-	if s.wantAlone == 0 || !s.grant.Alone || s.running > 0 || s.free(now) == 0 {
+	if s.wantAlone == 0 || !s.grant.Alone || s.running > 0 || s.free(now) == 0 || !now.Before(h.lease) {
 		return Ticket{}, false
 	}
 	s.running, s.alone = 1, true
@@ -171,7 +167,8 @@
 	}
 	s.running++
 	s.prefill += prefill
-	return Ticket{Upstream: upstream, Generation: s.grant.Generation, Prefill: prefill}, true
+	full := s.running == s.grant.Slots
+	return Ticket{Upstream: upstream, Generation: s.grant.Generation, Prefill: prefill, full: full}, true
 }
 
 // FirstToken ends the prefill of a long prompt; late is true when the first token
@@ -183,12 +180,12 @@
 	}
 	s.prefill -= t.Prefill
 	t.Prefill = 0
-	if late {
-		t.late = true
-		if s.evidenceOf(t.Generation) {
-			s.evidence.Slow++
-			s.due = true
-		}
+	switch {
+	case late && s.evidenceOf(t.Generation):
+		s.evidence.Slow++
+		s.due = true
+	case !late && t.full && s.evidenceOf(t.Generation):
+		s.evidence.Good++
 	}
 }
 
@@ -203,8 +200,9 @@
 	return true
 }
 
-// Return gives a slot back with what its request showed of the upstream.
-func (h *Holder) Return(t Ticket, outcome Outcome) {
+// Return gives a slot back. failed is true when the upstream refused the request,
+// crashed or stalled; a caller that went away is no failure.
+func (h *Holder) Return(t Ticket, failed bool) {
 	s, ok := h.slots[t.Upstream]
 	if !ok || s.running == 0 {
 		return
@@ -218,11 +216,8 @@
 	if s.running >= s.grant.Slots {
 		s.due = true // the owner waits for this slot
 	}
-	switch {
-	case outcome == Failed && t.Generation >= s.fallen:
+	if failed && t.Generation >= s.fallen {
 		h.Cold(t.Upstream)
-	case outcome == Good && !t.late && s.evidenceOf(t.Generation):
-		s.evidence.Good++
 	}
 }
 
--- a/pkg/routing/limit.go
+++ b/pkg/routing/limit.go
@@ -1,8 +1,8 @@
 package routing
 
 // limiter learns how many requests at once an upstream bears. The limit rises
-// only after as many good answers as the limit, all started under it while most
-// of it was in use, and falls at once on bad evidence.
+// only on good answers that started under it while all of it was in use, and
+// falls at once on bad evidence.
 type limiter struct {
 	start int
 	// ceiling is the announced limit, or Policy.Max when none is announced.
@@ -47,9 +47,9 @@
 	l.fallen = l.generation
 }
 
-// learn takes evidence of one node; running is the number of open requests of
-// all nodes at the time.
-func (l *limiter) learn(e Evidence, running int) {
+// learn takes evidence of one node. judged is true when the limit is in full use
+// and all nodes that use it have sent evidence of it.
+func (l *limiter) learn(e Evidence, judged bool) {
 	if e.Generation < l.fallen {
 		return
 	}
@@ -58,13 +58,13 @@
 		return
 	}
 	l.slow += e.Slow
-	if e.Generation == l.generation && 4*(running+e.Good) >= 3*l.limit {
+	if e.Generation == l.generation {
 		l.good += e.Good
 	}
 	switch {
 	case l.slow >= 2 && 5*l.slow > l.good:
 		l.set(max(1, l.limit*7/10))
-	case l.good >= l.limit && 10*l.slow <= l.good && l.limit < l.ceiling:
+	case judged && l.good >= max(2, l.limit/2) && 10*l.slow <= l.good && l.limit < l.ceiling:
 		// Steps of an eighth keep an overshoot inside the range in which engines
 		// answer slowly but do not fail.
 		l.set(min(l.ceiling, l.limit+max(1, l.limit/8)))
--- a/pkg/routing/message.go
+++ b/pkg/routing/message.go
@@ -50,7 +50,9 @@
 type Evidence struct {
 	// Generation is that of the limit under which the counted requests started.
 	Generation uint64 `json:"generation,omitempty"`
-	Good       int    `json:"good,omitempty"`
+	// Good counts first tokens that came in time, of requests that started while the
+	// node used all its slots.
+	Good int `json:"good,omitempty"`
 	// Slow counts answers whose first token came after its target.
 	Slow int `json:"slow,omitempty"`
 	// Cold is true when the upstream failed or showed that it is cold.
--- a/pkg/routing/owner.go
+++ b/pkg/routing/owner.go
@@ -51,32 +51,35 @@
 	return &Owner{self: self, policy: policy, origin: now, records: make(map[string]*record)}
 }
 
-// Lease sets the end of the node's session lease. No grant outlives it.
-func (o *Owner) Lease(end time.Time) { o.lease = end }
-
-// View adopts a newer view. Ownership gained with it starts unsettled: the nodes
-// are asked for their running requests first.
-func (o *Owner) View(now time.Time, v View) []Grant {
-	if v.Version <= o.view.Version {
+// Renew takes the reply to a session renewal: the node's view, which may be the
+// one it has, and the end of its session lease, which no grant outlives. Ownership
+// gained with the view starts unsettled: the nodes are asked for their running
+// requests first. A node whose lease had lapsed may have been dropped from the
+// view and added again without seeing it; it starts as if it had just joined.
+func (o *Owner) Renew(now time.Time, v View, lease time.Time) []Grant {
+	lapsed := !o.lease.After(now)
+	if lease.After(o.lease) {
+		o.lease = lease
+	}
+	had := o.view.Member(o.self) && !lapsed
+	if v.Version > o.view.Version {
+		o.view = v
+	} else if !lapsed {
 		return nil
 	}
-	had := o.view.Member(o.self)
-	old := o.view
-	o.view = v
-	if v.Member(o.self) && !had {
+	if o.view.Member(o.self) && !had {
 		o.joined = now
 	}
 	var out []Grant
 	for _, id := range slices.Sorted(maps.Keys(o.records)) {
 		r := o.records[id]
-		owned := o.owns(id)
+		owned := o.Owns(id)
 		switch {
 		case owned && (!r.owned || !had):
-			r.gain(now, v)
+			r.gain(now, o.view)
 		case !owned && r.owned:
 			r.owned = false
 		}
-		r.members(now, old, v)
 		out = append(out, o.push(now, r)...)
 	}
 	return out
@@ -97,7 +100,7 @@
 		a.Incarnation == r.announce.Incarnation && a.Sequence <= r.announce.Sequence) {
 		return interval, nil
 	}
-	if o.owns(a.ID) && !r.owned {
+	if o.Owns(a.ID) && !r.owned {
 		r.gain(now, o.view)
 	}
 	r.heartbeat(now, a, start, o.policy)
@@ -137,7 +140,7 @@
 	}
 	r.hint(d.Hint)
 	r.sample(o.view)
-	r.limiter.learn(p.news(d.Evidence), r.running())
+	r.learn(p.news(d.Evidence))
 	p.stale = true
 	return o.push(now, r)
 }
@@ -163,6 +166,12 @@
 	return out
 }
 
+// Owns tells whether this node owns the upstream; heartbeats of others are to be
+// forwarded to View.Owner.
+func (o *Owner) Owns(upstream string) bool {
+	return o.view.Member(o.self) && o.view.Owner(upstream) == o.self.Name
+}
+
 // Limit returns the number of requests that the upstream may run now over all
 // nodes together; zero when this node does not own it or may not grant.
 func (o *Owner) Limit(now time.Time, upstream string) int {
@@ -173,10 +182,6 @@
 	return o.limit(now, r)
 }
 
-func (o *Owner) owns(upstream string) bool {
-	return o.view.Member(o.self) && o.view.Owner(upstream) == o.self.Name
-}
-
 func (o *Owner) limit(now time.Time, r *record) int {
 	if !r.owned || !o.lease.After(now) || !r.usable(now) || !r.settled(now, o) {
 		return 0
@@ -199,6 +204,7 @@
 		return nil
 	}
 	var out []Grant
+	r.depart(now, o)
 	limit := o.limit(now, r)
 	want := shares(now, max(0, limit-r.ghost), r.peers)
 	alone := r.turnAlone()
@@ -237,7 +243,7 @@
 	p.place(now, slots)
 	if slots > 0 {
 		r.hinting = false
-		p.add(outstanding{number: o.number, slots: slots, expiry: now.Add(time.Duration(float64(ttl) * Drift)).Sub(o.origin)})
+		p.add(outstanding{number: o.number, slots: slots, expiry: p.heard.Add(drifted(ttl)).Sub(o.origin)})
 	}
 	return Grant{
 		Upstream: r.id, To: to, Owner: o.self.Name, Start: o.self.Incarnation, Epoch: o.view.Version,
--- a/pkg/routing/record.go
+++ b/pkg/routing/record.go
@@ -86,12 +86,6 @@
 	return e
 }
 
-// silent tells whether a node has not reported for longer than any of its grants
-// can last. It starts nothing new; what it still runs shows in the load report.
-func (p *peer) silent(now time.Time, policy Policy) bool {
-	return now.Sub(p.heard) > 2*time.Duration(float64(policy.TTL)*Drift)
-}
-
 // turnAlone picks the node that may use the upstream alone: the one that has
 // waited longest, or none.
 func (r *record) turnAlone() string {
@@ -150,16 +144,28 @@
 
 func (r *record) load() int { return int(r.announce.Load.Running + r.announce.Load.Waiting) }
 
-// members moves the open requests of nodes that left the view to ghost.
-func (r *record) members(now time.Time, old, v View) {
-	for _, n := range old.Nodes {
-		if p := r.peers[n.Name]; p != nil && !v.Has(n.Name) {
-			r.abandon(now, p)
-			delete(r.peers, n.Name)
+// depart moves the open requests of nodes that are silent or have left the view to
+// ghost, once none of their grants can be in use.
+func (r *record) depart(now time.Time, o *Owner) {
+	for name, p := range r.peers {
+		member := o.view.Has(name)
+		if !member {
+			p.want, p.alone = 0, time.Time{}
+		}
+		if now.Sub(p.heard) <= drifted(o.policy.TTL) {
+			continue
+		}
+		r.abandon(now, p)
+		p.running, p.want, p.prefill, p.out, p.alone = 0, 0, 0, nil, time.Time{}
+		if !member {
+			delete(r.peers, name)
 		}
 	}
 }
 
+// drifted returns how long a lease of length d on another clock may last here.
+func drifted(d time.Duration) time.Duration { return time.Duration(float64(d) * Drift) }
+
 func (r *record) abandon(now time.Time, p *peer) {
 	if c := p.charge(); c > 0 {
 		r.ghost += c
@@ -188,12 +194,6 @@
 		r.limiter.bound(ceiling)
 	}
 	r.bump(r.epoch)
-	for _, p := range r.peers {
-		if p.silent(now, policy) {
-			r.abandon(now, p)
-			p.running, p.want, p.prefill, p.out, p.alone = 0, 0, 0, nil, time.Time{}
-		}
-	}
 	r.settleGhost(now, policy.Lag)
 	r.low[1], r.low[0] = r.low[0], r.running()
 }
@@ -223,6 +223,24 @@
 	r.exact = true
 }
 
+// learn takes evidence of one node. The limit rises only when each node that uses
+// slots has told how its requests fared under the present limit.
+func (r *record) learn(e Evidence) {
+	judged := r.running() >= r.limiter.limit
+	for _, p := range r.peers {
+		if p.charge() > 0 && p.evidence.Generation != r.limiter.generation {
+			judged = false
+		}
+	}
+	before := r.limiter.generation
+	r.limiter.learn(e, judged)
+	if r.limiter.generation != before {
+		for _, p := range r.peers {
+			p.stale = p.stale || p.charge() > 0
+		}
+	}
+}
+
 // sample keeps the least sum of running requests. Open requests only end between
 // a takeover and the first grant, so the first complete sum is a lower bound for
 // the time before it.
@@ -272,11 +290,14 @@
 // view, so their grants have expired; an owner that ranks below can have grants
 // only if this node joined within the session lease, and those end with the lease.
 func (r *record) settled(now time.Time, o *Owner) bool {
-	joined := o.joined.Add(time.Duration(float64(SessionTTL) * Drift))
-	if !now.Before(joined) && now.Sub(r.gained) >= o.policy.Lag {
-		return true
+	lagged := now.Sub(r.gained) >= o.policy.Lag
+	joined := o.joined.Add(drifted(SessionTTL))
+	if !now.Before(joined) {
+		return lagged || r.complete(o.view)
 	}
-	return r.complete(o.view)
+	// Requests of an earlier process of this node may still run; the load report
+	// shows them once it is younger than the takeover.
+	return lagged && r.complete(o.view)
 }
 
 // complete tells whether all members have reported since ownership began.
--- a/pkg/routing/share.go
+++ b/pkg/routing/share.go
@@ -8,7 +8,7 @@
 
 // turn is how long a node keeps a slot while other nodes that want the upstream
 // have none. It bounds the wait when there are fewer slots than nodes.
-const turn = time.Second
+const turn = 300 * time.Millisecond
 
 // shares divides total slots among the peers by max-min fairness over their
 // wants. Slots that nobody wants go to the nodes that use the upstream.
