--- a/pkg/wal/frame.go
+++ b/pkg/wal/frame.go
@@ -27,6 +27,9 @@
 type position struct {
 	Index uint64 `cbor:"1,keyasint"`
 	Term  uint64 `cbor:"2,keyasint"`
+	// Reset is set where the log disagreed with a new snapshot: no earlier entry is
+	// valid. Recovery cannot find out by itself once older segments are deleted.
+	Reset bool `cbor:"3,keyasint,omitempty"`
 }
 
 // record is the payload of one frame of a segment.
--- a/pkg/wal/identity.go
+++ b/pkg/wal/identity.go
@@ -100,7 +100,7 @@
 			return fmt.Errorf("remove unused segment: %w", err)
 		}
 	}
-	if err := l.cut(); err != nil {
+	if err := l.cut(false); err != nil {
 		return err
 	}
 	var b [8]byte
--- a/pkg/wal/log.go
+++ b/pkg/wal/log.go
@@ -65,8 +65,10 @@
 	size      int64
 	segments  []segment // ascending; the last one is open for writing once recovered
 	recovered bool
-	mark      position // newest snapshot
+	mark      position // newest snapshot; Reset is never set here
 	state     wire.RaftState
+	base      uint64   // index before the first valid entry
+	terms     []uint64 // terms of the valid entries
 }
 
 // segment is one file of records.
@@ -134,8 +136,11 @@
 	if err := l.usable(); err != nil {
 		return err
 	}
+	if err := l.follows(entries); err != nil {
+		return err
+	}
 	if l.size >= l.opts.SegmentBytes {
-		if err := l.fail(l.cut()); err != nil {
+		if err := l.fail(l.cut(false)); err != nil {
 			return err
 		}
 	}
@@ -148,12 +153,40 @@
 	}
 	l.state = state
 	current := &l.segments[len(l.segments)-1]
-	for _, e := range entries {
+	for i, e := range entries {
+		if i == 0 {
+			l.terms = l.terms[:e.Index-l.base-1]
+		}
+		l.terms = append(l.terms, e.Term)
 		current.last = max(current.last, e.Index)
 	}
 	return nil
 }
 
+// follows checks that entries continue the log or replace a part of it.
+func (l *Log) follows(entries []wire.RaftEntry) error {
+	for i, e := range entries {
+		last := l.base + uint64(len(l.terms))
+		if e.Index != entries[0].Index+uint64(i) || e.Index <= l.base || entries[0].Index > last+1 {
+			return fmt.Errorf("%w: entry %d does not continue a log from %d to %d", ErrOrder, e.Index, l.base, last)
+		}
+	}
+	return nil
+}
+
+// forget drops the entries that a snapshot replaces and reports whether the log
+// disagreed with it, so that no entry is valid any more.
+func (l *Log) forget(m position) bool {
+	last := l.base + uint64(len(l.terms))
+	agrees := m.Index == l.base || (m.Index <= last && l.terms[m.Index-l.base-1] == m.Term)
+	if !agrees {
+		l.base, l.terms = m.Index, nil
+		return true
+	}
+	l.terms, l.base = l.terms[m.Index-l.base:], m.Index
+	return false
+}
+
 // usable reports why nothing can be written.
 func (l *Log) usable() error {
 	if l.failure != nil {
@@ -189,12 +222,13 @@
 
 // cut begins a new segment. Its first record repeats the newest snapshot's position
 // and the state, so that older segments can be deleted.
-func (l *Log) cut() error {
+func (l *Log) cut(reset bool) error {
 	number := uint64(1)
 	if n := len(l.segments); n > 0 {
 		number = l.segments[n-1].number + 1
 	}
 	mark, state := l.mark, l.state
+	mark.Reset = reset
 	data, err := appendFrame(fileHead(), record{Mark: &mark, State: &state})
 	if err != nil {
 		return err
--- /dev/null
+++ b/pkg/wal/memfs_test.go
@@ -0,0 +1,198 @@
+package wal
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"io/fs"
+	"math/rand/v2"
+	"path/filepath"
+	"slices"
+)
+
+var (
+	errCrash = errors.New("process was killed")
+	errDisk  = errors.New("input/output error")
+)
+
+// inode is a file; data beyond synced may be lost.
+type inode struct {
+	data   []byte
+	synced int
+	stamp  string
+}
+
+// memFS is a file system in memory. A crash loses unsynced data, whole sectors of it
+// in any order, and the newest unsynced changes of the folder.
+type memFS struct {
+	rng     *rand.Rand
+	names   map[string]*inode
+	durable map[string]*inode
+	ops     []func(map[string]*inode) // changes of the folder since it was synced
+	created int
+	locked  bool
+
+	crashIn  int // operations until the process is killed; 0 for never
+	failSync bool
+	loseSync bool // mutation: syncing a file does nothing
+	loseDir  bool // mutation: syncing the folder does nothing
+}
+
+func newMemFS(seed uint64) *memFS {
+	return &memFS{rng: rand.New(rand.NewPCG(seed, 2)), names: map[string]*inode{}, durable: map[string]*inode{}}
+}
+
+// use counts an operation and reports whether the process was killed before it.
+func (m *memFS) use() error {
+	if m.crashIn == 1 {
+		return errCrash
+	}
+	if m.crashIn > 1 {
+		m.crashIn--
+	}
+	return nil
+}
+
+// crash discards what a crash of the machine may discard.
+func (m *memFS) crash() {
+	for _, op := range m.ops[:m.rng.IntN(len(m.ops)+1)] {
+		op(m.durable)
+	}
+	m.ops, m.names, m.locked, m.crashIn = nil, map[string]*inode{}, false, 0
+	names := make([]string, 0, len(m.durable))
+	for name := range m.durable {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		f := m.durable[name]
+		end := f.synced + m.rng.IntN(len(f.data)-f.synced+1)
+		f.data = f.data[:end]
+		for start := f.synced; start < end; start = (start/sector + 1) * sector {
+			if m.rng.IntN(4) == 0 {
+				clear(f.data[start:min((start/sector+1)*sector, end)])
+			}
+		}
+		f.synced = end
+		m.names[name] = f
+	}
+}
+
+func (m *memFS) change(op func(map[string]*inode)) {
+	op(m.names)
+	m.ops = append(m.ops, op)
+}
+
+func (m *memFS) MkdirAll(string) error { return m.use() }
+
+func (m *memFS) ReadDir(string) ([]string, error) {
+	var names []string
+	for name := range m.names {
+		names = append(names, filepath.Base(name))
+	}
+	slices.Sort(names)
+	return names, m.use()
+}
+
+func (m *memFS) ReadFile(name string) ([]byte, error) {
+	f, ok := m.names[name]
+	if !ok {
+		return nil, fs.ErrNotExist
+	}
+	return bytes.Clone(f.data), m.use()
+}
+
+func (m *memFS) Create(name string) (File, error) {
+	if err := m.use(); err != nil {
+		return nil, err
+	}
+	if m.names[name] != nil {
+		return nil, fs.ErrExist
+	}
+	m.created++
+	f := &inode{stamp: fmt.Sprint(m.created)}
+	m.change(func(names map[string]*inode) { names[name] = f })
+	return &memFile{m, f}, nil
+}
+
+func (m *memFS) Truncate(name string, size int64) error {
+	f := m.names[name]
+	f.data = f.data[:size]
+	f.synced = min(f.synced, int(size))
+	return m.use()
+}
+
+func (m *memFS) Rename(from, to string) error {
+	if err := m.use(); err != nil {
+		return err
+	}
+	f := m.names[from]
+	m.change(func(names map[string]*inode) {
+		delete(names, from)
+		names[to] = f
+	})
+	return nil
+}
+
+func (m *memFS) Remove(name string) error {
+	if m.names[name] == nil {
+		return fs.ErrNotExist
+	}
+	if err := m.use(); err != nil {
+		return err
+	}
+	m.change(func(names map[string]*inode) { delete(names, name) })
+	return nil
+}
+
+func (m *memFS) SyncDir(string) error {
+	if err := m.use(); err != nil || m.loseDir {
+		return err
+	}
+	for _, op := range m.ops {
+		op(m.durable)
+	}
+	m.ops = nil
+	return nil
+}
+
+func (m *memFS) Lock(string) (io.Closer, error) {
+	if m.locked {
+		return nil, ErrLocked
+	}
+	m.locked = true
+	return memLock{m}, m.use()
+}
+
+func (m *memFS) Stamp(name string) (string, error) { return m.names[name].stamp, m.use() }
+
+type memLock struct{ m *memFS }
+
+func (l memLock) Close() error {
+	l.m.locked = false
+	return nil
+}
+
+type memFile struct {
+	m *memFS
+	f *inode
+}
+
+func (f *memFile) Write(b []byte) (int, error) {
+	f.f.data = append(f.f.data, b...)
+	return len(b), f.m.use()
+}
+
+func (f *memFile) Sync() error {
+	if f.m.failSync {
+		return errDisk
+	}
+	if err := f.m.use(); err != nil || f.m.loseSync {
+		return err
+	}
+	f.f.synced = len(f.f.data)
+	return nil
+}
+
+func (f *memFile) Close() error { return nil }
--- a/pkg/wal/recover.go
+++ b/pkg/wal/recover.go
@@ -54,10 +54,16 @@
 		}
 	}
 	l.mark, l.state = position{Index: snapshot.Index, Term: snapshot.Term}, r.state
-	r.setMark(l.mark)
-	// A new segment records the mark if a crash came between the snapshot and its
-	// segment, and keeps appends away from a truncated file.
-	if err := l.fail(l.cut()); err != nil {
+	// A crash may have come between the snapshot and the segment that refers to it.
+	// No entry after the snapshot before it was deleted then.
+	reset := r.mark.Index < snapshot.Index && !r.agrees(l.mark)
+	r.setMark(position{Index: snapshot.Index, Reset: reset})
+	l.base, l.terms = r.base, nil
+	for _, e := range r.entries {
+		l.terms = append(l.terms, e.Term)
+	}
+	// A new segment records the mark, and keeps appends away from a truncated file.
+	if err := l.fail(l.cut(reset)); err != nil {
 		return Recovered{}, err
 	}
 	l.recovered = true
@@ -191,16 +197,20 @@
 	return nil
 }
 
-// setMark drops the entries up to a snapshot. The entries after it stay only if the
-// log agrees with the snapshot.
+// agrees reports whether the log holds the last entry of a snapshot.
+func (r *replay) agrees(m position) bool {
+	return m.Index > r.base && m.Index <= r.base+uint64(len(r.entries)) &&
+		r.entries[m.Index-r.base-1].Term == m.Term
+}
+
+// setMark drops the entries up to a snapshot, or all if the log disagreed with it.
 func (r *replay) setMark(m position) {
 	last := r.base + uint64(len(r.entries))
 	switch {
-	case m.Index <= r.base:
-	case m.Index <= last && r.entries[m.Index-r.base-1].Term == m.Term:
-		r.entries, r.base = r.entries[m.Index-r.base:], m.Index
-	default:
+	case m.Reset || m.Index > last:
 		r.entries, r.base = nil, m.Index
+	case m.Index > r.base:
+		r.entries, r.base = r.entries[m.Index-r.base:], m.Index
 	}
 }
 
--- a/pkg/wal/snapshot.go
+++ b/pkg/wal/snapshot.go
@@ -27,8 +27,7 @@
 	}
 	old := l.mark
 	l.mark = position{Index: s.Index, Term: s.Term}
-	// Recovery decides at the mark whether entries after the snapshot stay valid.
-	if err := l.fail(l.cut()); err != nil {
+	if err := l.fail(l.cut(l.forget(l.mark))); err != nil {
 		return err
 	}
 	return l.fail(l.clean(old))
