--- a/pkg/raft/leader.go
+++ b/pkg/raft/leader.go
@@ -5,6 +5,9 @@
 	"time"
 )
 
+// maxReads bounds the read requests that wait for a quorum.
+const maxReads = 4096
+
 // becomeLeader starts leading the term that was won.
 func (n *Node) becomeLeader() {
 	n.role, n.leader = Leader, n.name
@@ -13,6 +16,10 @@
 	n.termStart = n.log.last() + 1
 	n.progress = map[string]*progress{}
 	n.syncProgress()
+	n.backlog = 0
+	for _, e := range n.log.slice(n.commit+1, 1<<62) {
+		n.backlog += entrySize(e)
+	}
 	n.appendOwn(Entry{Kind: EntryEmpty})
 	n.heartbeat()
 }
@@ -21,6 +28,7 @@
 func (n *Node) appendOwn(e Entry) uint64 {
 	e.Index, e.Term = n.log.last()+1, n.term
 	n.log.append([]Entry{e})
+	n.backlog += entrySize(e)
 	n.mark(e.Index)
 	return e.Index
 }
@@ -39,7 +47,7 @@
 		return ErrNotLeader
 	case n.transfer != "":
 		return ErrTransfer
-	case n.log.last()-n.commit >= uint64(n.cfg.MaxBacklog):
+	case n.backlog >= n.cfg.MaxBacklog:
 		return ErrBacklog
 	}
 	return nil
@@ -91,7 +99,7 @@
 		n.becomeFollower(n.term, "")
 		return
 	}
-	if !n.isVoter() && !n.pendingChange() {
+	if n.stalled() || (!n.isVoter() && !n.pendingChange()) {
 		n.becomeFollower(n.term, "")
 		return
 	}
@@ -169,6 +177,9 @@
 	}
 	index := held[len(held)-n.quorum()]
 	if term, ok := n.log.term(index); ok && index > n.commit && term == n.term {
+		for _, e := range n.log.slice(n.commit+1, 1<<62)[:index-n.commit] {
+			n.backlog -= entrySize(e)
+		}
 		n.commit = index
 	}
 }
@@ -191,7 +202,7 @@
 		n.out.Reads = append(n.out.Reads, Read{ID: id, Err: ErrNotLeader})
 	case n.leased():
 		n.out.Reads = append(n.out.Reads, Read{ID: id, Index: n.commit})
-	case len(n.reads) >= n.cfg.MaxBacklog:
+	case len(n.reads) >= maxReads:
 		n.out.Reads = append(n.out.Reads, Read{ID: id, Err: ErrBacklog})
 	default:
 		if len(n.reads) == 0 || n.reads[len(n.reads)-1].at < n.clock() {
--- a/pkg/raft/node.go
+++ b/pkg/raft/node.go
@@ -60,6 +60,7 @@
 
 	progress    map[string]*progress
 	led         time.Duration // own clock when leadership began
+	backlog     int           // bytes of uncommitted entries
 	termStart   uint64        // index of the first entry of the own term
 	heartbeatAt time.Time
 	reads       []pendingRead
@@ -77,8 +78,11 @@
 	out      Output
 }
 
-// mark remembers the last entry of a write.
-type mark struct{ number, index, term uint64 }
+// mark remembers the last entry of a write and when it was asked for.
+type mark struct {
+	number, index, term uint64
+	at                  time.Time
+}
 
 // heldMessage promises durability and waits for a write; number 0 stands for the
 // write of the present step.
@@ -103,7 +107,7 @@
 	setDefault(&cfg.Heartbeat, cfg.Election/8)
 	setDefault(&cfg.MaxBytes, 512<<10)
 	setDefault(&cfg.MaxInflight, 16)
-	setDefault(&cfg.MaxBacklog, 4096)
+	setDefault(&cfg.MaxBacklog, 32<<20)
 	n := &Node{
 		cfg: cfg, name: cfg.Name, incarnation: cfg.Incarnation, group: cfg.Group,
 		rand:     rand.New(rand.NewPCG(cfg.Seed, cfg.Incarnation)),
@@ -200,7 +204,7 @@
 		return
 	}
 	switch {
-	case n.now.Before(n.deadline) || n.unproven:
+	case n.now.Before(n.deadline) || n.unproven || n.stalled():
 	case n.mayCampaign():
 		n.campaign(false)
 	default:
@@ -209,6 +213,12 @@
 	}
 }
 
+// stalled reports whether the disk hangs. Such a member cannot lead: it applies and
+// votes only after a sync.
+func (n *Node) stalled() bool {
+	return len(n.writes) > 0 && n.now.Sub(n.writes[0].at) >= 2*n.cfg.Election
+}
+
 // onSynced releases what waited for a write.
 func (n *Node) onSynced(number uint64) {
 	if number <= n.synced || number > n.written {
@@ -243,7 +253,7 @@
 			w.Entries = n.log.slice(n.unsaved, 1<<62)
 		}
 		n.out.Write = w
-		n.writes = append(n.writes, mark{n.written, n.log.last(), n.log.lastTerm()})
+		n.writes = append(n.writes, mark{n.written, n.log.last(), n.log.lastTerm(), n.now})
 		n.dirty, n.unsaved, n.snapshot = false, 0, nil
 	}
 	if n.role == Candidate && n.selfWrite == 0 && !n.ballots[n.name] {
--- a/pkg/raft/types.go
+++ b/pkg/raft/types.go
@@ -56,7 +56,7 @@
 	ErrMember      = errors.New("raft: no such member")
 	ErrPresent     = errors.New("raft: the member is already part of the group")
 	ErrLastVoter   = errors.New("raft: the group would be left without a voter")
-	ErrBacklog     = errors.New("raft: too many entries wait to be committed")
+	ErrBacklog     = errors.New("raft: too much waits to be committed")
 	ErrRegressed   = errors.New("raft: the data folder is older than promises made from it; " +
 		"empty it, so that this member rejoins as a learner")
 )
@@ -78,7 +78,7 @@
 
 	MaxBytes    int    // bytes of entries or snapshot data in a message
 	MaxInflight int    // unacknowledged appends for each follower
-	MaxBacklog  int    // uncommitted entries at which a leader refuses proposals
+	MaxBacklog  int    // bytes of uncommitted entries at which a leader refuses more
 	Keep        uint64 // entries kept before a snapshot for members that lag a little
 
 	State    HardState // as recovered
