--- a/pkg/raft/check_test.go
+++ b/pkg/raft/check_test.go
@@ -110,14 +110,12 @@
 
 // promotion checks that a learner whose promotion the leader accepts holds, synced,
 // everything that the leader has committed.
-func (c *checker) promotion(leader, learner *server, m Member, propose func()) {
+func (c *checker) promotion(leader, learner *server, change Change, propose func()) {
 	commit, last := leader.node.commit, leader.node.log.last()
 	propose()
-	if leader.node.log.last() == last || learner.disk.incarnation != m.Incarnation {
-		return
-	}
-	if held := learner.disk.last(); held < commit {
-		c.fail(safePromotion, "%s is promoted with %d of %d committed entries", m.Name, held, commit)
+	accepted := leader.node.log.last() > last && change.Kind == ChangePromote
+	if accepted && learner.disk.incarnation == change.Member.Incarnation && learner.disk.last() < commit {
+		c.fail(safePromotion, "%s is promoted with %d of %d committed entries", learner.name, learner.disk.last(), commit)
 	}
 }
 
--- a/pkg/raft/membership.go
+++ b/pkg/raft/membership.go
@@ -81,7 +81,7 @@
 	case c.Kind == ChangePromote && !old.Learner:
 		return nil, ErrPresent
 	case c.Kind == ChangePromote:
-		if !n.caughtUp(n.progress[next.Name]) && !n.hooks.promoteEarly {
+		if !n.promotable(next.Name) {
 			return nil, ErrNotCaughtUp
 		}
 		members = append(members, next)
--- a/pkg/raft/proof_test.go
+++ b/pkg/raft/proof_test.go
@@ -33,7 +33,6 @@
 	doShift // the partition moves to whoever leads
 	doHang  // the disk completes no writes
 	doTrap  // crash when an answer to a vote waits for its write
-	actions
 )
 
 type action struct {
@@ -68,14 +67,6 @@
 	})
 }
 
-func allFaults() []int {
-	var kinds []int
-	for k := range int(actions) {
-		kinds = append(kinds, k)
-	}
-	return kinds
-}
-
 // play runs a scenario, heals all faults and waits until the group works again. It
 // watches one property, or all if none is named.
 func (sc scenario) play(m mutation, only string) *checker {
@@ -112,87 +103,81 @@
 	}
 }
 
-func (s *sim) act(a action) {
-	srv := s.servers[s.names[a.target%len(s.names)]]
-	switch a.kind {
-	case doChase, doShift, doIsolate:
-		if a.kind == doShift {
-			s.blocked = map[[2]string]bool{}
-		}
-		if list := s.leaders(); a.kind != doIsolate && len(list) > 0 {
-			srv = list[0]
+// faults are what the actions do.
+var faults = [...]func(s *sim, srv *server, a action){
+	doNothing: func(*sim, *server, action) {},
+	doCrash: func(s *sim, srv *server, _ action) {
+		if srv.node == nil {
+			s.start(srv)
+			return
 		}
-		s.block(srv.name, true, true)
-	case doMute:
-		s.block(srv.name, true, false)
-	case doDeafen:
-		s.block(srv.name, false, true)
-	case doIdle:
-		s.idle = !s.idle
-	case doHang:
-		srv.hung = true
-	case doTrap:
-		srv.trap = true
-	case doCut:
-		s.blocked[[2]string{srv.name, s.names[a.millis%len(s.names)]}] = true
-	case doSplit:
+		s.crash(srv)
+	},
+	doFreeze:  func(s *sim, srv *server, _ action) { srv.frozen = s.now + 3*simElection },
+	doIsolate: func(s *sim, srv *server, _ action) { s.block(srv.name, true, true) },
+	doMute:    func(s *sim, srv *server, _ action) { s.block(srv.name, true, false) },
+	doDeafen:  func(s *sim, srv *server, _ action) { s.block(srv.name, false, true) },
+	doSplit: func(s *sim, _ *server, a action) {
 		for _, other := range s.names[:a.target%len(s.names)] {
 			for _, rest := range s.names[a.target%len(s.names):] {
 				s.blocked[[2]string{other, rest}], s.blocked[[2]string{rest, other}] = true, true
 			}
 		}
-	case doHeal:
-		s.heal()
-	case doFreeze:
-		srv.frozen = s.now + 3*simElection
-	case doSlow:
-		s.slow = 0.3
-	case doLose:
-		s.drop = 0.2
-	case doTransfer:
-		s.step(srv, Input{Transfer: s.names[(a.target+1)%len(s.names)]})
+	},
+	doHeal:  func(s *sim, _ *server, _ action) { s.heal() },
+	doSlow:  func(s *sim, _ *server, _ action) { s.slow = 0.3 },
+	doLose:  func(s *sim, _ *server, _ action) { s.drop = 0.2 },
+	doBlank: func(s *sim, srv *server, _ action) { s.replace(srv, false) },
+	doOlder: func(s *sim, srv *server, _ action) { s.replace(srv, true) },
+	doRemove: func(s *sim, srv *server, _ action) {
 		for _, leader := range s.leaders() {
-			s.step(leader, Input{Transfer: srv.name})
+			if m, ok := leader.node.member(srv.name); ok && s.whole() && len(s.names) > 3 {
+				s.step(leader, Input{Change: &Change{Kind: ChangeRemove, Member: m}})
+			}
 		}
-	case doCompact:
-		if srv.node != nil {
-			s.step(srv, Input{Compact: &Compaction{srv.index, srv.save()}})
+	},
+	doTransfer: func(s *sim, srv *server, _ action) {
+		for _, leader := range s.leaders() {
+			s.step(leader, Input{Transfer: srv.name})
 		}
-	default:
-		s.disrupt(srv, a.kind)
+	},
+	doCompact: func(s *sim, srv *server, _ action) {
+		s.step(srv, Input{Compact: &Compaction{srv.index, srv.save()}})
+	},
+	doChase: func(s *sim, _ *server, _ action) { s.isolateLeaders() },
+	doCut: func(s *sim, srv *server, a action) {
+		s.blocked[[2]string{srv.name, s.names[a.millis%len(s.names)]}] = true
+	},
+	doIdle: func(s *sim, _ *server, _ action) { s.idle = !s.idle },
+	doShift: func(s *sim, _ *server, _ action) {
+		s.blocked = map[[2]string]bool{}
+		s.isolateLeaders()
+	},
+	doHang: func(_ *sim, srv *server, _ action) { srv.hung = true },
+	doTrap: func(_ *sim, srv *server, _ action) { srv.trap = true },
+}
+
+func (s *sim) isolateLeaders() {
+	for _, leader := range s.leaders() {
+		s.block(leader.name, true, true)
 	}
 }
 
-// disrupt crashes, restarts, replaces or removes a server.
-func (s *sim) disrupt(srv *server, kind int) {
-	switch kind {
-	case doCrash:
-		if srv.node == nil {
-			s.start(srv)
-			return
-		}
-		s.crash(srv)
-	case doBlank, doOlder:
-		if srv.node == nil || !s.whole() || (kind == doOlder && srv.image == nil) {
-			return
-		}
-		s.crash(srv)
-		image := srv.image
-		s.wipe(srv)
-		if kind == doOlder {
-			srv.disk = image.clone()
-		}
-		s.start(srv)
-	case doRemove:
-		if !s.whole() || len(s.names) < 4 {
-			return
-		}
-		for _, leader := range s.leaders() {
-			if m, ok := leader.node.member(srv.name); ok {
-				s.step(leader, Input{Change: &Change{Kind: ChangeRemove, Member: m}})
-			}
-		}
+func (s *sim) act(a action) { faults[a.kind](s, s.servers[s.names[a.target%len(s.names)]], a) }
+
+// replace takes the disk of a server away, if the group can bear the loss, and
+// starts it with a blank one or with the one it had before.
+func (s *sim) replace(srv *server, older bool) {
+	if srv.node == nil || !s.whole() || (older && srv.image == nil) {
+		return
 	}
+	s.crash(srv)
+	image := srv.image
+	s.wipe(srv)
+	if older {
+		srv.disk = image.clone()
+	}
+	s.start(srv)
 }
 
 func (s *sim) block(name string, out, in bool) {
@@ -239,7 +224,11 @@
 // TestStateMachineSafety guards against different entries applied at one index under
 // all faults together.
 func TestStateMachineSafety(t *testing.T) {
-	prove(t, allFaults()...)
+	var all []int
+	for kind := range faults {
+		all = append(all, kind)
+	}
+	prove(t, all...)
 }
 
 // TestMembershipChange guards against learners promoted too early and against
@@ -254,78 +243,77 @@
 // violates the property. With the control, which turns off only what is named in
 // brackets, the property holds at that seed.
 var mutations = []struct {
-	name     string
-	property string
-	seed     int
-	mutation mutation
-	control  mutation
-	kinds    []int
+	name, property string
+	seed           int
+	kinds          []int
+	mutation       mutation
+	control        mutation
 }{
 	{
 		"vote answered before it is synced (restarted members vote at once)", electionSafety, 187,
+		[]int{doTrap, doChase, doHeal, doSlow},
 		mutation{earlyVote: true, trusting: true, hooks: hooks{lateVote: true}},
 		mutation{trusting: true, hooks: hooks{lateVote: true}},
-		[]int{doTrap, doChase, doHeal, doSlow},
 	},
 	{
-		"append acknowledged before it is synced", keptEntries, 60,
+		"append acknowledged before it is synced", keptEntries, 65,
+		[]int{doCrash},
 		mutation{earlyAck: true},
 		mutation{},
-		[]int{doCrash},
 	},
 	{
 		"blank disk keeps its incarnation", keptEntries, 36,
+		[]int{doBlank, doChase, doHeal, doIsolate},
 		mutation{keepIdentity: true},
 		mutation{},
-		[]int{doBlank, doChase, doHeal, doIsolate},
 	},
 	{
-		"older disk counts whatever its incarnation", keptEntries, 298,
+		"older disk counts whatever its incarnation", keptEntries, 1280,
+		[]int{doBlank, doOlder, doOlder, doChase, doHeal, doNothing},
 		mutation{hooks: hooks{anyone: true}},
 		mutation{},
-		[]int{doBlank, doOlder, doOlder, doChase, doHeal, doNothing},
 	},
 	{
 		"lease measured from receipt", leaseReads, 878,
+		[]int{doSlow, doChase, doHeal},
 		mutation{hooks: hooks{leaseReceipt: true}},
 		mutation{},
-		[]int{doSlow, doChase, doHeal},
 	},
 	{
-		"vote while a lease is valid", leaseReads, 900,
+		"vote while a lease is valid", leaseReads, 360,
+		[]int{doIdle, doIsolate, doShift},
 		mutation{hooks: hooks{lateVote: true}},
 		mutation{},
-		[]int{doIdle, doIsolate, doShift},
 	},
 	{
 		"lease kept after a transfer was ordered", leaseReads, 20,
+		[]int{doTransfer, doSlow, doMute, doIdle, doChase, doHeal},
 		mutation{hooks: hooks{keepLease: true}},
 		mutation{},
-		[]int{doTransfer, doTransfer, doSlow, doMute, doIdle, doChase, doHeal},
 	},
 	{
-		"clock drift beyond the bound", leaseReads, 3938,
+		"clock drift beyond the bound", leaseReads, 3275,
+		[]int{doTransfer, doChase, doHeal},
 		mutation{fastClocks: true},
 		mutation{},
-		[]int{doChase, doHeal, doIdle},
 	},
 	{
 		"learner promoted before it caught up", safePromotion, 0,
+		[]int{doBlank, doLose, doNothing},
 		mutation{hooks: hooks{promoteEarly: true}},
 		mutation{},
-		[]int{doBlank, doLose, doNothing},
 	},
 	{
 		"append accepted without the entry before it", logMatching, 2,
+		[]int{doChase, doHeal, doSplit},
 		mutation{blindAppend: true},
 		mutation{},
-		[]int{doChase, doHeal, doSplit},
 	},
 	{
 		"append accepted without the entry before it", machineSafety, 2,
+		[]int{doChase, doHeal, doSplit},
 		mutation{blindAppend: true},
 		mutation{},
-		[]int{doChase, doHeal, doSplit},
 	},
 }
 
--- a/pkg/raft/sim_test.go
+++ b/pkg/raft/sim_test.go
@@ -51,22 +51,18 @@
 	}
 }
 
-type pendingWrite struct {
-	write Write
-	due   time.Duration
-}
-
 // server is one process with its disk and clock.
 type server struct {
 	name    string
 	node    *Node // nil while it is down
 	disk    disk
-	writes  []pendingWrite
+	writes  []timed[Write]
 	image   *disk // taken before the disk was wiped
 	rate    float64
 	upAt    time.Duration
 	frozen  time.Duration // until
 	inbox   []Message
+	joining []Member
 	index   uint64 // state machine: last applied entry and hash over all of them
 	chain   uint64
 	faulted bool
@@ -74,9 +70,9 @@
 	trap    bool // crash as soon as an answer to a vote waits for its write
 }
 
-type packet struct {
-	msg Message
-	due time.Duration
+type timed[T any] struct {
+	what T
+	due  time.Duration
 }
 
 // mutation turns one rule off, either in the simulated runner or by a hook.
@@ -96,7 +92,7 @@
 	now      time.Duration
 	names    []string
 	servers  map[string]*server
-	packets  []packet
+	packets  []timed[Message]
 	blocked  map[[2]string]bool
 	idle     bool // clients only read
 	drop     float64
@@ -158,7 +154,7 @@
 // in order.
 func (s *sim) crash(srv *server) {
 	for _, w := range srv.writes[:s.rng.IntN(len(srv.writes)+1)] {
-		srv.disk.apply(w.write)
+		srv.disk.apply(w.what)
 	}
 	srv.node = nil
 }
@@ -201,7 +197,7 @@
 		if n := len(srv.writes); n > 0 {
 			due = max(due, srv.writes[n-1].due)
 		}
-		srv.writes = append(srv.writes, pendingWrite{*out.Write, due})
+		srv.writes = append(srv.writes, timed[Write]{*out.Write, due})
 	}
 	s.release(srv)
 	for _, m := range out.Messages {
@@ -244,11 +240,7 @@
 		}
 		delete(s.readers, r.ID)
 	}
-	for _, m := range out.Joining {
-		if m.Incarnation == s.servers[m.Name].disk.incarnation {
-			s.operate(srv, Change{Kind: ChangeAdd, Member: m})
-		}
-	}
+	srv.joining = append(srv.joining, out.Joining...)
 }
 
 // send puts a message on the network: it may be lost, late, repeated or overtaken.
@@ -269,7 +261,7 @@
 		if s.rng.Float64() < s.slow {
 			due += time.Duration(s.rng.Int64N(int64(2 * simElection)))
 		}
-		s.packets = append(s.packets, packet{m, due})
+		s.packets = append(s.packets, timed[Message]{m, due})
 	}
 }
 
@@ -287,20 +279,12 @@
 }
 
 func (s *sim) deliver() {
-	rest := make([]packet, 0, len(s.packets))
-	var due []Message
-	for _, p := range s.packets {
-		if p.due > s.now {
-			rest = append(rest, p)
-		} else {
-			due = append(due, p.msg)
+	s.packets = slices.DeleteFunc(s.packets, func(p timed[Message]) bool {
+		if srv := s.servers[p.what.To]; p.due <= s.now {
+			srv.inbox = append(srv.inbox, p.what)
 		}
-	}
-	s.packets = rest
-	for _, m := range due {
-		srv := s.servers[m.To]
-		srv.inbox = append(srv.inbox, m)
-	}
+		return p.due <= s.now
+	})
 }
 
 // work lets a process handle its messages, syncs and timers, unless it is frozen.
@@ -311,7 +295,7 @@
 	inbox := srv.inbox
 	srv.inbox = nil
 	for len(srv.writes) > 0 && srv.writes[0].due <= s.now && !srv.hung && srv.node != nil {
-		w := srv.writes[0].write
+		w := srv.writes[0].what
 		srv.writes = srv.writes[1:]
 		srv.disk.apply(w)
 		s.step(srv, Input{Synced: w.Number})
@@ -359,21 +343,8 @@
 	}
 }
 
-// operate asks a leader for a membership change.
-func (s *sim) operate(srv *server, c Change) {
-	if s.now < s.admin {
-		return
-	}
-	s.admin = s.now + simElection/4
-	if c.Kind == ChangePromote {
-		s.check.promotion(srv, s.servers[c.Member.Name], c.Member, func() { s.step(srv, Input{Change: &c}) })
-		return
-	}
-	s.step(srv, Input{Change: &c})
-}
-
-// operator promotes learners, adds removed members again and wipes folders that
-// were found to be out of date.
+// operator wipes folders that were found to be out of date and makes the changes
+// that a leader recommends.
 func (s *sim) operator() {
 	for _, name := range s.names {
 		if srv := s.servers[name]; srv.faulted && srv.node != nil {
@@ -383,18 +354,9 @@
 		}
 	}
 	for _, srv := range s.leaders() {
-		if srv.frozen > s.now {
-			continue
-		}
-		for _, m := range srv.node.members() {
-			if m.Learner {
-				s.operate(srv, Change{Kind: ChangePromote, Member: m})
-			}
-		}
-		for _, name := range s.names {
-			if _, ok := srv.node.member(name); !ok && len(srv.node.members()) > 0 && s.rng.IntN(40) == 0 {
-				s.operate(srv, Change{Kind: ChangeAdd, Member: Member{Name: name, Incarnation: s.servers[name].disk.incarnation}})
-			}
+		if c, ok := srv.node.Repair(srv.joining, s.names); ok && srv.frozen <= s.now {
+			s.check.promotion(srv, s.servers[c.Member.Name], c, func() { s.step(srv, Input{Change: &c}) })
 		}
+		srv.joining = nil
 	}
 }
--- a/pkg/raft/step_test.go
+++ b/pkg/raft/step_test.go
@@ -5,11 +5,10 @@
 	"fmt"
 	"slices"
 	"testing"
-	"time"
 )
 
 // quiet returns a group that works, without clients.
-func quiet(t *testing.T, size int, cfg Config) (*sim, *server) {
+func quiet(t testing.TB, size int, cfg Config) (*sim, *server) {
 	t.Helper()
 	s := newSim(7, size, cfg, mutation{})
 	s.idle = true
@@ -194,70 +193,42 @@
 	wantErr(t, refused, ErrBacklog)
 }
 
-// BenchmarkStep measures all members' steps for one replicated entry of 200 bytes, in
-// batches of 16, with messages and syncs that take no time.
+// BenchmarkStep measures the steps of all members for one replicated entry of 200
+// bytes, in batches of 16, with messages and syncs that take no time.
 func BenchmarkStep(b *testing.B) {
 	for _, size := range []int{3, 5, 7} {
-		b.Run(fmt.Sprintf("voters=%d", size), func(b *testing.B) { benchmarkStep(b, size) })
-	}
-}
-
-func benchmarkStep(b *testing.B, size int) {
-	const batch = 16
-	var members []Member
-	for i := range size {
-		members = append(members, Member{Name: string(rune('a' + i)), Incarnation: uint64(i) + 1})
-	}
-	now := time.Unix(0, 0)
-	nodes := map[string]*Node{}
-	for _, m := range members {
-		nodes[m.Name] = New(Config{
-			Name: m.Name, Incarnation: m.Incarnation, Group: "g", Election: time.Hour,
-			Seed: m.Incarnation, Keep: 1000, Snapshot: Snapshot{Index: 1, Term: 1, Members: members},
-		})
-		nodes[m.Name].Step(now, Input{})
-	}
-	committed := 0
-	var steps, messages int
-	var drive func(name string, in Input)
-	drive = func(name string, in Input) {
-		steps++
-		out := nodes[name].Step(now, in)
-		if name == "a" {
-			committed += len(out.Committed)
-		}
-		if out.Write != nil {
-			drive(name, Input{Synced: out.Write.Number})
-		}
-		for _, m := range out.Messages {
-			messages++
-			drive(m.To, Input{Message: &m})
-		}
-	}
-	now = now.Add(2 * time.Hour)
-	for _, m := range members[1:] {
-		nodes[m.Name].deadline = now.Add(2 * time.Hour)
-	}
-	drive("a", Input{})
-	now = now.Add(time.Second)
-	proposals := make([]Proposal, batch)
-	for i := range proposals {
-		proposals[i].Data = make([]byte, 200)
-	}
-	committed, steps, messages = 0, 0, 0
-	b.ReportAllocs()
-	for i := 0; b.Loop(); i++ {
-		drive("a", Input{Propose: proposals})
-		if i%64 == 0 {
-			for _, m := range members {
-				drive(m.Name, Input{Compact: &Compaction{Index: nodes[m.Name].applied}})
+		b.Run(fmt.Sprintf("voters=%d", size), func(b *testing.B) {
+			s, leader := quiet(b, size, Config{Keep: 1000})
+			batch := make([]Proposal, 16)
+			for i := range batch {
+				batch[i].Data = make([]byte, 200)
 			}
-		}
-	}
-	if committed < batch {
-		b.Fatal("nothing was committed")
+			now, committed, steps := s.clock(leader), 0, 0
+			var drive func(srv *server, in Input)
+			drive = func(srv *server, in Input) {
+				steps++
+				out := srv.node.Step(now, in)
+				if srv == leader {
+					committed += len(out.Committed)
+				}
+				if out.Write != nil {
+					drive(srv, Input{Synced: out.Write.Number})
+				}
+				for _, m := range out.Messages {
+					drive(s.servers[m.To], Input{Message: &m})
+				}
+			}
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				drive(leader, Input{Propose: batch})
+				for _, srv := range s.servers {
+					if i%64 == 0 {
+						drive(srv, Input{Compact: &Compaction{Index: srv.node.applied}})
+					}
+				}
+			}
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(committed), "ns/entry")
+			b.ReportMetric(float64(steps)/float64(committed), "steps/entry")
+		})
 	}
-	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(committed), "ns/entry")
-	b.ReportMetric(float64(steps)/float64(committed), "steps/entry")
-	b.ReportMetric(float64(messages)/float64(committed), "messages/entry")
 }
--- /dev/null
+++ b/pkg/wal/crash_test.go
@@ -0,0 +1,161 @@
+package wal
+
+import (
+	"errors"
+	"fmt"
+	"reflect"
+	"testing"
+
+	_ "github.com/jaystage/jaystage/internal/testseed" // fixed seed
+	"github.com/jaystage/jaystage/pkg/wire"
+	"pgregory.net/rapid"
+)
+
+// model is what a folder has to hold.
+type model struct{ Recovered }
+
+func (m model) save(s wire.RaftState, entries []wire.RaftEntry) model {
+	m.State = s
+	if len(entries) > 0 {
+		keep := entries[0].Index - m.Snapshot.Index - 1
+		m.Entries = append(append([]wire.RaftEntry(nil), m.Entries[:keep]...), entries...)
+	}
+	return m
+}
+
+func (m model) snapshot(s wire.RaftSnapshot) model {
+	var rest []wire.RaftEntry
+	if i := s.Index - m.Snapshot.Index; i <= uint64(len(m.Entries)) && m.Entries[i-1].Term == s.Term {
+		rest = m.Entries[i:]
+	}
+	m.Snapshot, m.Entries = s, rest
+	return m
+}
+
+func (m model) equal(r Recovered) bool {
+	return m.State == r.State && reflect.DeepEqual(m.Snapshot, r.Snapshot) &&
+		len(m.Entries) == len(r.Entries) && (len(r.Entries) == 0 || reflect.DeepEqual(m.Entries, r.Entries))
+}
+
+// op is one call; it changes the folder and the model in the same way.
+type op struct {
+	kind    int // 0 to 3: Save, 4: SaveSnapshot
+	at      uint64
+	count   int
+	crashIn int
+}
+
+// survive plays calls and crashes, and returns how the folder differs from what was
+// acknowledged; the call that a crash interrupted may have taken effect or not.
+func survive(m *memFS, ops []op) string {
+	l, now, term := (*Log)(nil), model{}, uint64(1)
+	for _, o := range ops {
+		before, after := now, now
+		m.crashIn = o.crashIn
+		err := func() (err error) {
+			if l == nil {
+				if l, err = Open("d", Options{Name: "a", FS: m, SegmentBytes: 2000}); err != nil {
+					return err
+				}
+				r, err := l.Recover()
+				if err != nil {
+					return err
+				}
+				if !now.equal(r) {
+					return fmt.Errorf("recovered %+v, want %+v", r, now)
+				}
+			}
+			after, err = o.apply(l, now, &term)
+			return err
+		}()
+		if err == nil {
+			now = after
+			continue
+		}
+		if !errors.Is(err, errCrash) {
+			return err.Error()
+		}
+		m.crash()
+		if l, err = Open("d", Options{Name: "a", FS: m, SegmentBytes: 2000}); err != nil {
+			return err.Error()
+		}
+		r, err := l.Recover()
+		switch {
+		case err != nil:
+			return err.Error()
+		case before.equal(r):
+		case after.equal(r):
+			now = after
+		default:
+			return fmt.Sprintf("recovered %+v, want %+v or %+v", r, before, after)
+		}
+	}
+	return ""
+}
+
+func (o op) apply(l *Log, now model, term *uint64) (model, error) {
+	last := now.Snapshot.Index + uint64(len(now.Entries))
+	if o.kind == 4 {
+		s := wire.RaftSnapshot{Index: now.Snapshot.Index + 1 + o.at%12, Term: *term, Data: make([]byte, 900)}
+		if i := s.Index - now.Snapshot.Index; i <= uint64(len(now.Entries)) && o.at%3 > 0 {
+			s.Term = now.Entries[i-1].Term
+		}
+		return now.snapshot(s), l.SaveSnapshot(s)
+	}
+	from := last + 1
+	if o.kind == 3 && len(now.Entries) > 0 { // overwrite a part of the log
+		from = now.Snapshot.Index + 1 + o.at%uint64(len(now.Entries))
+	}
+	*term++
+	var entries []wire.RaftEntry
+	for i := range uint64(o.count) {
+		entries = append(entries, entry(from+i, *term))
+	}
+	state := wire.RaftState{Term: *term, Vote: "b", Candidate: 3}
+	return now.save(state, entries), l.Save(state, entries)
+}
+
+func operations() *rapid.Generator[[]op] {
+	return rapid.SliceOfN(rapid.Custom(func(t *rapid.T) op {
+		o := op{
+			kind:  rapid.IntRange(0, 4).Draw(t, "kind"),
+			at:    rapid.Uint64Range(0, 40).Draw(t, "at"),
+			count: rapid.IntRange(0, 30).Draw(t, "count"),
+		}
+		if rapid.IntRange(0, 2).Draw(t, "crash") == 0 {
+			o.crashIn = rapid.IntRange(1, 30).Draw(t, "after")
+		}
+		return o
+	}), 1, 40)
+}
+
+// TestCrash guards against acknowledged writes that a crash loses, and against
+// folders that cannot be opened after a crash.
+func TestCrash(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		seed := rapid.Uint64().Draw(t, "seed")
+		if got := survive(newMemFS(seed), operations().Draw(t, "operations")); got != "" {
+			t.Fatal(got)
+		}
+	})
+}
+
+// TestCrashMutations guards against a crash test that passes whatever the code does.
+func TestCrashMutations(t *testing.T) {
+	for name, mutate := range map[string]func(*memFS){
+		"file not synced":   func(m *memFS) { m.loseSync = true },
+		"folder not synced": func(m *memFS) { m.loseDir = true },
+	} {
+		t.Run(name, func(t *testing.T) {
+			for seed := range 50 {
+				m := newMemFS(uint64(seed))
+				mutate(m)
+				if got := survive(m, operations().Example(seed)); got != "" {
+					t.Logf("seed %d: %.200s", seed, got)
+					return
+				}
+			}
+			t.Error("no acknowledged write was lost")
+		})
+	}
+}
--- a/pkg/wal/memfs_test.go
+++ b/pkg/wal/memfs_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"io/fs"
+	"maps"
 	"math/rand/v2"
 	"path/filepath"
 	"slices"
@@ -60,12 +61,7 @@
 		op(m.durable)
 	}
 	m.ops, m.names, m.locked, m.crashIn = nil, map[string]*inode{}, false, 0
-	names := make([]string, 0, len(m.durable))
-	for name := range m.durable {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	for _, name := range names {
+	for _, name := range slices.Sorted(maps.Keys(m.durable)) {
 		f := m.durable[name]
 		end := f.synced + m.rng.IntN(len(f.data)-f.synced+1)
 		f.data = f.data[:end]
@@ -88,10 +84,9 @@
 
 func (m *memFS) ReadDir(string) ([]string, error) {
 	var names []string
-	for name := range m.names {
+	for _, name := range slices.Sorted(maps.Keys(m.names)) {
 		names = append(names, filepath.Base(name))
 	}
-	slices.Sort(names)
 	return names, m.use()
 }
 
@@ -162,21 +157,14 @@
 		return nil, ErrLocked
 	}
 	m.locked = true
-	return memLock{m}, m.use()
+	return &memFile{m: m}, m.use()
 }
 
 func (m *memFS) Stamp(name string) (string, error) { return m.names[name].stamp, m.use() }
 
-type memLock struct{ m *memFS }
-
-func (l memLock) Close() error {
-	l.m.locked = false
-	return nil
-}
-
 type memFile struct {
 	m *memFS
-	f *inode
+	f *inode // nil for the lock
 }
 
 func (f *memFile) Write(b []byte) (int, error) {
@@ -195,4 +183,7 @@
 	return nil
 }
 
-func (f *memFile) Close() error { return nil }
+func (f *memFile) Close() error {
+	f.m.locked = f.m.locked && f.f != nil
+	return nil
+}
