--- a/pkg/raft/sim_test.go
+++ b/pkg/raft/sim_test.go
@@ -33,21 +33,15 @@
 // apply stores one write the way package wal does.
 func (d *disk) apply(w Write) {
 	if s := w.Snapshot; s != nil {
-		kept := d.entries[:0:0]
 		agrees := slices.ContainsFunc(d.entries, func(e Entry) bool { return e.Index == s.Index && e.Term == s.Term })
-		for _, e := range d.entries {
-			if agrees && e.Index > s.Index {
-				kept = append(kept, e)
-			}
-		}
-		d.snapshot, d.entries = *s, kept
+		d.entries = slices.DeleteFunc(slices.Clone(d.entries), func(e Entry) bool { return !agrees || e.Index <= s.Index })
+		d.snapshot = *s
 	}
 	d.state = w.State
 	for _, e := range w.Entries {
-		if e.Index <= d.snapshot.Index {
-			continue
+		if e.Index > d.snapshot.Index {
+			d.entries = append(d.entries[:e.Index-d.snapshot.Index-1], e)
 		}
-		d.entries = append(d.entries[:e.Index-d.snapshot.Index-1], e)
 	}
 }
 
@@ -100,8 +94,6 @@
 	mutation mutation
 	cfg      Config
 	ids      uint64
-	admin    time.Duration     // next action of the simulated operator
-	removed  Member            // removed on purpose, to be added again
 	readers  map[uint64]uint64 // highest index committed when the read was asked for
 	floor    uint64            // highest index committed when a disk was last lost
 	check    *checker
@@ -162,13 +154,10 @@
 // wipe replaces the disk by a blank one.
 func (s *sim) wipe(srv *server) {
 	image := srv.disk.clone()
-	srv.image = &image
-	fresh := disk{incarnation: s.rng.Uint64() | 1}
+	srv.image, srv.disk, s.floor = &image, disk{incarnation: s.rng.Uint64() | 1}, s.check.highest
 	if s.mutation.keepIdentity {
-		fresh.incarnation = image.incarnation
+		srv.disk.incarnation = image.incarnation
 	}
-	srv.disk = fresh
-	s.floor = s.check.highest
 }
 
 // clock is the time on the server's own clock.
@@ -199,7 +188,11 @@
 		}
 		srv.writes = append(srv.writes, timed[Write]{*out.Write, due})
 	}
-	s.release(srv)
+	for _, h := range srv.node.held {
+		if (s.mutation.earlyVote && h.msg.Kind == KindVoteReply) || (s.mutation.earlyAck && h.msg.Kind == KindAppendReply) {
+			s.send(h.msg)
+		}
+	}
 	for _, m := range out.Messages {
 		s.send(m)
 	}
@@ -212,15 +205,6 @@
 	}
 }
 
-// release sends messages early when a mutation asks for it.
-func (s *sim) release(srv *server) {
-	for _, h := range srv.node.held {
-		if (s.mutation.earlyVote && h.msg.Kind == KindVoteReply) || (s.mutation.earlyAck && h.msg.Kind == KindAppendReply) {
-			s.send(h.msg)
-		}
-	}
-}
-
 func (s *sim) applyOutput(srv *server, out Output) {
 	if out.Restore != nil {
 		srv.index = out.Restore.Index
@@ -302,9 +286,7 @@
 	}
 	for _, m := range inbox {
 		if s.mutation.blindAppend && m.Kind == KindAppend && srv.node != nil {
-			if term, ok := srv.node.log.term(m.Index); ok {
-				m.Prior = term
-			}
+			m.Prior, _ = srv.node.log.term(m.Index)
 		}
 		s.step(srv, Input{Message: &m})
 	}
@@ -329,16 +311,12 @@
 			continue
 		}
 		s.ids++
-		id := s.ids
-		switch s.rng.IntN(4) {
-		case 0:
-			if s.idle {
-				continue
-			}
-			s.step(srv, Input{Propose: []Proposal{{ID: id, Data: binary.LittleEndian.AppendUint64(nil, id)}}})
-		case 1:
-			s.readers[id] = s.check.highest
-			s.step(srv, Input{Read: []uint64{id}})
+		switch r := s.rng.IntN(4); {
+		case r == 0 && !s.idle:
+			s.step(srv, Input{Propose: []Proposal{{ID: s.ids, Data: binary.LittleEndian.AppendUint64(nil, s.ids)}}})
+		case r == 1:
+			s.readers[s.ids] = s.check.highest
+			s.step(srv, Input{Read: []uint64{s.ids}})
 		}
 	}
 }
--- a/pkg/wal/crash_test.go
+++ b/pkg/wal/crash_test.go
@@ -45,49 +45,45 @@
 	crashIn int
 }
 
-// survive plays calls and crashes, and returns how the folder differs from what was
-// acknowledged; the call that a crash interrupted may have taken effect or not.
+func reopen(m *memFS) (l *Log, r Recovered, err error) {
+	if l, err = Open("d", Options{Name: "a", FS: m, SegmentBytes: 2000}); err == nil {
+		r, err = l.Recover()
+	}
+	return l, r, err
+}
+
+// survive plays calls and crashes, also during recovery, and returns how the folder
+// differs from what was acknowledged; a call that a crash interrupted may have taken
+// effect or not.
 func survive(m *memFS, ops []op) string {
-	l, now, term := (*Log)(nil), model{}, uint64(1)
+	l, now, term, err := (*Log)(nil), model{}, uint64(1), errCrash
+	after, identity := now, Identity{}
 	for _, o := range ops {
-		before, after := now, now
-		m.crashIn = o.crashIn
-		err := func() (err error) {
-			if l == nil {
-				if l, err = Open("d", Options{Name: "a", FS: m, SegmentBytes: 2000}); err != nil {
-					return err
-				}
-				r, err := l.Recover()
-				if err != nil {
-					return err
-				}
-				if !now.equal(r) {
-					return fmt.Errorf("recovered %+v, want %+v", r, now)
-				}
+		if err != nil {
+			m.crash()
+			m.crashIn = o.crashIn
+			r := Recovered{}
+			l, r, err = reopen(m)
+			switch {
+			case errors.Is(err, errCrash):
+				continue
+			case err != nil:
+				return err.Error()
+			case identity.Name != "" && l.Identity() != identity:
+				return fmt.Sprintf("identity %+v, want %+v", l.Identity(), identity)
+			case after.equal(r):
+				now = after
+			case !now.equal(r):
+				return fmt.Sprintf("recovered %+v, want %+v or %+v", r, now, after)
 			}
-			after, err = o.apply(l, now, &term)
-			return err
-		}()
-		if err == nil {
-			now = after
-			continue
+			identity = l.Identity()
+		} else {
+			m.crashIn = o.crashIn
 		}
-		if !errors.Is(err, errCrash) {
-			return err.Error()
-		}
-		m.crash()
-		if l, err = Open("d", Options{Name: "a", FS: m, SegmentBytes: 2000}); err != nil {
-			return err.Error()
-		}
-		r, err := l.Recover()
-		switch {
-		case err != nil:
-			return err.Error()
-		case before.equal(r):
-		case after.equal(r):
+		if after, err = o.apply(l, now, &term); err == nil {
 			now = after
-		default:
-			return fmt.Sprintf("recovered %+v, want %+v or %+v", r, before, after)
+		} else if !errors.Is(err, errCrash) {
+			return err.Error()
 		}
 	}
 	return ""
--- a/pkg/wal/memfs_test.go
+++ b/pkg/wal/memfs_test.go
@@ -21,7 +21,6 @@
 type inode struct {
 	data   []byte
 	synced int
-	stamp  string
 }
 
 // memFS is a file system in memory. A crash loses unsynced data, whole sectors of it
@@ -31,7 +30,6 @@
 	names   map[string]*inode
 	durable map[string]*inode
 	ops     []func(map[string]*inode) // changes of the folder since it was synced
-	created int
 	locked  bool
 
 	crashIn  int // operations until the process is killed; 0 for never
@@ -105,8 +103,7 @@
 	if m.names[name] != nil {
 		return nil, fs.ErrExist
 	}
-	m.created++
-	f := &inode{stamp: fmt.Sprint(m.created)}
+	f := &inode{}
 	m.change(func(names map[string]*inode) { names[name] = f })
 	return &memFile{m, f}, nil
 }
@@ -160,7 +157,8 @@
 	return &memFile{m: m}, m.use()
 }
 
-func (m *memFS) Stamp(name string) (string, error) { return m.names[name].stamp, m.use() }
+// Stamp uses the address of the file: a renamed file keeps it, a copy has another.
+func (m *memFS) Stamp(name string) (string, error) { return fmt.Sprintf("%p", m.names[name]), m.use() }
 
 type memFile struct {
 	m *memFS
--- a/pkg/wal/wal_test.go
+++ b/pkg/wal/wal_test.go
@@ -48,55 +48,48 @@
 	return wire.RaftEntry{Index: index, Term: term, Data: fmt.Appendf(nil, "%d in term %d", index, term)}
 }
 
-// segmentData returns the newest segment that holds entries and its content.
-func segmentData(m *memFS) (string, *inode) {
-	name := filepath.Join("d", segmentName(2)) // segment 1 ends at the first Recover
-	return name, m.names[name]
-}
-
-func TestDamageInTheMiddleIsRefused(t *testing.T) {
-	m := newMemFS(1)
+// saved returns a closed folder with two saves, the segment that holds them and the
+// offset of the second one.
+func saved(t *testing.T) (m *memFS, name string, offset int64) {
+	t.Helper()
+	m = newMemFS(1)
 	l := open(t, "d", Options{FS: m})
 	recovered(t, l)
 	save(t, l, 1, entry(1, 1))
-	offset := l.size
-	save(t, l, 1, entry(2, 1))
-	save(t, l, 1, entry(3, 1))
+	offset = l.size
+	save(t, l, 2, entry(2, 2))
 	l.Close()
-	name, f := segmentData(m)
-	for at := offset; at < int64(len(f.data)); at++ {
-		f.data[at] ^= 0x40
+	return m, filepath.Join("d", segmentName(2)), offset
+}
+
+func TestDamageInTheMiddleIsRefused(t *testing.T) {
+	m, name, _ := saved(t)
+	data := m.names[name].data
+	for at := range int64(len(data)) {
+		data[at] ^= 0x40
 		l := open(t, "d", Options{FS: m})
 		_, err := l.Recover()
 		var damage *CorruptError
-		if !errors.As(err, &damage) || damage.File != name || damage.Offset < offset || damage.Offset > at {
+		newer := errors.Is(err, ErrNewer) && at >= int64(len(magic)) && at < int64(headBytes)
+		if !newer && (!errors.As(err, &damage) || damage.File != name || damage.Offset > at) {
 			t.Fatalf("flipped bit at %d: got error %v, want damage in %s at or before it", at, err, name)
 		}
 		l.Close()
-		f.data[at] ^= 0x40
+		data[at] ^= 0x40
 	}
 }
 
 func TestTornTailIsTruncated(t *testing.T) {
-	m := newMemFS(1)
-	l := open(t, "d", Options{FS: m})
-	recovered(t, l)
-	save(t, l, 1, entry(1, 1))
-	whole := l.size
-	save(t, l, 2, entry(2, 2))
-	l.Close()
-	_, f := segmentData(m)
+	m, name, whole := saved(t)
+	f := m.names[name]
 	data := f.data
 	for size := whole; size < int64(len(data)); size++ {
 		f.data = append([]byte(nil), data[:size]...)
 		l := open(t, "d", Options{FS: m})
-		if r := recovered(t, l); len(r.Entries) != 1 || r.State.Term != 1 {
-			t.Fatalf("cut at %d: got %+v, want the first save", size, r)
+		if r := recovered(t, l); len(r.Entries) != 1 || r.State.Term != 1 || int64(len(f.data)) != whole {
+			t.Fatalf("cut at %d: got %+v in %d bytes, want the first save in %d", size, r, len(f.data), whole)
 		}
 		l.Close()
-		if int64(len(f.data)) != whole {
-			t.Fatalf("cut at %d: segment has %d bytes, want %d", size, len(f.data), whole)
-		}
 		delete(m.names, filepath.Join("d", segmentName(3)))
 	}
 }
