Let a member that restarts before its first entry vote

A long run of the properties found that such a member stayed unproven for ever, so that the group could not elect a leader when another disk was lost.

--- a/pkg/raft/doc.go
+++ b/pkg/raft/doc.go
@@ -31,4 +31,27 @@
 // image of the same folder can do. An older image cannot be told from the present
 // one if no leader is running and the only member that received the newer promises
 // is down; package wal therefore refuses folders that were copied or restored.
+//
+// # Runner
+//
+// The runner opens the folder with package wal, recovers it, and calls New with
+// Restarted set if the folder's identity has a group. One goroutine calls Step for
+// every message, client request and synced write, and at least every half heartbeat
+// interval, each time with the present time. It handles each Output like this:
+//
+//   - Group and Write go, in order, to one writing goroutine, which calls SetGroup,
+//     SaveSnapshot and Save, and then reports Write.Number as Input.Synced. Step goes
+//     on meanwhile, so that a slow sync delays no heartbeat.
+//   - Messages are sent at once. They may be lost, repeated and reordered.
+//   - Restore and then Committed go to the state machine, in order.
+//   - Results name the index and term of each proposal. A Tracker matches them with
+//     Committed and tells which proposals are done or lost.
+//   - Reads may be served once the state machine has applied their index. Only the
+//     leader answers reads; others return ErrNotLeader, and Status names the leader.
+//   - The leader passes Joining to Repair, and its result to the next step.
+//   - On Fault the process empties its folder and starts again as a new incarnation.
+//
+// When the log has grown, the runner passes the state machine's state at the applied
+// index as Input.Compact. Before a graceful shutdown, the leader names another voter
+// in Input.Transfer and goes on until Status shows another leader.
 package raft
--- a/pkg/raft/node.go
+++ b/pkg/raft/node.go
@@ -16,6 +16,14 @@
 	Leader
 )
 
+func (r Role) String() string {
+	names := [...]string{"follower", "pre-candidate", "candidate", "leader"}
+	if int(r) >= len(names) {
+		return "unknown"
+	}
+	return names[r]
+}
+
 // hooks turn single rules off. Only tests of the proofs set them.
 type hooks struct {
 	promoteEarly bool // promote a learner before it has caught up
@@ -103,11 +111,7 @@
 
 // New returns a member in the state that was recovered from its folder.
 func New(cfg Config) *Node {
-	setDefault(&cfg.Election, 500*time.Millisecond)
-	setDefault(&cfg.Heartbeat, cfg.Election/8)
-	setDefault(&cfg.MaxBytes, 512<<10)
-	setDefault(&cfg.MaxInflight, 16)
-	setDefault(&cfg.MaxBacklog, 32<<20)
+	cfg.defaults()
 	n := &Node{
 		cfg: cfg, name: cfg.Name, incarnation: cfg.Incarnation, group: cfg.Group,
 		rand:     rand.New(rand.NewPCG(cfg.Seed, cfg.Incarnation)),
@@ -123,12 +127,6 @@
 	return n
 }
 
-func setDefault[T int | time.Duration](v *T, d T) {
-	if *v == 0 {
-		*v = d
-	}
-}
-
 // clock is the member's own time since its first step. It starts at one, so that
 // zero can stand for never.
 func (n *Node) clock() time.Duration { return n.now.Sub(n.start) + 1 }
@@ -192,13 +190,13 @@
 
 // tick does what falls due with time.
 func (n *Node) tick() {
+	if n.unproven && n.now.Sub(n.heard) >= 2*n.cfg.Election {
+		n.unproven = false
+	}
 	if n.group == "" || len(n.members()) == 0 {
 		n.join()
 		return
 	}
-	if n.unproven && n.now.Sub(n.heard) >= 2*n.cfg.Election {
-		n.unproven = false
-	}
 	if n.role == Leader {
 		n.tickLeader()
 		return
--- a/pkg/wal/doc.go
+++ b/pkg/wal/doc.go
@@ -18,4 +18,17 @@
 // or restored folder has others and is refused, because its voter may have made
 // promises since the copy was taken. An image of the whole disk keeps both; package
 // raft describes what limits the effect of such an image.
+//
+// # Use
+//
+// Open locks the folder and makes a blank one the folder of a new incarnation; Identity
+// then tells the name, the incarnation and the group. Recover reads the records and
+// has to come before the first write. Save, SaveSnapshot and SetGroup return once
+// everything is synced, and are called by one goroutine in the order in which package
+// raft lists its writes. SaveSnapshot deletes what it replaces.
+//
+// After a failed write every later one returns ErrDurability: the process has to end,
+// and may start again from what the disk holds. On ErrCopied or a CorruptError the
+// operator empties the folder; the voter then rejoins as a learner under a new
+// incarnation, if the group still has its quorum.
 package wal
