--- a/pkg/routing/owner.go
+++ b/pkg/routing/owner.go
@@ -25,6 +25,10 @@
 	Size int
 }
 
+// settleBeat is the heartbeat interval of an upstream whose new owner waits for a
+// fresh load report.
+const settleBeat = 200 * time.Millisecond
+
 // DefaultPolicy returns the settings of a node at today's scale.
 func DefaultPolicy() Policy {
 	return Policy{Max: 256, TTL: GrantTTL, Lag: time.Second, Beat: time.Second, Bytes: 2048, Size: 200}
@@ -104,7 +108,11 @@
 		r.gain(now, o.view)
 	}
 	r.heartbeat(now, a, start, o.policy)
-	return interval, o.push(now, r)
+	grants := o.push(now, r)
+	if r.owned && !r.exact {
+		interval = settleBeat
+	}
+	return interval, grants
 }
 
 // Demand takes a node's report and returns the grants that follow, the answer to
--- a/pkg/routing/record.go
+++ b/pkg/routing/record.go
@@ -125,11 +125,13 @@
 	// from the upstream's own load report and falls with it.
 	ghost   int
 	ghostAt time.Time
-	// exact is true once ghost was computed from a report younger than its cause.
+	// exact is true once ghost was computed from a load report that is younger than
+	// the takeover.
 	exact bool
-	// low holds the least sum of reported requests in this heartbeat interval and
-	// in the one before, against which a lagging load report is compared.
-	low [2]int
+	// low holds the least sum of reported requests since lowAt and in the period of
+	// at least Lag before it, against which a lagging load report is compared.
+	low   [2]int
+	lowAt time.Time
 }
 
 func (r *record) gain(now time.Time, v View) {
@@ -138,8 +140,8 @@
 	for _, p := range r.peers {
 		p.reported, p.asked = false, false
 	}
-	r.ghost = max(r.ghost, r.load())
-	r.ghostAt, r.exact = now, false
+	r.ghost, r.ghostAt, r.exact = 0, now, false
+	r.low = [2]int{}
 }
 
 func (r *record) load() int { return int(r.announce.Load.Running + r.announce.Load.Waiting) }
@@ -170,7 +172,7 @@
 	if c := p.charge(); c > 0 {
 		r.ghost += c
 		r.low[0], r.low[1] = max(0, r.low[0]-c), max(0, r.low[1]-c)
-		r.ghostAt, r.exact = now, false
+		r.ghostAt = now
 	}
 }
 
@@ -195,7 +197,9 @@
 	}
 	r.bump(r.epoch)
 	r.settleGhost(now, policy.Lag)
-	r.low[1], r.low[0] = r.low[0], r.running()
+	if now.Sub(r.lowAt) >= policy.Lag {
+		r.low[1], r.low[0], r.lowAt = r.low[0], r.running(), now
+	}
 }
 
 // interval is the time since the last heartbeat, bounded to a minute.
@@ -206,21 +210,20 @@
 	return min(now.Sub(r.seen), time.Minute)
 }
 
-// settleGhost lowers ghost to what the upstream runs beyond the reports of live
-// nodes. A load report older than Lag after the cause may not show it yet.
+// settleGhost sets ghost to what the upstream runs beyond the reports of live
+// nodes. A load report that is younger than the cause by less than Lag may not
+// show all of it yet. After a takeover the load report is the only source; later
+// ghost only falls, because the load report also shows new requests.
 func (r *record) settleGhost(now time.Time, lag time.Duration) {
-	if r.ghost == 0 && r.exact {
+	if now.Sub(r.ghostAt) < lag {
 		return
 	}
-	load := r.load()
-	if now.Sub(r.ghostAt) < lag {
-		if now.Sub(r.gained) < lag {
-			r.ghost = max(r.ghost, load)
-		}
+	extra := max(0, r.load()-min(r.low[0], r.low[1]))
+	if !r.exact {
+		r.ghost, r.exact = extra, true
 		return
 	}
-	r.ghost = min(r.ghost, max(0, load-min(r.low[0], r.low[1])))
-	r.exact = true
+	r.ghost = min(r.ghost, extra)
 }
 
 // learn takes evidence of one node. The limit rises only when each node that uses
@@ -285,19 +288,13 @@
 	return r.announce.Ready && !r.announce.Leaving && now.Sub(r.seen) <= r.life
 }
 
-// settled tells whether the owner knows enough to grant. Every member has
-// reported, or the wait is over. All owners that rank above this one have left the
+// settled tells whether the owner knows enough to grant. Open requests are known
+// from a load report that is younger than the takeover. Grants of earlier owners
+// have ended: every member has reported, or the wait is over. All owners that rank above this one have left the
 // view, so their grants have expired; an owner that ranks below can have grants
 // only if this node joined within the session lease, and those end with the lease.
 func (r *record) settled(now time.Time, o *Owner) bool {
-	lagged := now.Sub(r.gained) >= o.policy.Lag
-	joined := o.joined.Add(drifted(SessionTTL))
-	if !now.Before(joined) {
-		return lagged || r.complete(o.view)
-	}
-	// Requests of an earlier process of this node may still run; the load report
-	// shows them once it is younger than the takeover.
-	return lagged && r.complete(o.view)
+	return r.exact && (!now.Before(o.joined.Add(drifted(SessionTTL))) || r.complete(o.view))
 }
 
 // complete tells whether all members have reported since ownership began.
--- a/pkg/routing/sim_test.go
+++ b/pkg/routing/sim_test.go
@@ -291,7 +291,6 @@
 	if w.now < w.beat {
 		return
 	}
-	w.beat = w.now + time.Second
 	w.announce()
 }
 
@@ -310,7 +309,8 @@
 		if !via.alive || to == nil || via.cutP && via != to || to.cutP && via != to || !to.owner.Owns("u") {
 			continue
 		}
-		_, gs := to.owner.Heartbeat(w.local(to), a, start)
+		interval, gs := to.owner.Heartbeat(w.local(to), a, start)
+		w.beat = w.now + interval
 		w.grants(to, gs)
 		w.naive(to)
 		return
