--- a/internal/caller/admit.go
+++ b/internal/caller/admit.go
@@ -12,6 +12,7 @@
 
 	"github.com/jaystage/jaystage/internal/bearer"
 	"github.com/jaystage/jaystage/internal/config"
+	"github.com/jaystage/jaystage/pkg/routing"
 	"github.com/jaystage/jaystage/pkg/stream"
 	"github.com/jaystage/jaystage/pkg/verdict"
 )
@@ -106,7 +107,8 @@
 	c := a.newCall(now, account, service)
 	c.method, c.path, c.body, c.route = http.MethodPost, r.URL.Path, body, r.URL.Path
 	c.transcript = stream.NewTranscript(req, "chatcmpl-"+c.id)
-	c.fingerprint = fingerprint(account.Name, r.URL.Path, body)
+	c.fingerprint = routing.NewFingerprint(account.Name, service.Name, body)
+	c.blocks = routing.Blocks(req.Model, req.PromptText(), prefixBytes)
 	c.header = http.Header{"Content-Type": {"application/json"}}
 	name := r.Header.Get(ClassHeader)
 	if name == "" {
@@ -137,7 +139,7 @@
 	}
 	c := a.newCall(now, account, service)
 	c.method, c.path, c.body, c.once, c.route = r.Method, path, body, route.Once, route.Path
-	c.fingerprint = fingerprint(account.Name, r.Method+" "+r.URL.RequestURI(), body)
+	c.fingerprint = routing.NewFingerprint(account.Name, service.Name+" "+r.Method+" "+c.path, body)
 	if r.URL.RawQuery != "" {
 		c.path += "?" + r.URL.RawQuery
 	}
--- a/internal/caller/api.go
+++ b/internal/caller/api.go
@@ -13,6 +13,7 @@
 
 	"github.com/jaystage/jaystage/internal/config"
 	"github.com/jaystage/jaystage/internal/upstream"
+	"github.com/jaystage/jaystage/pkg/routing"
 	"github.com/jaystage/jaystage/pkg/verdict"
 )
 
@@ -30,6 +31,7 @@
 	// Serving lists those that take new requests for a service in a version.
 	Serving(service, version string) []upstream.Entry
 	Get(id string) (upstream.Entry, bool)
+	List() []upstream.Entry
 }
 
 // API serves the callers of one node. New returns one; the exported fields are
@@ -42,24 +44,28 @@
 	Now       func() time.Time
 	Metrics   *Metrics
 	Suspects  *Suspects
+	Slots     *Slots
 	// Unready is true once the node shuts down: the balancer is told so, and
 	// answers close their connection.
 	Unready atomic.Bool
 
 	next    atomic.Uint64
-	slots   slots
 	budgets budgets
 	flights flights
 	shares  shares
 	drain   drain
 }
 
-// New returns an API whose Transport is its own.
-func New(viewer Viewer, upstreams Upstreams, log logrus.FieldLogger) *API {
-	return &API{
+// New returns the API of the named node with a transport of its own.
+func New(name string, viewer Viewer, upstreams Upstreams, log logrus.FieldLogger) *API {
+	now := time.Now()
+	self := routing.Node{Name: name, Incarnation: uint64(now.UnixNano())}
+	a := &API{
 		Viewer: viewer, Upstreams: upstreams, Transport: upstream.NewTransport(), Log: log, Now: time.Now,
-		Metrics: NewMetrics(), Suspects: NewSuspects(),
+		Metrics: NewMetrics(), Suspects: NewSuspects(), Slots: NewSlots(now, self, routing.DefaultPolicy()),
 	}
+	a.renew(now)
+	return a
 }
 
 // Handler returns the API's routes.
--- a/internal/caller/call.go
+++ b/internal/caller/call.go
@@ -11,7 +11,9 @@
 
 	"github.com/jaystage/jaystage/internal/config"
 	"github.com/jaystage/jaystage/internal/upstream"
+	"github.com/jaystage/jaystage/pkg/routing"
 	"github.com/jaystage/jaystage/pkg/stream"
+	"github.com/jaystage/jaystage/pkg/verdict"
 )
 
 // call is one admitted request.
@@ -36,7 +38,9 @@
 	// transcript follows a completion; nil for a plain service.
 	transcript *stream.Transcript
 	// fingerprint names client account and content.
-	fingerprint uint64
+	fingerprint routing.Fingerprint
+	// blocks are the hashes of the prompt's prefix.
+	blocks []uint64
 	// trial is true while the call runs alone as a suspect of crashes.
 	trial bool
 
@@ -45,6 +49,10 @@
 	attempts int
 	// stuck counts the attempts since the last new token.
 	stuck int
+	// reserved is the upstream that is kept free for the call to run alone.
+	reserved string
+	// failed is the last failure.
+	failed *verdict.Error
 	// mayHaveRun is true once an attempt ended without the verdict NotRun.
 	mayHaveRun bool
 	// status is that of an answer which is passed on unchanged.
@@ -57,6 +65,14 @@
 	last  time.Time
 }
 
+// avoid makes other upstreams go first.
+func (c *call) avoid(id string) {
+	if c.tried == nil {
+		c.tried = make(map[string]bool)
+	}
+	c.tried[id] = true
+}
+
 // idempotent tells whether the request may be repeated after a possible run.
 func (c *call) idempotent() bool {
 	if c.transcript != nil {
@@ -90,11 +106,11 @@
 // release returns what a call still holds at its end.
 func (a *API) release(c *call) {
 	if c.trial {
-		a.Suspects.EndTrial(c.fingerprint)
+		a.Suspects.done(c.fingerprint, false)
 		c.trial = false
 	}
 	if c.next != nil {
-		a.slots.put(c.next)
+		a.Slots.put(a.Now(), c.next, false)
 		c.next = nil
 	}
 }
@@ -105,8 +121,12 @@
 	call    *call
 	target  upstream.Entry
 	version string
-	alone   bool
+	ticket  routing.Ticket
 	begun   time.Time
+	// uncached is the estimated number of prompt tokens to compute.
+	uncached int
+	// tokenSeen is true after the first token.
+	tokenSeen bool
 	// before is the number of tokens that earlier attempts delivered.
 	before int
 	// delivered is the number of tokens of this attempt.
--- a/internal/caller/choose.go
+++ b/internal/caller/choose.go
@@ -19,9 +19,9 @@
 	reclaimMargin = 5 * time.Second
 )
 
-// choose waits for a slot of an upstream that serves the call. The first attempt
-// waits as long as the class lets its first token take, later ones until the
-// deadline, because the call has been accepted.
+// choose waits for a slot of an upstream that serves the call. A call that has not
+// run waits as long as its class lets the first token take, another one until the
+// deadline.
 func (a *API) choose(ctx context.Context, c *call) (*attempt, error) {
 	if at := c.next; at != nil {
 		c.next = nil
@@ -30,14 +30,14 @@
 	if err := a.suspected(ctx, c); err != nil {
 		return nil, err
 	}
-	defer a.slots.giveUp(c)
+	defer a.Slots.giveUp(c)
 	for {
-		changed := a.slots.changed()
+		changed := a.Slots.changed()
 		at, found := a.tryChoose(c)
 		if at != nil {
 			return at, nil
 		}
-		if c.attempts == 0 {
+		if !c.mayHaveRun {
 			if err := a.cannotWait(c, found); err != nil {
 				return nil, err
 			}
@@ -53,7 +53,7 @@
 
 // cannotWait refuses a call that has not run when waiting does not help.
 func (a *API) cannotWait(c *call, found bool) error {
-	if !found {
+	if !found && c.attempts == 0 {
 		return &verdict.Error{
 			Verdict: verdict.NotRun, Code: verdict.CodeNoUpstream, Status: http.StatusServiceUnavailable,
 			RetryAfter: leaseRetryAfter, Detail: "no upstream serves " + c.service.Name + " version " + strconv.Quote(c.version),
@@ -66,6 +66,9 @@
 	if a.Now().Sub(c.start) < limit {
 		return nil
 	}
+	if c.failed != nil {
+		return c.failed
+	}
 	return &verdict.Error{
 		Verdict: verdict.NotRun, Code: verdict.CodeOverloaded, Status: http.StatusServiceUnavailable,
 		RetryAfter: leaseRetryAfter, Detail: "all upstreams of " + c.service.Name + " are busy",
@@ -96,11 +99,11 @@
 		if len(part) == 0 {
 			continue
 		}
-		target, ok := a.slots.take(now, c, part)
+		t, ok := a.Slots.take(now, view, c, part)
 		if !ok {
 			return nil, true
 		}
-		return &attempt{call: c, target: target, version: c.version, alone: c.trial, begun: now}, true
+		return &attempt{call: c, target: t.target, ticket: t.ticket, uncached: t.uncached, version: c.version, begun: now}, true
 	}
 	return nil, true
 }
--- a/internal/caller/finish.go
+++ b/internal/caller/finish.go
@@ -56,9 +56,11 @@
 	a.flights.remove(at)
 	if err == nil {
 		at.cancel(nil)
-		a.slots.put(at)
+		a.Slots.put(now, at, false)
 		a.budgets.success(now, c)
-		a.Suspects.Clear(c.fingerprint)
+		a.Suspects.done(c.fingerprint, true)
+		c.trial = false
+		a.paced(at, now)
 		a.Metrics.answered(c, at, now)
 		return nil
 	}
@@ -66,19 +68,24 @@
 	if at.cancel != nil {
 		at.cancel(nil)
 	}
-	a.slots.put(at)
+	c.failed = f.err
 	if f.err.Verdict != verdict.NotRun {
 		c.mayHaveRun = true
 	}
-	if c.tried == nil {
-		c.tried = make(map[string]bool)
-	}
-	c.tried[at.target.ID] = true
+	c.avoid(at.target.ID)
 	a.Metrics.failed(c, at, f.kind)
-	a.diagnose(ctx, c, f)
+	cold := a.diagnose(ctx, c, f)
+	a.Slots.put(a.Now(), at, cold)
 	return f
 }
 
+// paced records the time between the tokens of an attempt.
+func (a *API) paced(at *attempt, now time.Time) {
+	if n := at.delivered.Load(); n > 1 && !at.response.IsZero() {
+		a.Slots.gap(at.target.ID, now.Sub(at.response)/time.Duration(n))
+	}
+}
+
 // classify turns the error of an attempt into a failure with its verdict.
 func (a *API) classify(ctx context.Context, c *call, at *attempt, err error) *failure {
 	f := &failure{err: a.verdictOf(err), attempt: at}
@@ -153,16 +160,20 @@
 }
 
 // diagnose finds out what a failure says of the upstream: whether it crashed or
-// stalls, or only the connection failed.
-func (a *API) diagnose(ctx context.Context, c *call, f *failure) {
+// stalls, or only the connection failed. It returns true when the upstream failed.
+func (a *API) diagnose(ctx context.Context, c *call, f *failure) (cold bool) {
 	at := f.attempt
 	log := event.With(a.Log, event.AttemptFailed).WithField("upstream", at.target.ID).WithField("request", at.id).WithField("verdict", f.err.Verdict.String())
 	switch f.kind {
 	case refused:
-		a.slots.shun(a.Now(), at.target)
+		cold = true
+		a.Slots.shun(a.Now(), at.target)
+	case failing:
+		cold = true
 	case silent:
 		if err := a.Transport.Probe(ctx, at.target.Address); err != nil && ctx.Err() == nil {
-			a.slots.shun(a.Now(), at.target)
+			cold = true
+			a.Slots.shun(a.Now(), at.target)
 			event.With(a.Log, event.UpstreamStalled).WithField("upstream", at.target.ID).WithField("domain", at.target.Domain).Warn("upstream is silent and fails its health check")
 			break
 		}
@@ -172,13 +183,15 @@
 	case broken:
 		crash, down := a.crashed(ctx, at)
 		if down {
-			a.slots.shun(a.Now(), at.target)
+			a.Slots.shun(a.Now(), at.target)
 		}
 		if crash {
 			a.suspect(c, at)
 		}
+		cold = down || crash
 	}
 	log.WithField("kind", f.kind.String()).WithField("cause", f.err.Error()).Info("attempt failed")
+	return cold
 }
 
 // refuse tells the caller why the call has no answer, or no whole answer.
--- a/internal/caller/follow.go
+++ b/internal/caller/follow.go
@@ -96,6 +96,10 @@
 			c.stuck = 0
 			at.delivered.Add(int64(tokens))
 			a.Metrics.token(c, now)
+			if !at.tokenSeen {
+				took, target := now.Sub(at.begun), c.class.First.Std()
+				a.Slots.first(at, target > 0 && took > target, took)
+			}
 		}
 	}
 }
--- a/internal/caller/slots.go
+++ b/internal/caller/slots.go
@@ -1,44 +1,162 @@
 package caller
 
 import (
+	"math"
 	"sync"
 	"time"
 
 	"github.com/jaystage/jaystage/internal/upstream"
+	"github.com/jaystage/jaystage/pkg/routing"
 )
 
 const (
-	// defaultStart is the number of requests that an upstream without a known limit
-	// gets at once.
-	defaultStart = 16
+	// slotInterval is how often reports to owners are due.
+	slotInterval = 5 * time.Millisecond
 	// shunTime is how long an upstream that failed gets no new request.
 	shunTime = 2 * time.Second
 	// domainWindow is how long a failure counts against a failure domain.
 	domainWindow = 10 * time.Second
+	// defaultStart is the number of requests that a new upstream gets at once when
+	// its service sets none.
+	defaultStart = 4
+
+	prefixBlocks    = 4096
+	prefixUpstreams = 1024
+	prefixBytes     = 256
 )
 
-// slots holds this node's open requests per upstream.
-type slots struct {
+// Slots is a node's use of the upstreams' limits: it owns the limits of some
+// upstreams and holds grants of all. It is safe for concurrent use.
+type Slots struct {
+	// SendDemand and SendGrant carry messages to other nodes; nil when there are
+	// none. They must not block and must not call back.
+	SendDemand func(owner string, d routing.Demand)
+	SendGrant  func(node string, g routing.Grant)
+
 	mu     sync.Mutex
+	self   routing.Node
+	view   routing.View
+	holder *routing.Holder
+	owner  *routing.Owner
+	prefix *routing.Prefix
 	use    map[string]*use
 	failed map[string]map[string]time.Time // failure domain, upstream, last failure
 	wake   chan struct{}
-	turn   uint64
 }
 
+// use is what the node knows of its own use of one upstream.
 type use struct {
-	running int
-	// reserved is the call that waits to run alone or does so.
-	reserved *call
-	alone    bool
+	incarnation, sequence uint64
+	running               int
+	// sent and ended count requests since the last load report.
+	sent, ended int
+	// alone counts calls that wait to run alone or do so.
+	alone int
 	// shunned is the time until which the upstream gets nothing new, unless it
-	// starts again under another incarnation.
-	shunned     time.Time
-	incarnation uint64
+	// starts again under a later incarnation.
+	shunned time.Time
+	failed  uint64
+	speed   speed
+}
+
+// NewSlots returns the slots of a node that owns nothing until Renew.
+func NewSlots(now time.Time, self routing.Node, policy routing.Policy) *Slots {
+	return &Slots{
+		self: self, holder: routing.NewHolder(self), owner: routing.NewOwner(now, self, policy),
+		prefix: routing.NewPrefix(prefixBlocks, prefixUpstreams),
+		use:    make(map[string]*use), failed: make(map[string]map[string]time.Time),
+	}
+}
+
+// Renew takes the view of the cell and the end of the node's session lease, as of
+// the last renewal.
+func (s *Slots) Renew(now time.Time, view routing.View, lease time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if view.Version > s.view.Version {
+		s.view = view
+	}
+	s.holder.Renew(now, view, lease)
+	s.deal(s.owner.Renew(now, view, lease))
+	s.pump(now)
+}
+
+// Announce takes an upstream's announcement; start is the first limit of a newly
+// started upstream.
+func (s *Slots) Announce(now time.Time, e upstream.Entry, start int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.announce(now, e, start)
+}
+
+func (s *Slots) announce(now time.Time, e upstream.Entry, start int) {
+	u := s.of(e.ID)
+	if e.Incarnation < u.incarnation || e.Incarnation == u.incarnation && e.Sequence <= u.sequence {
+		return
+	}
+	if e.Incarnation > u.incarnation {
+		s.prefix.Forget(e.ID)
+	}
+	u.incarnation, u.sequence, u.sent, u.ended = e.Incarnation, e.Sequence, 0, 0
+	if start <= 0 {
+		start = defaultStart
+	}
+	_, grants := s.owner.Heartbeat(now, e.Announce, start)
+	s.deal(grants)
+	s.notify()
+}
+
+// TakeDemand takes a report of another node.
+func (s *Slots) TakeDemand(now time.Time, d routing.Demand) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.deal(s.owner.Demand(now, d))
+}
+
+// TakeGrant takes a grant of another node.
+func (s *Slots) TakeGrant(now time.Time, g routing.Grant) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.holder.Apply(g)
+	s.pump(now)
+	s.notify()
 }
 
-// changed returns a channel that closes when a slot becomes free.
-func (s *slots) changed() <-chan struct{} {
+// Tick is due every slotInterval.
+func (s *Slots) Tick(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.deal(s.owner.Tick(now))
+	s.pump(now)
+}
+
+// pump sends the reports that are due.
+func (s *Slots) pump(now time.Time) {
+	for _, d := range s.holder.Demands(now) {
+		switch owner := s.view.Owner(d.Upstream); {
+		case owner == s.self.Name:
+			s.deal(s.owner.Demand(now, d))
+		case owner != "" && s.SendDemand != nil:
+			s.SendDemand(owner, d)
+		}
+	}
+}
+
+// deal hands out grants.
+func (s *Slots) deal(grants []routing.Grant) {
+	for _, g := range grants {
+		if g.To != s.self.Name {
+			if s.SendGrant != nil {
+				s.SendGrant(g.To, g)
+			}
+			continue
+		}
+		s.holder.Apply(g)
+		s.notify()
+	}
+}
+
+func (s *Slots) changed() <-chan struct{} {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.wake == nil {
@@ -47,17 +165,14 @@
 	return s.wake
 }
 
-func (s *slots) notify() {
+func (s *Slots) notify() {
 	if s.wake != nil {
 		close(s.wake)
 		s.wake = nil
 	}
 }
 
-func (s *slots) of(id string) *use {
-	if s.use == nil {
-		s.use = make(map[string]*use)
-	}
+func (s *Slots) of(id string) *use {
 	u, ok := s.use[id]
 	if !ok {
 		u = &use{}
@@ -66,133 +181,125 @@
 	return u
 }
 
-// take uses a slot of the best upstream: one outside suspect failure domains, the
-// lowest use of its limit, the lowest price.
-func (s *slots) take(now time.Time, c *call, list []upstream.Entry) (upstream.Entry, bool) {
+// put returns the slot of an attempt; failed is true when the upstream failed it.
+func (s *Slots) put(now time.Time, at *attempt, failed bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if c.trial {
-		return s.takeAlone(now, c, list)
-	}
-	s.turn++
-	best, bestScore := -1, 0.0
-	for i := range list {
-		e := &list[(uint64(i)+s.turn)%uint64(len(list))]
-		u := s.of(e.ID)
-		limit := limitOf(e, c.service.Start)
-		if u.reserved != nil || u.running >= limit || u.isShunned(now, e) {
-			continue
-		}
-		score := float64(u.running+1)/float64(limit) + 0.1*e.Price
-		if s.suspect(now, e.Domain) {
-			score += 10
-		}
-		if best < 0 || score < bestScore {
-			best, bestScore = int((uint64(i)+s.turn)%uint64(len(list))), score
-		}
-	}
-	if best < 0 {
-		return upstream.Entry{}, false
-	}
-	s.of(list[best].ID).running++
-	return list[best], true
-}
-
-// takeAlone uses an upstream on which nothing else runs. It reserves the least
-// used one until that is so; at most half of the upstreams are reserved at once.
-func (s *slots) takeAlone(now time.Time, c *call, list []upstream.Entry) (upstream.Entry, bool) {
-	reserved, best := 0, -1
-	for i := range list {
-		u := s.of(list[i].ID)
-		if u.reserved == c {
-			if u.running > 0 {
-				return upstream.Entry{}, false
-			}
-			u.running, u.alone = 1, true
-			return list[i], true
-		}
-		switch {
-		case u.reserved != nil:
-			reserved++
-		case u.isShunned(now, &list[i]):
-		case best < 0 || u.running < s.of(list[best].ID).running:
-			best = i
-		}
-	}
-	if best < 0 || reserved >= max(1, len(list)/2) {
-		return upstream.Entry{}, false
-	}
-	u := s.of(list[best].ID)
-	u.reserved = c
-	if u.running > 0 {
-		return upstream.Entry{}, false
+	u := s.of(at.target.ID)
+	u.running--
+	u.ended++
+	if at.ticket.Alone {
+		u.alone = max(0, u.alone-1)
 	}
-	u.running, u.alone = 1, true
-	return list[best], true
+	s.holder.Return(at.ticket, failed)
+	s.pump(now)
+	s.notify()
 }
 
-// giveUp ends the reservation of a call that does not run.
-func (s *slots) giveUp(c *call) {
+// first records the first token of an attempt; late is true when it missed the
+// class's target.
+func (s *Slots) first(at *attempt, late bool, took time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, u := range s.use {
-		if u.reserved == c && !u.alone {
-			u.reserved = nil
-			s.notify()
-		}
+	if !at.tokenSeen {
+		at.tokenSeen = true
+		s.holder.FirstToken(&at.ticket, late)
+		s.of(at.target.ID).speed.first(at.uncached, took)
 	}
 }
 
-// put returns the slot of an attempt.
-func (s *slots) put(at *attempt) {
+// gap records the mean time between the tokens of a finished attempt.
+func (s *Slots) gap(id string, d time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	u := s.of(at.target.ID)
-	u.running--
-	if at.alone {
-		u.reserved, u.alone = nil, false
-	}
-	s.notify()
+	s.of(id).speed.between(d)
 }
 
 // shun keeps new requests away from an upstream that failed.
-func (s *slots) shun(now time.Time, e upstream.Entry) {
+func (s *Slots) shun(now time.Time, e upstream.Entry) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	u := s.of(e.ID)
-	u.shunned, u.incarnation = now.Add(shunTime), e.Incarnation
-	if s.failed == nil {
-		s.failed = make(map[string]map[string]time.Time)
-	}
+	u.shunned, u.failed = now.Add(shunTime), e.Incarnation
 	if s.failed[e.Domain] == nil {
 		s.failed[e.Domain] = make(map[string]time.Time)
 	}
 	s.failed[e.Domain][e.ID] = now
 }
 
-// suspect tells whether several upstreams of a failure domain failed lately.
-func (s *slots) suspect(now time.Time, domain string) bool {
-	n := 0
-	for id, at := range s.failed[domain] {
-		if now.Sub(at) > domainWindow {
-			delete(s.failed[domain], id)
-			continue
+func (u *use) isShunned(now time.Time, e *upstream.Entry) bool {
+	return now.Before(u.shunned) && e.Incarnation <= u.failed
+}
+
+// suspectDomains lists the failure domains in which several upstreams failed
+// lately.
+func (s *Slots) suspectDomains(now time.Time) []string {
+	var list []string
+	for domain, failed := range s.failed {
+		n := 0
+		for id, at := range failed {
+			if now.Sub(at) > domainWindow {
+				delete(failed, id)
+				continue
+			}
+			n++
+		}
+		if n > 1 {
+			list = append(list, domain)
 		}
-		n++
 	}
-	return n > 1
+	return list
 }
 
-func (u *use) isShunned(now time.Time, e *upstream.Entry) bool {
-	return now.Before(u.shunned) && e.Incarnation <= u.incarnation
+// forget drops what is known of upstreams that are gone.
+func (s *Slots) forget(known func(id string) bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, u := range s.use {
+		if u.running == 0 && u.alone == 0 && !known(id) {
+			delete(s.use, id)
+			s.prefix.Forget(id)
+		}
+	}
+}
+
+// speed estimates how fast an upstream computes.
+type speed struct {
+	// rate is in prompt tokens a second, gap in seconds; zero while unknown.
+	rate, gap float64
 }
 
-func limitOf(e *upstream.Entry, start int) int {
-	switch {
-	case e.Limit > 0:
-		return int(e.Limit)
-	case start > 0:
-		return start
+const (
+	smoothing   = 0.2
+	defaultRate = 5000
+	defaultGap  = 30 * time.Millisecond
+	// rateTokens is the shortest prompt whose first token says something of the rate.
+	rateTokens = 256
+)
+
+func (p *speed) first(tokens int, took time.Duration) {
+	if tokens >= rateTokens && took > 0 {
+		p.rate = smooth(p.rate, float64(tokens)/took.Seconds())
+	}
+}
+
+func (p *speed) between(d time.Duration) { p.gap = smooth(p.gap, d.Seconds()) }
+
+func smooth(old, sample float64) float64 {
+	if old == 0 {
+		return sample
+	}
+	return old + smoothing*(sample-old)
+}
+
+// values returns the prefill rate and the gap between tokens, both above zero.
+func (p *speed) values() (rate float64, gap time.Duration) {
+	rate, gap = defaultRate, defaultGap
+	if p.rate > 0 {
+		rate = p.rate
+	}
+	if p.gap > 0 {
+		gap = time.Duration(math.Max(p.gap*float64(time.Second), 1))
 	}
-	return defaultStart
+	return rate, gap
 }
--- a/internal/caller/suspects.go
+++ b/internal/caller/suspects.go
@@ -6,16 +6,12 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/jaystage/jaystage/internal/event"
+	"github.com/jaystage/jaystage/pkg/routing"
 	"github.com/jaystage/jaystage/pkg/verdict"
 )
 
 const (
-	// maxCrashes is the number of upstreams that a request may crash: one, and two
-	// further ones on which it ran alone.
-	maxCrashes = 3
 	// suspectTime is how long a crash counts against a request.
 	suspectTime = 10 * time.Minute
 	maxSuspects = 10000
@@ -25,115 +21,78 @@
 	siblingGrace = 50 * time.Millisecond
 )
 
-// Suspicion says that a request was in flight on an upstream when it crashed. The
-// same crash reported twice counts once.
-type Suspicion struct {
-	Fingerprint uint64
-	Upstream    string
-	Incarnation uint64
-	// Trial is the id of the attempt when the request ran alone, or empty. Each
-	// attempt alone counts, also on an upstream whose new incarnation is not known
-	// yet; copies of a request on one upstream count once.
-	Trial string
-}
-
 // Suspects holds the requests that were in flight on crashed upstreams. It is safe
 // for concurrent use.
 type Suspects struct {
-	// Spread tells the other nodes of the cell; nil for none. It must not block.
-	Spread func(Suspicion)
+	// Spread tells the other nodes of the cell of new suspects, SpreadClear of a
+	// request that proved harmless; nil for no other nodes. They must not block.
+	Spread      func([]routing.Suspect)
+	SpreadClear func(routing.Fingerprint)
 
 	mu    sync.Mutex
-	known map[uint64]*suspectRequest
-}
-
-type suspectRequest struct {
-	crashes map[Suspicion]struct{}
-	last    time.Time
-	trial   bool
+	table *routing.Suspects
 }
 
 // NewSuspects returns an empty set.
-func NewSuspects() *Suspects { return &Suspects{known: make(map[uint64]*suspectRequest)} }
+func NewSuspects() *Suspects { return &Suspects{table: routing.NewSuspects(maxSuspects, suspectTime)} }
 
-// Learn records a crash that this node or another one saw.
-func (s *Suspects) Learn(now time.Time, crash Suspicion) {
+// Learn takes an entry of another node.
+func (s *Suspects) Learn(now time.Time, in routing.Suspect) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(s.known) >= maxSuspects {
-		s.expire(now)
-	}
-	r, ok := s.known[crash.Fingerprint]
-	if !ok {
-		r = &suspectRequest{crashes: make(map[Suspicion]struct{})}
-		s.known[crash.Fingerprint] = r
-	}
-	r.crashes[crash] = struct{}{}
-	r.last = now
+	s.table.Merge(now, in)
 }
 
-// expire drops old entries, and if there are none, those with a single crash.
-func (s *Suspects) expire(now time.Time) {
-	for fp, r := range s.known {
-		if !r.trial && now.Sub(r.last) > suspectTime {
-			delete(s.known, fp)
-		}
-	}
-	for fp, r := range s.known {
-		if len(s.known) < maxSuspects {
-			return
-		}
-		if !r.trial && len(r.crashes) == 1 {
-			delete(s.known, fp)
-		}
-	}
+// Forget takes SpreadClear of another node.
+func (s *Suspects) Forget(f routing.Fingerprint) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.table.Clear(f)
 }
 
-// Crashes returns the number of upstreams that crashed with the request in flight.
-func (s *Suspects) Crashes(now time.Time, fingerprint uint64) int {
+// Confirmed lists the entries for the other cells.
+func (s *Suspects) Confirmed(now time.Time) []routing.Suspect {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	r, ok := s.known[fingerprint]
-	if !ok || !r.trial && now.Sub(r.last) > suspectTime {
-		return 0
-	}
-	return len(r.crashes)
+	return s.table.Confirmed(now)
 }
 
-// BeginTrial is true when no other copy of the suspect runs on this node.
-func (s *Suspects) BeginTrial(fingerprint uint64) bool {
+// rule tells how a request may run. For Alone, began is true when the try of the
+// request begins now, and false while a copy of it runs.
+func (s *Suspects) rule(now, deadline time.Time, f routing.Fingerprint) (r routing.Ruling, began bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	r, ok := s.known[fingerprint]
-	if !ok || r.trial {
-		return false
+	r, busy := s.table.Check(now, f)
+	if r == routing.Alone && !busy {
+		s.table.Try(f, deadline)
 	}
-	r.trial = true
-	return true
+	return r, r == routing.Alone && !busy
 }
 
-// EndTrial ends what BeginTrial began.
-func (s *Suspects) EndTrial(fingerprint uint64) {
+func (s *Suspects) tried(f routing.Fingerprint) []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if r, ok := s.known[fingerprint]; ok {
-		r.trial = false
-	}
+	return s.table.Tried(f)
 }
 
-// Clear removes a request that was answered in full.
-func (s *Suspects) Clear(fingerprint uint64) {
+// crash records that the upstream crashed with the request in flight.
+func (s *Suspects) crash(now time.Time, at *attempt) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	delete(s.known, fingerprint)
+	out := s.table.Crashed(now, at.target.ID, at.target.Incarnation, at.ticket.Alone, []routing.Fingerprint{at.call.fingerprint})
+	s.mu.Unlock()
+	if s.Spread != nil {
+		s.Spread(out)
+	}
 }
 
-// fingerprint names a request by its client account and content.
-func fingerprint(account, path string, body []byte) uint64 {
-	d := xxhash.New()
-	_, _ = d.WriteString(account + "\x00" + path + "\x00")
-	_, _ = d.Write(body)
-	return d.Sum64()
+// done ends the try of a request.
+func (s *Suspects) done(f routing.Fingerprint, answered bool) {
+	s.mu.Lock()
+	cleared := s.table.Done(f, answered)
+	s.mu.Unlock()
+	if cleared && s.SpreadClear != nil {
+		s.SpreadClear(f)
+	}
 }
 
 // suspected refuses a call that crashed too many upstreams. A call that is a
@@ -141,18 +100,21 @@
 // that they do not crash several upstreams at once.
 func (a *API) suspected(ctx context.Context, c *call) error {
 	for {
-		crashes := a.Suspects.Crashes(a.Now(), c.fingerprint)
+		ruling, began := a.Suspects.rule(a.Now(), c.deadline, c.fingerprint)
 		switch {
-		case crashes >= maxCrashes:
-			event.With(a.Log, event.CrashRefused).WithField("account", c.account.Name).WithField("crashes", crashes).Warn("request refused because it crashes upstreams")
+		case ruling == routing.Refused:
+			event.With(a.Log, event.CrashRefused).WithField("account", c.account.Name).WithField("service", c.service.Name).Warn("request refused because it crashes upstreams")
 			return &verdict.Error{
 				Verdict: verdict.NotRun, Code: verdict.CodeCrashes, Status: http.StatusUnprocessableEntity,
 				Detail: "the upstreams that ran this request crashed",
 			}
-		case crashes == 0 || c.trial:
+		case ruling == routing.Free || c.trial || c.once:
 			return nil
-		case a.Suspects.BeginTrial(c.fingerprint):
+		case began:
 			c.trial = true
+			for _, id := range a.Suspects.tried(c.fingerprint) {
+				c.avoid(id)
+			}
 			return nil
 		}
 		if !wait(ctx, trialPoll) {
@@ -185,14 +147,8 @@
 	if ok && (e.Leaving || e.Reclaim > 0) || at.target.Reclaim > 0 || c.once {
 		return
 	}
-	crash := Suspicion{Fingerprint: c.fingerprint, Upstream: at.target.ID, Incarnation: at.target.Incarnation}
-	if at.alone {
-		crash.Trial = at.id
-	}
-	a.Suspects.Learn(a.Now(), crash)
-	if a.Suspects.Spread != nil {
-		a.Suspects.Spread(crash)
-	}
+	c.trial = false // the try ended with the crash
+	a.Suspects.crash(a.Now(), at)
 	event.With(a.Log, event.UpstreamCrashed).WithField("upstream", at.target.ID).WithField("incarnation", at.target.Incarnation).
 		WithField("request", at.id).Warn("upstream crashed with the request in flight")
 }
--- a/internal/caller/watch.go
+++ b/internal/caller/watch.go
@@ -8,6 +8,7 @@
 
 	"github.com/jaystage/jaystage/internal/event"
 	"github.com/jaystage/jaystage/internal/upstream"
+	"github.com/jaystage/jaystage/pkg/routing"
 )
 
 const (
@@ -78,20 +79,54 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		ticker := time.NewTicker(sweepInterval)
-		defer ticker.Stop()
+		slots, sweep := time.NewTicker(slotInterval), time.NewTicker(sweepInterval)
+		defer slots.Stop()
+		defer sweep.Stop()
 		for {
 			select {
 			case <-ctx.Done():
 				return
-			case <-ticker.C:
-				a.sweep(a.Now())
+			case <-slots.C:
+				a.Slots.Tick(a.Now())
+			case <-sweep.C:
+				now := a.Now()
+				a.renew(now)
+				a.sweep(now)
 			}
 		}
 	}()
 	return done
 }
 
+// Leaser is a Viewer that tells the end of the session lease and the members of
+// the cell.
+type Leaser interface {
+	Lease(now time.Time) (view routing.View, until time.Time)
+}
+
+// renew passes the session lease and the announcements on to the slots. With a
+// Viewer that tells no lease, the node is alone in its cell.
+func (a *API) renew(now time.Time) {
+	view, ok := a.Viewer.View(now)
+	if l, leased := a.Viewer.(Leaser); leased {
+		members, until := l.Lease(now)
+		a.Slots.Renew(now, members, until)
+	} else if ok {
+		a.Slots.Renew(now, routing.View{Version: 1, Nodes: []routing.Node{a.Slots.self}}, now.Add(routing.SessionTTL))
+	}
+	for _, e := range a.Upstreams.List() {
+		start := 0
+		for _, s := range e.Serving {
+			start = max(start, view.Services[s.Service].Start)
+		}
+		a.Slots.Announce(now, e, start)
+	}
+	a.Slots.forget(func(id string) bool {
+		_, known := a.Upstreams.Get(id)
+		return known
+	})
+}
+
 // sweep ends attempts without progress and moves streams whose VM goes too soon.
 func (a *API) sweep(now time.Time) {
 	for _, at := range a.flights.list() {
@@ -148,16 +183,13 @@
 	if !c.transcript.Continuable() {
 		return false
 	}
-	if c.tried == nil {
-		c.tried = make(map[string]bool)
-	}
-	c.tried[at.target.ID] = true
+	c.avoid(at.target.ID)
 	next, _ := a.tryChoose(c)
 	if next == nil {
 		return false
 	}
 	if next.target.ID == at.target.ID {
-		a.slots.put(next)
+		a.Slots.put(a.Now(), next, false)
 		return false
 	}
 	tokens := c.transcript.Request.Prompt + c.transcript.Delivered()
--- a/internal/fake/process.go
+++ b/internal/fake/process.go
@@ -43,6 +43,13 @@
 	return p.incarnation
 }
 
+// Alive is false after Kill.
+func (p *Process) Alive() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.server != nil
+}
+
 // Accepted is the number of connections accepted so far.
 func (p *Process) Accepted() int {
 	p.mu.Lock()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -47,7 +47,7 @@
 // New opens the node's listeners. Run must be called to serve them.
 func New(s settings.Settings, log logrus.FieldLogger) (*Node, error) {
 	n := &Node{Settings: s, Log: log, State: replica.NewSingle(), Registry: upstream.NewRegistry(announceInterval)}
-	n.Callers = caller.New(n.State, n.Registry, log)
+	n.Callers = caller.New(s.Node.Name, n.State, n.Registry, log)
 	announcements := &upstream.Announcements{Registry: n.Registry, Tokens: tokens(s.Security.Upstreams), Log: log, Now: time.Now}
 	operators := &operator.Server{State: n.State, Upstreams: n.Registry, Tokens: tokens(s.Security.Operators), Log: log, Now: time.Now}
 	for _, l := range []struct {
--- a/pkg/stream/request.go
+++ b/pkg/stream/request.go
@@ -122,6 +122,15 @@
 
 func isAbsent(raw json.RawMessage) bool { return len(raw) == 0 || string(raw) == "null" }
 
+// PromptText returns the part of the request that an upstream caches as a prefix,
+// as it stands in the body.
+func (r *Request) PromptText() string {
+	if r.Kind == Text {
+		return string(r.fields["prompt"])
+	}
+	return string(r.fields["messages"])
+}
+
 // Direct is true when the request goes to the upstream unstreamed, because its
 // answer cannot be assembled from a stream.
 func (r *Request) Direct() bool { return r.Whole != "" && !r.Stream }
