--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -58,7 +58,7 @@
 		n.closeListeners()
 		return nil, err
 	}
-	n.Callers = caller.New(n.State, n.Registry, log)
+	n.Callers = caller.New(s.Node.Name, n.State, n.Registry, log)
 	n.Callers.Bookings = n.State
 	announcements := &upstream.Announcements{Registry: n.Registry, Tokens: tokens(s.Security.Upstreams), Log: log, Now: time.Now}
 	operators := &operator.Server{State: n.State, Upstreams: n.Registry, Events: events, Tokens: tokens(s.Security.Operators), Log: log, Now: time.Now}
