Join the nodes of a cell: announcements, slots and crash suspects

Cause: each node knew only the upstreams that announced themselves to it and owned all their limits. Change: package cell carries announcements, heartbeats, slot demands and grants and crash suspects between the nodes of a cell; an announcement's reply names the owner and the interval; a node's entry in the key space holds its process number, by which slot owners tell processes apart.

--- a/internal/caller/api.go
+++ b/internal/caller/api.go
@@ -58,9 +58,8 @@
 }
 
 // New returns the API of the named node with a transport of its own.
-func New(name string, viewer Viewer, upstreams Upstreams, log logrus.FieldLogger) *API {
+func New(self routing.Node, viewer Viewer, upstreams Upstreams, log logrus.FieldLogger) *API {
 	now := time.Now()
-	self := routing.Node{Name: name, Incarnation: uint64(now.UnixNano())}
 	a := &API{
 		Viewer: viewer, Upstreams: upstreams, Transport: upstream.NewTransport(), Log: log, Now: time.Now,
 		Metrics: NewMetrics(), Suspects: NewSuspects(), Slots: NewSlots(now, self, routing.DefaultPolicy()),
--- a/internal/caller/harness_test.go
+++ b/internal/caller/harness_test.go
@@ -81,7 +81,7 @@
 	f.setView(t, site, nil)
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	f.api = New("n1", f, f.registry, log)
+	f.api = New(routing.Node{Name: "n1", Incarnation: 1}, f, f.registry, log)
 	// Without an earlier process of the node there is no reason to wait for load
 	// reports before the first grant.
 	policy := routing.DefaultPolicy()
--- a/internal/caller/slots.go
+++ b/internal/caller/slots.go
@@ -81,18 +81,19 @@
 	s.pump(now)
 }
 
-// Announce takes an upstream's announcement; start is the first limit of a newly
+// Announce takes an upstream's announcement and returns the time until the next
+// one, zero for an announcement that is known; start is the first limit of a newly
 // started upstream.
-func (s *Slots) Announce(now time.Time, e upstream.Entry, start int) {
+func (s *Slots) Announce(now time.Time, e upstream.Entry, start int) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.announce(now, e, start)
+	return s.announce(now, e, start)
 }
 
-func (s *Slots) announce(now time.Time, e upstream.Entry, start int) {
+func (s *Slots) announce(now time.Time, e upstream.Entry, start int) time.Duration {
 	u := s.of(e.ID)
 	if e.Incarnation < u.incarnation || e.Incarnation == u.incarnation && e.Sequence <= u.sequence {
-		return
+		return 0
 	}
 	if e.Incarnation > u.incarnation {
 		s.prefix.Forget(e.ID)
@@ -101,9 +102,10 @@
 	if start <= 0 {
 		start = defaultStart
 	}
-	_, grants := s.owner.Heartbeat(now, e.Announce, start)
+	interval, grants := s.owner.Heartbeat(now, e.Announce, start)
 	s.deal(grants)
 	s.notify()
+	return interval
 }
 
 // TakeDemand takes a report of another node.
--- a/internal/config/view.go
+++ b/internal/config/view.go
@@ -39,8 +39,12 @@
 
 // Node is a node with a live session.
 type Node struct {
-	Name        string `json:"name"`
+	Name string `json:"name"`
+	// Incarnation is that of the session; a process that lost its session starts
+	// another one.
 	Incarnation uint64 `json:"incarnation"`
+	// Process is the start number of the process.
+	Process uint64 `json:"process"`
 	// Peer is the address of the node's listener for other nodes.
 	Peer string `json:"peer"`
 	// Announce is the address of the node's listener for upstreams.
@@ -166,6 +170,15 @@
 	return value, err
 }
 
+// SortedNodes returns the nodes with a live session in the order of their names.
+func (v *View) SortedNodes() []Node {
+	nodes := make([]Node, 0, len(v.Nodes))
+	for _, name := range slices.Sorted(maps.Keys(v.Nodes)) {
+		nodes = append(nodes, v.Nodes[name])
+	}
+	return nodes
+}
+
 // Class returns the service's class of that name, or its default class when
 // name is empty.
 func (s Service) Class(name string) (Class, bool) {
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -43,6 +43,7 @@
 	LinkDown         ID = 5002
 	LinkRefused      ID = 5003
 	LinkFailed       ID = 5004
+	UpdateDropped    ID = 5005
 	OperatorRefused  ID = 8001
 )
 
--- a/internal/fake/announcer.go
+++ b/internal/fake/announcer.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"net/http"
@@ -15,15 +16,15 @@
 )
 
 const (
-	announceTimeout = 2 * time.Second
+	announceTimeout = time.Second
 	announceRetry   = 500 * time.Millisecond
 )
 
 // Announcer announces one upstream to nodes until its context ends, then says
 // that the upstream leaves.
 type Announcer struct {
-	// Nodes are addresses of the nodes' listeners for upstreams; they are tried in
-	// turn.
+	// Nodes are addresses of the nodes' listeners for upstreams. The announcer goes
+	// to the one that a reply names and tries the others in turn when it fails.
 	Nodes []string
 	// Token is the bearer token for announcements.
 	Token string
@@ -39,14 +40,16 @@
 	go func() {
 		defer close(done)
 		var sequence uint64
-		target := 0
+		node, next := a.Nodes[0], 1
 		for ctx.Err() == nil {
 			sequence++
 			wait := announceRetry
-			if reply, err := a.send(ctx, target, sequence, false); err == nil {
+			if reply, err := a.send(ctx, node, sequence, false); err == nil {
 				wait = time.Duration(reply.Interval) * time.Millisecond
+				node = cmp.Or(reply.Owner, node)
 			} else {
-				target++
+				node = a.Nodes[next%len(a.Nodes)]
+				next++
 			}
 			select {
 			case <-ctx.Done():
@@ -55,12 +58,12 @@
 		}
 		last, cancel := context.WithTimeout(context.WithoutCancel(ctx), announceTimeout)
 		defer cancel()
-		_, _ = a.send(last, target, sequence+1, true)
+		_, _ = a.send(last, node, sequence+1, true)
 	}()
 	return done
 }
 
-func (a *Announcer) send(ctx context.Context, target int, sequence uint64, leaving bool) (wire.Announced, error) {
+func (a *Announcer) send(ctx context.Context, node string, sequence uint64, leaving bool) (wire.Announced, error) {
 	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
 	defer cancel()
 	state := a.State()
@@ -71,7 +74,7 @@
 	if err != nil {
 		return reply, eris.Wrap(err, "encode announcement")
 	}
-	url := "http://" + a.Nodes[target%len(a.Nodes)] + "/v1/announce"
+	url := "http://" + node + "/v1/announce"
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
 	if err != nil {
 		return reply, eris.Wrap(err, "announce")
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -13,12 +13,14 @@
 
 	"github.com/jaystage/jaystage/internal/bearer"
 	"github.com/jaystage/jaystage/internal/caller"
+	"github.com/jaystage/jaystage/internal/cell"
 	"github.com/jaystage/jaystage/internal/event"
 	"github.com/jaystage/jaystage/internal/operator"
 	"github.com/jaystage/jaystage/internal/peer"
 	"github.com/jaystage/jaystage/internal/replica"
 	"github.com/jaystage/jaystage/internal/settings"
 	"github.com/jaystage/jaystage/internal/upstream"
+	"github.com/jaystage/jaystage/pkg/routing"
 )
 
 const (
@@ -39,8 +41,10 @@
 	Links     *peer.Links
 	Registry  *upstream.Registry
 	Callers   *caller.API
+	Cell      *cell.Cell
 	listeners []listener // callers, upstreams, operators
 	peers     *listener  // nil when the node has no listener for other nodes
+	process   uint64     // start number of this process
 }
 
 type listener struct {
@@ -53,14 +57,13 @@
 func New(s settings.Settings, log *logrus.Logger) (*Node, error) {
 	events := event.NewRing(keptEvents)
 	log.AddHook(events)
-	n := &Node{Settings: s, Log: log, Registry: upstream.NewRegistry(announceInterval)}
+	n := &Node{Settings: s, Log: log, Registry: upstream.NewRegistry(announceInterval), process: uint64(time.Now().UnixNano())}
 	if err := n.openState(); err != nil {
 		n.closeListeners()
 		return nil, err
 	}
-	n.Callers = caller.New(s.Node.Name, n.State, n.Registry, log)
-	n.Callers.Bookings = n.State
-	announcements := &upstream.Announcements{Registry: n.Registry, Tokens: tokens(s.Security.Upstreams), Log: log, Now: time.Now}
+	n.openCell()
+	announcements := &upstream.Announcements{Take: n.Cell.Announce, Tokens: tokens(s.Security.Upstreams), Log: log, Now: time.Now}
 	operators := &operator.Server{State: n.State, Upstreams: n.Registry, Events: events, Tokens: tokens(s.Security.Operators), Log: log, Now: time.Now}
 	for i, handler := range []http.Handler{n.Callers.Handler(), announcements.Handler(), operators.Handler()} {
 		n.listeners[i].server.Handler = handler
@@ -68,6 +71,20 @@
 	return n, nil
 }
 
+// openCell joins the request path to the other nodes of the cell.
+func (n *Node) openCell() {
+	self := routing.Node{Name: n.Settings.Node.Name, Incarnation: n.process}
+	n.Cell = &cell.Cell{
+		Self: self, Name: n.Settings.Node.Cell, Links: n.Links, State: n.State, Registry: n.Registry, Log: n.Log, Now: time.Now,
+	}
+	n.Callers = caller.New(self, n.Cell, n.Registry, n.Log)
+	n.Callers.Bookings = n.State
+	n.Callers.Slots.SendDemand, n.Callers.Slots.SendGrant = n.Cell.SendDemand, n.Cell.SendGrant
+	n.Callers.Suspects.Spread, n.Callers.Suspects.SpreadClear = n.Cell.Spread, n.Cell.SpreadClear
+	n.Cell.Slots, n.Cell.Suspects = n.Callers.Slots, n.Callers.Suspects
+	n.Cell.Open()
+}
+
 func (n *Node) listen(key, address string) error {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
@@ -107,6 +124,8 @@
 		go func() { ended <- l.server.Serve(l.Listener) }()
 	}
 	expired := n.expire(ctx)
+	cellCtx, stopCell := context.WithCancel(context.WithoutCancel(ctx))
+	cellEnded := n.Cell.Run(cellCtx)
 	watch, stopWatch := context.WithCancel(context.WithoutCancel(ctx))
 	watched := n.Callers.Watch(watch)
 	event.With(n.Log, event.NodeStarted).WithField("callers", n.CallersAddress()).WithField("node", n.Settings.Node.Name).Info("node started")
@@ -124,6 +143,8 @@
 	stopWatch()
 	<-watched
 	<-expired
+	stopCell()
+	<-cellEnded
 	failed = errors.Join(failed, stopState(), <-stateEnded)
 	event.With(n.Log, event.NodeStopped).Info("node stopped")
 	return failed
--- a/internal/node/state.go
+++ b/internal/node/state.go
@@ -71,7 +71,7 @@
 		return err
 	}
 	n.Links = peer.New(peer.Config{
-		Name: s.Node.Name, Incarnation: uint64(time.Now().UnixNano()), Key: []byte(security.PeerKey),
+		Name: s.Node.Name, Incarnation: n.process, Key: []byte(security.PeerKey),
 		TLS: client, Address: n.peerAddress, Log: n.Log,
 	})
 	if s.Listen.Peers == "" {
@@ -103,7 +103,7 @@
 // entry is what other nodes learn of this one.
 func (n *Node) entry() config.Node {
 	s := n.Settings
-	e := config.Node{Name: s.Node.Name, Domain: s.Node.Domain, Cell: s.Node.Cell, Announce: n.UpstreamsAddress()}
+	e := config.Node{Name: s.Node.Name, Domain: s.Node.Domain, Cell: s.Node.Cell, Announce: n.UpstreamsAddress(), Process: n.process}
 	if n.peers != nil {
 		e.Peer = n.peers.Addr().String()
 	}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -160,6 +160,16 @@
 // session lease is valid: without it the node must admit nothing.
 func (r *Replica) View(now time.Time) (*config.View, bool) { return r.view.get(now) }
 
+// Lease returns the end of the node's session lease on the monotonic clock, or the
+// zero time when the node has none.
+func (r *Replica) Lease() time.Time {
+	sent := r.view.lease.Load().sent
+	if sent.IsZero() {
+		return time.Time{}
+	}
+	return sent.Add(leaseTTL)
+}
+
 // Change runs one change of the key space. A change that is sent again under its
 // id returns its first result.
 func (r *Replica) Change(ctx context.Context, c wire.Change) (wire.Changed, error) {
--- a/internal/upstream/announce.go
+++ b/internal/upstream/announce.go
@@ -18,10 +18,12 @@
 
 // Announcements is the HTTP API by which upstreams announce themselves.
 type Announcements struct {
-	Registry *Registry
-	Tokens   bearer.Tokens
-	Log      logrus.FieldLogger
-	Now      func() time.Time
+	// Take records an announcement. It returns the address for the next one, empty
+	// for the same one, and the time until then.
+	Take   func(now time.Time, a wire.Announce) (next string, interval time.Duration)
+	Tokens bearer.Tokens
+	Log    logrus.FieldLogger
+	Now    func() time.Time
 }
 
 // Handler returns the API's routes.
@@ -46,17 +48,7 @@
 		http.Error(w, "id, address, domain and vm are required", http.StatusBadRequest)
 		return
 	}
-	s.record(a)
+	next, interval := s.Take(s.Now(), a)
 	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(wire.Announced{Interval: uint64(s.Registry.Interval().Milliseconds())})
-}
-
-func (s *Announcements) record(a wire.Announce) {
-	fields := logrus.Fields{"upstream": a.ID, "incarnation": a.Incarnation, "domain": a.Domain, "address": a.Address}
-	switch s.Registry.Apply(s.Now(), a) {
-	case Joined:
-		event.With(s.Log, event.UpstreamJoined).WithFields(fields).Info("upstream announced itself")
-	case Left:
-		event.With(s.Log, event.UpstreamLeaving).WithFields(fields).Info("upstream is leaving")
-	}
+	_ = json.NewEncoder(w).Encode(wire.Announced{Owner: next, Interval: uint64(interval.Milliseconds())})
 }
--- a/internal/upstream/registry.go
+++ b/internal/upstream/registry.go
@@ -22,6 +22,8 @@
 	Seen time.Time
 	// Joined is when the present incarnation was first seen.
 	Joined time.Time
+	// Interval is the time until the next announcement.
+	Interval time.Duration
 }
 
 // Registry holds the upstreams that announced themselves. It is safe for
@@ -58,13 +60,18 @@
 // Apply records an announcement. One of an older incarnation, or with an older
 // sequence number of the same incarnation, never replaces a newer one.
 func (r *Registry) Apply(now time.Time, a wire.Announce) Change {
+	return r.ApplyEvery(now, a, r.interval)
+}
+
+// ApplyEvery is Apply for an upstream that announces itself at another interval.
+func (r *Registry) ApplyEvery(now time.Time, a wire.Announce, interval time.Duration) Change {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	old, known := r.entries[a.ID]
 	if known && (a.Incarnation < old.Incarnation || a.Incarnation == old.Incarnation && a.Sequence <= old.Sequence) {
 		return Outdated
 	}
-	entry := Entry{Announce: a, Seen: now, Joined: now}
+	entry := Entry{Announce: a, Seen: now, Joined: now, Interval: interval}
 	change := Joined
 	if known && a.Incarnation == old.Incarnation {
 		entry.Joined = old.Joined
@@ -77,13 +84,23 @@
 	return change
 }
 
+// SetInterval changes the time until an upstream's next announcement.
+func (r *Registry) SetInterval(id string, interval time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if e, ok := r.entries[id]; ok {
+		e.Interval = interval
+		r.entries[id] = e
+	}
+}
+
 // Expire removes and returns the upstreams that missed their heartbeats.
 func (r *Registry) Expire(now time.Time) []Entry {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var gone []Entry
 	for id, e := range r.entries {
-		if now.Sub(e.Seen) > MissedHeartbeats*r.interval {
+		if now.Sub(e.Seen) > MissedHeartbeats*e.Interval {
 			gone = append(gone, e)
 			delete(r.entries, id)
 		}
