--- a/pkg/raft/proof_test.go
+++ b/pkg/raft/proof_test.go
@@ -223,13 +223,13 @@
 	control        mutation
 }{
 	{
-		"vote answered before it is synced (restarted members vote at once)", electionSafety, 187,
+		"vote answered before it is synced (restarted members vote at once)", electionSafety, 395,
 		[]int{doTrap, doChase, doHeal, doSlow},
 		mutation{earlyVote: true, trusting: true, hooks: hooks{lateVote: true}},
 		mutation{trusting: true, hooks: hooks{lateVote: true}},
 	},
 	{
-		"append acknowledged before it is synced", keptEntries, 65,
+		"append acknowledged before it is synced", keptEntries, 109,
 		[]int{doCrash},
 		mutation{earlyAck: true},
 		mutation{},
@@ -241,31 +241,31 @@
 		mutation{},
 	},
 	{
-		"older disk counts whatever its incarnation", keptEntries, 1280,
+		"older disk counts whatever its incarnation", keptEntries, 2467,
 		[]int{doBlank, doOlder, doOlder, doChase, doHeal, doNothing},
 		mutation{hooks: hooks{anyone: true}},
 		mutation{},
 	},
 	{
-		"lease measured from receipt", leaseReads, 878,
+		"lease measured from receipt", leaseReads, 30,
 		[]int{doSlow, doChase, doHeal},
 		mutation{hooks: hooks{leaseReceipt: true}},
 		mutation{},
 	},
 	{
-		"vote while a lease is valid", leaseReads, 360,
+		"vote while a lease is valid", leaseReads, 1136,
 		[]int{doIdle, doIsolate, doShift},
 		mutation{hooks: hooks{lateVote: true}},
 		mutation{},
 	},
 	{
-		"lease kept after a transfer was ordered", leaseReads, 20,
+		"lease kept after a transfer was ordered", leaseReads, 367,
 		[]int{doTransfer, doSlow, doMute, doIdle, doChase, doHeal},
 		mutation{hooks: hooks{keepLease: true}},
 		mutation{},
 	},
 	{
-		"clock drift beyond the bound", leaseReads, 3275,
+		"clock drift beyond the bound", leaseReads, 580,
 		[]int{doTransfer, doChase, doHeal},
 		mutation{fastClocks: true},
 		mutation{},
@@ -277,13 +277,13 @@
 		mutation{},
 	},
 	{
-		"append accepted without the entry before it", logMatching, 2,
+		"append accepted without the entry before it", logMatching, 8,
 		[]int{doChase, doHeal, doSplit},
 		mutation{blindAppend: true},
 		mutation{},
 	},
 	{
-		"append accepted without the entry before it", machineSafety, 2,
+		"append accepted without the entry before it", machineSafety, 8,
 		[]int{doChase, doHeal, doSplit},
 		mutation{blindAppend: true},
 		mutation{},
@@ -310,7 +310,8 @@
 				t.Logf("seed %d: %s", seed, c.violation)
 				return
 			}
-			t.Errorf("property holds with the rule turned off, seeds %d to %d", from, to-1)
+			t.Errorf("property holds with the rule turned off, seeds %d to %d; after a change to messages or to the "+
+				"simulation, find a new seed with -mutation.search=20000", from, to-1)
 		})
 	}
 }
