--- /dev/null
+++ b/pkg/admission/admission_test.go
@@ -0,0 +1,316 @@
+package admission
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	_ "github.com/jaystage/jaystage/internal/testseed"
+	"github.com/jaystage/jaystage/pkg/verdict"
+	"pgregory.net/rapid"
+)
+
+const (
+	step = 5 * time.Millisecond
+	unit = time.Millisecond
+)
+
+var classes = map[string]Class{
+	"chat":  {Name: "chat", Priority: 0, First: time.Second, Complete: 6 * time.Second},
+	"tags":  {Name: "tags", Priority: 1, First: 2 * time.Second, Complete: 8 * time.Second},
+	"plans": {Name: "plans", Priority: 2, Complete: 30 * time.Second, Delay: true},
+}
+
+// source is one account's stream of requests of one class.
+type source struct {
+	Account, Class string
+	Work           float64
+	// Load is the offered work relative to the capacity.
+	Load float64
+}
+
+type load struct {
+	Seed     uint64
+	Capacity int
+	Sources  []source
+	Weights  map[string]float64
+	Length   time.Duration
+	From     time.Duration // counting of offered and started requests begins
+	Variant  string
+}
+
+type result struct {
+	good    map[string]float64 // work done in time, by account
+	class   map[string]float64 // the same, by class
+	total   float64
+	broken  int // accepted and then refused or late
+	offered map[string]int
+	started map[string]int
+}
+
+type job struct {
+	Start
+	ends time.Time
+}
+
+func simulate(l load) result {
+	rng := rand.New(rand.NewPCG(l.Seed, 2))
+	p := Policy{Classes: classes, Accounts: map[string]Account{}, Queue: 256, Unit: unit}
+	for name, w := range l.Weights {
+		p.Accounts[name] = Account{Weight: w}
+	}
+	c := New(p, nil)
+	c.Capacity(l.Capacity)
+	res := result{map[string]float64{}, map[string]float64{}, 0, 0, map[string]int{}, map[string]int{}}
+	var jobs []job
+	id := uint64(0)
+	for now := time.Unix(0, 0); now.Before(time.Unix(0, 0).Add(l.Length)); now = now.Add(step) {
+		left := jobs[:0]
+		for _, j := range jobs {
+			if j.ends.After(now) {
+				left = append(left, j)
+				continue
+			}
+			c.Done(now, Outcome{ID: j.ID, Complete: true})
+			if now.After(j.Deadline.Add(step)) {
+				res.broken++
+				continue
+			}
+			res.good[j.Account] += j.Work
+			res.class[j.Class] += j.Work
+			res.total += j.Work
+		}
+		jobs = left
+		for _, s := range l.Sources {
+			if rng.Float64() < s.Load*float64(l.Capacity)*float64(step)/float64(unit)/s.Work {
+				id++
+				r := Request{ID: id, Account: s.Account, Class: s.Class, Work: s.Work}
+				if now.Sub(time.Unix(0, 0)) >= l.From {
+					res.offered[s.Account]++
+				}
+				offer(c, now, r, l.Variant)
+			}
+		}
+		for {
+			s, ok := c.Next(now)
+			if !ok {
+				break
+			}
+			if s.Refusal != nil {
+				res.broken++
+				continue
+			}
+			if now.Sub(time.Unix(0, 0)) >= l.From {
+				res.started[s.Account]++
+			}
+			took := time.Duration(s.Work * float64(unit) * (0.85 + 0.3*rng.Float64()))
+			jobs = append(jobs, job{s, now.Add(took)})
+		}
+	}
+	return res
+}
+
+// offer applies the faults of design that the properties must detect.
+func offer(c *Controller, now time.Time, r Request, variant string) {
+	switch variant {
+	case "first come, first served":
+		clear(c.finish)
+		clear(c.virtual)
+		clear(c.used)
+	case "accepts everything":
+		if d := c.Offer(now, r); !d.Accepted {
+			c.insert(now, len(c.queue), c.entry(now, r, c.policy.Classes[r.Class]))
+		}
+		return
+	}
+	c.Offer(now, r)
+}
+
+func loads() *rapid.Generator[load] {
+	return rapid.Custom(func(t *rapid.T) load {
+		l := load{
+			Seed: rapid.Uint64().Draw(t, "seed"), Capacity: rapid.IntRange(1, 24).Draw(t, "capacity"),
+			Weights: map[string]float64{}, Length: 12 * time.Second,
+		}
+		for i := range rapid.IntRange(1, 5).Draw(t, "sources") {
+			s := source{
+				Account: fmt.Sprintf("a%d", i%3), Class: rapid.SampledFrom([]string{"chat", "tags", "plans"}).Draw(t, "class"),
+				Work: float64(rapid.IntRange(20, 3000).Draw(t, "work")), Load: rapid.Float64Range(0.05, 3).Draw(t, "load"),
+			}
+			l.Sources = append(l.Sources, s)
+			l.Weights[s.Account] = rapid.Float64Range(0.5, 4).Draw(t, "weight")
+		}
+		return l
+	})
+}
+
+func TestAcceptedRequestsFinishByTheirDeadline(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		if got := simulate(loads().Draw(t, "load")).broken; got != 0 {
+			t.Errorf("accepted requests that were late: got %d, want 0", got)
+		}
+	})
+}
+
+func TestDeadlinesDetectNaiveVariant(t *testing.T) {
+	for i := range 100 {
+		l := loads().Example(i)
+		l.Variant = "accepts everything"
+		if simulate(l).broken > 0 {
+			return
+		}
+	}
+	t.Error("variant that accepts everything: got no late request, want some")
+}
+
+// fair is a small account with a quarter of the weight beside large ones that
+// offer many times the capacity.
+func fair(seed uint64, from time.Duration, variant string) load {
+	return load{
+		Seed: seed, Capacity: 8, Length: 40 * time.Second, From: from, Variant: variant,
+		Weights: map[string]float64{"small": 1, "large": 3},
+		Sources: []source{
+			{"large", "chat", 200, 4}, {"large", "plans", 1000, 4}, {"small", "chat", 200, 0.15},
+		},
+	}
+}
+
+func servedShare(l load) float64 {
+	r := simulate(l)
+	return float64(r.started["small"]) / float64(max(1, r.offered["small"]))
+}
+
+// The bound leaves room for bursts above the small account's share, and for
+// low-class work that was accepted before the large accounts' surge.
+func TestSmallAccountIsNotStarvedByLargeOnes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		from := time.Duration(rapid.IntRange(0, 20).Draw(t, "from")) * time.Second
+		if got := servedShare(fair(rapid.Uint64().Draw(t, "seed"), from, "")); got < 0.8 {
+			t.Errorf("share of the small account's requests served: got %.2f, want at least 0.8", got)
+		}
+	})
+}
+
+func TestFairSharingDetectsNaiveVariant(t *testing.T) {
+	if got := servedShare(fair(1, 20*time.Second, "first come, first served")); got >= 0.7 {
+		t.Errorf("first come, first served: got a share of %.2f, want less than 0.7", got)
+	}
+}
+
+func TestIdleShareIsUsedByOthers(t *testing.T) {
+	l := load{
+		Seed: 1, Capacity: 8, Length: 30 * time.Second, Weights: map[string]float64{"small": 1, "idle": 9},
+		Sources: []source{{"small", "plans", 500, 2}},
+	}
+	if got := simulate(l).total / (8 * 30 * 1000); got < 0.85 {
+		t.Errorf("use of the capacity by the only active account: got %.2f, want at least 0.85", got)
+	}
+}
+
+func mixed(factor float64) load {
+	return load{
+		Seed: 7, Capacity: 16, Length: 60 * time.Second, Weights: map[string]float64{"a": 1, "b": 1, "c": 2},
+		Sources: []source{
+			{"a", "chat", 300, 0.15 * factor},
+			{"b", "chat", 300, 0.1 * factor},
+			{"b", "tags", 60, 0.1 * factor},
+			{"c", "tags", 60, 0.1 * factor},
+			{"c", "plans", 1500, 0.3 * factor},
+			{"a", "plans", 1500, 0.25 * factor},
+		},
+	}
+}
+
+func TestGoodputIsFlatPastSaturationAndTheLowestClassIsShedFirst(t *testing.T) {
+	results := map[float64]result{}
+	for _, f := range []float64{1, 2, 4} {
+		r := simulate(mixed(f))
+		results[f] = r
+		t.Logf("load %.0fx: goodput %.3f of capacity (chat %.3f, tags %.3f, plans %.3f), late %d", f, r.total/(16*60*1000),
+			r.class["chat"]/(16*60*1000), r.class["tags"]/(16*60*1000), r.class["plans"]/(16*60*1000), r.broken)
+	}
+	for _, f := range []float64{2, 4} {
+		if got, want := results[f].total, 0.95*results[1].total; got < want {
+			t.Errorf("goodput at %.0fx: got %.0f, want at least %.0f", f, got, want)
+		}
+	}
+	if got, want := results[2].class["chat"], 1.8*results[1].class["chat"]; got < want {
+		t.Errorf("work of the highest class at 2x: got %.0f, want at least %.0f", got, want)
+	}
+}
+
+func TestRetryAfterIsTrue(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := New(Policy{Classes: classes, Queue: 64, Unit: unit}, nil)
+		c.Capacity(rapid.IntRange(1, 4).Draw(t, "capacity"))
+		now := time.Unix(0, 0)
+		var ends []job
+		refused := Request{}
+		var after time.Duration
+		for id := uint64(1); id < 400 && after == 0; id++ {
+			r := Request{
+				ID: id, Account: "a", Class: rapid.SampledFrom([]string{"chat", "plans"}).Draw(t, "class"),
+				Work: float64(rapid.IntRange(100, 2000).Draw(t, "work")),
+			}
+			if d := c.Offer(now, r); !d.Accepted {
+				if d.Refusal.Verdict != verdict.NotRun {
+					t.Fatalf("verdict: got %v, want not-run", d.Refusal.Verdict)
+				}
+				refused, after = r, d.Refusal.RetryAfter
+			}
+		}
+		for end := now.Add(after); ; now = now.Add(time.Millisecond) {
+			for i := 0; i < len(ends); i++ {
+				if !ends[i].ends.After(now) {
+					c.Done(now, Outcome{ID: ends[i].ID, Complete: true})
+					ends = append(ends[:i], ends[i+1:]...)
+					i--
+				}
+			}
+			for s, ok := c.Next(now); ok; s, ok = c.Next(now) {
+				ends = append(ends, job{s, now.Add(time.Duration(s.Work) * unit)})
+			}
+			if !now.Before(end.Add(time.Millisecond)) {
+				break
+			}
+		}
+		if d := c.Offer(now, refused); after > 0 && !d.Accepted {
+			t.Errorf("offer again after %v: got %v, want it accepted", after, d.Refusal)
+		}
+	})
+}
+
+func TestBudgetIsATenthOfRecentSuccesses(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var b Budget
+		now := time.Unix(0, 0)
+		var success, spent []time.Time
+		recent := func(times []time.Time) (n int) {
+			for _, at := range times {
+				if now.Sub(at) < 9*time.Second {
+					n++
+				}
+			}
+			return n
+		}
+		for range rapid.IntRange(1, 300).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 500).Draw(t, "ms")) * time.Millisecond)
+			if rapid.IntRange(0, 9).Draw(t, "kind") < 7 {
+				b.Success(now)
+				success = append(success, now)
+			} else if b.Spend(now) {
+				spent = append(spent, now)
+			}
+			all := 0
+			for _, at := range success {
+				if now.Sub(at) <= 11*time.Second {
+					all++
+				}
+			}
+			if got, want := recent(spent), max(budgetLeast, all/10+1); got > want {
+				t.Fatalf("retries within 9 s: got %d, want at most %d for %d successes", got, want, all)
+			}
+		}
+	})
+}
