--- /dev/null
+++ b/pkg/member/member_test.go
@@ -0,0 +1,195 @@
+package member
+
+import (
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"testing"
+	"time"
+
+	_ "github.com/jaystage/jaystage/internal/testseed"
+	"pgregory.net/rapid"
+)
+
+const tick = 50 * time.Millisecond
+
+type flight struct {
+	at time.Duration
+	m  Message
+}
+
+// cluster runs detectors over a network in which links can be blocked.
+type cluster struct {
+	now     time.Duration
+	rng     *rand.Rand
+	nodes   map[string]*Detector
+	names   []string
+	blocked func(from, to string) bool
+	delay   func(from, to string) time.Duration
+	wire    []flight
+	sent    map[string]int
+	deaths  map[string][]string // declared dead, by observer
+}
+
+func newCluster(n int, seed uint64) *cluster {
+	c := &cluster{
+		rng: rand.New(rand.NewPCG(seed, 3)), nodes: map[string]*Detector{}, sent: map[string]int{}, deaths: map[string][]string{},
+		blocked: func(string, string) bool { return false },
+		delay:   func(string, string) time.Duration { return 2 * time.Millisecond },
+	}
+	for i := range n {
+		c.names = append(c.names, "n"+strconv.Itoa(i))
+	}
+	for i, name := range c.names {
+		c.nodes[name] = New(DefaultConfig(name, 1), rand.New(rand.NewPCG(seed, uint64(i))))
+		c.step(name, Event{Members: c.names, Replace: true})
+	}
+	return c
+}
+
+func (c *cluster) step(name string, e Event) {
+	for _, a := range c.nodes[name].Step(time.Unix(0, 0).Add(c.now), e) {
+		if a.Send != nil {
+			c.sent[name]++
+			if !c.blocked(name, a.Send.To) {
+				c.wire = append(c.wire, flight{c.now + c.delay(name, a.Send.To), *a.Send})
+			}
+		}
+		if a.Change != nil && a.Change.New == Dead {
+			c.deaths[name] = append(c.deaths[name], a.Change.Node)
+		}
+	}
+}
+
+func (c *cluster) run(d time.Duration) {
+	for end := c.now + d; c.now < end; c.now += tick {
+		due := c.wire
+		c.wire = nil
+		for _, f := range due {
+			if f.at <= c.now {
+				c.step(f.m.To, Event{Message: &f.m})
+			} else {
+				c.wire = append(c.wire, f)
+			}
+		}
+		for _, n := range c.names {
+			c.step(n, Event{})
+		}
+	}
+}
+
+func assertState(t interface {
+	Helper()
+	Errorf(string, ...any)
+}, c *cluster, observer, node string, want State,
+) {
+	t.Helper()
+	if got, _ := c.nodes[observer].State(node); got != want {
+		t.Errorf("state of %s at %s: got %v, want %v", node, observer, got, want)
+	}
+}
+
+func TestStatesAreToldApart(t *testing.T) {
+	t.Run("a dead node is not taken for a slow one", func(t *testing.T) {
+		c := newCluster(6, 1)
+		c.blocked = func(from, to string) bool { return from == "n0" || to == "n0" }
+		c.run(20 * time.Second)
+		assertState(t, c, "n1", "n0", Dead)
+		assertState(t, c, "n1", "n2", Alive)
+	})
+	t.Run("a slow node is not declared dead", func(t *testing.T) {
+		c := newCluster(6, 1)
+		c.delay = func(from, _ string) time.Duration {
+			if from == "n0" {
+				return 400 * time.Millisecond
+			}
+			return 2 * time.Millisecond
+		}
+		c.run(20 * time.Second)
+		assertState(t, c, "n1", "n0", Slow)
+	})
+	t.Run("a node behind a broken link is not declared dead", func(t *testing.T) {
+		c := newCluster(6, 1)
+		c.blocked = func(from, to string) bool { return from == "n0" && to == "n1" || from == "n1" && to == "n0" }
+		c.run(20 * time.Second)
+		assertState(t, c, "n1", "n0", Partitioned)
+		assertState(t, c, "n2", "n0", Alive)
+	})
+	t.Run("a node that returns is alive again", func(t *testing.T) {
+		c := newCluster(6, 1)
+		c.blocked = func(from, to string) bool { return from == "n0" || to == "n0" }
+		c.run(20 * time.Second)
+		c.blocked = func(string, string) bool { return false }
+		c.run(20 * time.Second)
+		assertState(t, c, "n1", "n0", Alive)
+		assertState(t, c, "n0", "n1", Alive)
+	})
+}
+
+// split draws a minority of nodes that is cut off from the others.
+func split(t *rapid.T) (*cluster, []string) {
+	n := rapid.IntRange(4, 12).Draw(t, "nodes")
+	c := newCluster(n, rapid.Uint64().Draw(t, "seed"))
+	c.run(time.Duration(rapid.IntRange(0, 5000).Draw(t, "before")) * time.Millisecond)
+	minority := c.names[:rapid.IntRange(1, (n-1)/2).Draw(t, "minority")]
+	c.blocked = func(from, to string) bool { return slices.Contains(minority, from) != slices.Contains(minority, to) }
+	return c, minority
+}
+
+func TestCutOffObserverDeclaresNoMajorityDead(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c, minority := split(t)
+		c.run(40 * time.Second)
+		for _, m := range minority {
+			if got, most := len(c.deaths[m]), len(c.names)/2; got > most {
+				t.Errorf("nodes declared dead by %s, which is cut off: got %d, want at most %d", m, got, most)
+			}
+			if len(minority) == 1 && len(c.deaths[m]) > 0 {
+				t.Errorf("nodes declared dead by the lone %s: got %v, want none", m, c.deaths[m])
+			}
+		}
+	})
+}
+
+func TestCutOffObserverDetectsNaiveVariant(t *testing.T) {
+	// The variant takes silence of all helpers for a dead target.
+	c := newCluster(6, 1)
+	c.blocked = func(from, to string) bool { return from == "n0" || to == "n0" }
+	for range 800 {
+		c.run(tick)
+		if p := c.nodes["n0"].probe; p != nil && p.asked {
+			p.helpers = 1
+		}
+		c.nodes["n0"].isolated = false
+	}
+	if got := len(c.deaths["n0"]); got < 3 {
+		t.Errorf("nodes declared dead by the naive variant: got %d, want at least 3", got)
+	}
+}
+
+// Messages of one node in one second, with all nodes well and with one in ten
+// silent, must not depend on the number of nodes.
+func TestMessagesPerNodeDoNotDependOnClusterSize(t *testing.T) {
+	most := map[int]float64{}
+	for _, n := range []int{6, 330} {
+		for _, silent := range []int{0, max(1, n/10)} {
+			c := newCluster(n, 1)
+			down := c.names[:silent]
+			c.blocked = func(from, to string) bool { return slices.Contains(down, from) || slices.Contains(down, to) }
+			c.run(5 * time.Second)
+			clear(c.sent)
+			c.run(20 * time.Second)
+			sum, worst := 0, 0
+			for _, name := range c.names[silent:] {
+				sum += c.sent[name]
+				worst = max(worst, c.sent[name])
+			}
+			mean := float64(sum) / float64(n-silent) / 20
+			t.Logf("%d nodes, %d silent: %.2f messages a second and node on average, %.2f at most", n, silent, mean, float64(worst)/20)
+			most[n] = max(most[n], mean)
+		}
+	}
+	if got, want := most[330], 1.5*most[6]; got > want {
+		t.Errorf("messages a second at 330 nodes: got %.2f, want at most %.2f", got, want)
+	}
+}
--- /dev/null
+++ b/pkg/member/receive.go
@@ -0,0 +1,133 @@
+package member
+
+import (
+	"slices"
+	"time"
+)
+
+func (d *Detector) receive(now time.Time, out []Action, m Message) []Action {
+	if m.To != d.config.Self {
+		return out
+	}
+	for _, u := range m.Updates {
+		out = d.learn(now, out, u)
+	}
+	switch m.Kind {
+	case Ping:
+		// An Ack carries this node's incarnation, which refutes a suspicion.
+		return d.send(out, Message{Kind: Ack, To: m.From, Target: d.config.Self, Sequence: m.Sequence, Incarnation: d.incarnation})
+	case Request:
+		return d.relay(now, out, m)
+	case Ack:
+		return d.acked(now, out, m)
+	case Nack:
+		if p := d.probe; p != nil && p.asked && p.sequence == m.Sequence {
+			p.helpers++
+			d.silent = 0
+		}
+	}
+	return out
+}
+
+func (d *Detector) relay(now time.Time, out []Action, m Message) []Action {
+	if len(d.relays) >= maxRelays || m.Target == d.config.Self {
+		return out
+	}
+	d.sequence++
+	d.relays = append(d.relays, relay{from: m.From, target: m.Target, original: m.Sequence, sequence: d.sequence, sent: now})
+	return d.send(out, Message{Kind: Ping, To: m.Target, Target: m.Target, Sequence: d.sequence})
+}
+
+// expireRelays answers for targets that did not answer a relayed ping.
+func (d *Detector) expireRelays(now time.Time, out []Action) []Action {
+	kept := d.relays[:0]
+	for _, r := range d.relays {
+		if now.Sub(r.sent) < d.config.Timeout {
+			kept = append(kept, r)
+			continue
+		}
+		out = d.send(out, Message{Kind: Nack, To: r.from, Target: r.target, Sequence: r.original})
+	}
+	d.relays = kept
+	return out
+}
+
+func (d *Detector) acked(now time.Time, out []Action, m Message) []Action {
+	if i := slices.IndexFunc(d.relays, func(r relay) bool { return r.sequence == m.Sequence && r.target == m.From }); i >= 0 {
+		r := d.relays[i]
+		d.relays = slices.Delete(d.relays, i, i+1)
+		return d.send(out, Message{Kind: Ack, To: r.from, Target: r.target, Sequence: r.original, Incarnation: m.Incarnation})
+	}
+	p := d.probe
+	if p == nil || p.sequence != m.Sequence || p.target != m.Target {
+		return out
+	}
+	member := d.members[p.target]
+	if member == nil || m.Incarnation.Less(member.incarnation) {
+		return out
+	}
+	d.silent = 0
+	if m.From != m.Target {
+		p.indirect = true
+		p.helpers++
+		return out
+	}
+	d.probe = nil
+	s := Alive
+	if now.Sub(p.sent) > d.config.Timeout {
+		s = Slow
+	}
+	if out = d.set(now, out, p.target, s, m.Incarnation); d.isolated {
+		out = d.connected(out)
+	}
+	return out
+}
+
+// learn takes news from another node. Only a newer incarnation overrides a
+// suspicion, and only an equal or newer one raises it.
+func (d *Detector) learn(now time.Time, out []Action, u Update) []Action {
+	if u.Node == d.config.Self {
+		if u.State >= Suspect && !u.Incarnation.Less(d.incarnation) && u.Incarnation.Start == d.incarnation.Start {
+			d.incarnation.Refuted = u.Incarnation.Refuted + 1
+			d.tell(Update{Node: d.config.Self, State: Alive, Incarnation: d.incarnation})
+		}
+		return out
+	}
+	p := d.members[u.Node]
+	if p == nil || u.Incarnation.Less(p.incarnation) {
+		return out
+	}
+	newer := p.incarnation.Less(u.Incarnation)
+	switch {
+	case newer && u.State == Alive && p.state >= Suspect:
+		return d.set(now, out, u.Node, Alive, u.Incarnation)
+	case u.State >= Suspect && (newer || u.State > p.state):
+		// Death has to be confirmed here too: a node that was told so by one that is
+		// cut off goes on to probe.
+		if p.state < Suspect {
+			return d.set(now, out, u.Node, Suspect, u.Incarnation)
+		}
+	}
+	if newer {
+		p.incarnation = u.Incarnation
+	}
+	return out
+}
+
+// tell queues news, replacing older news of the same node.
+func (d *Detector) tell(u Update) {
+	d.news = slices.DeleteFunc(d.news, func(r rumor) bool { return r.update.Node == u.Node })
+	d.news = append(d.news, rumor{u, spread})
+}
+
+// send adds a message with the news that was passed on least.
+func (d *Detector) send(out []Action, m Message) []Action {
+	m.From = d.config.Self
+	slices.SortStableFunc(d.news, func(a, b rumor) int { return b.left - a.left })
+	for i := range min(maxUpdates, len(d.news)) {
+		m.Updates = append(m.Updates, d.news[i].update)
+		d.news[i].left--
+	}
+	d.news = slices.DeleteFunc(d.news, func(r rumor) bool { return r.left == 0 })
+	return append(out, Action{Send: &m})
+}
--- a/pkg/routing/holder.go
+++ b/pkg/routing/holder.go
@@ -46,6 +46,10 @@
 	// until is the end of the grant on this node's clock.
 	until   time.Time
 	running int
+	// low is the least value of running since the last report, and claimed its value
+	// in that report.
+	low     int
+	claimed int
 	queued  int
 	missed  int
 	prefill int
@@ -282,12 +286,15 @@
 }
 
 // Demands returns the reports that are due, one per upstream at most. It is
-// called after each change and every few milliseconds.
+// called every few milliseconds, and after changes once free slots have been taken
+// again.
 func (h *Holder) Demands(now time.Time) []Demand {
 	var out []Demand
 	for _, id := range slices.Sorted(maps.Keys(h.slots)) {
 		s := h.slots[id]
 		since := now.Sub(s.last)
+		s.low = min(s.low, s.running)
+		s.due = s.due || s.low < s.claimed // the owner counts on full use
 		want := s.running + s.queued + s.missed
 		if s.wantAlone > 0 {
 			want = 1
@@ -306,11 +313,12 @@
 	s.sent[s.sequence%uint64(len(s.sent))] = sending{s.sequence, now}
 	d := Demand{
 		Upstream: id, Node: h.self.Name, Incarnation: h.self.Incarnation, Sequence: s.sequence,
-		Epoch: max(s.floor, s.grant.Epoch), Running: s.running, Want: want, Prefill: s.prefill, Alone: s.wantAlone > 0,
+		Epoch: max(s.floor, s.grant.Epoch), Running: s.running, Low: s.low, Want: want, Prefill: s.prefill, Alone: s.wantAlone > 0,
 		Start: s.grant.Start, Applied: s.grant.Number, Echo: s.echo, Evidence: s.evidence,
 		Hint: s.hint,
 	}
 	d.Evidence.Cold, d.Hint.Cold = s.cold, s.cold
 	s.due, s.last, s.missed = false, now, 0
+	s.low, s.claimed = s.running, s.low
 	return d
 }
--- a/pkg/routing/limit.go
+++ b/pkg/routing/limit.go
@@ -58,17 +58,17 @@
 		return
 	}
 	l.slow += e.Slow
-	if e.Generation == l.generation {
+	if e.Generation == l.generation && judged {
 		l.good += e.Good
 	}
 	switch {
 	case l.slow >= 2 && 5*l.slow > l.good:
 		l.set(max(1, l.limit*7/10))
-	case judged && l.good >= max(2, l.limit/2) && 10*l.slow <= l.good && l.limit < l.ceiling:
+	case judged && l.good >= max(4, l.limit/2) && l.slow == 0 && l.limit < l.ceiling:
 		// Steps of an eighth keep an overshoot inside the range in which engines
 		// answer slowly but do not fail.
 		l.set(min(l.ceiling, l.limit+max(1, l.limit/8)))
-	case l.good >= 10*l.limit:
+	case l.good >= 10*max(4, l.limit):
 		l.good, l.slow = 0, 0
 	}
 }
--- a/pkg/routing/message.go
+++ b/pkg/routing/message.go
@@ -26,6 +26,8 @@
 	Epoch uint64 `json:"epoch"`
 	// Running is the number of the node's open requests on the upstream.
 	Running int `json:"running"`
+	// Low is the least number of open requests since the previous report.
+	Low int `json:"low,omitempty"`
 	// Want is the number of slots that the node could use now, Running included.
 	Want int `json:"want"`
 	// Prefill is the number of tokens of long prompts that the node has sent and
--- a/pkg/routing/record.go
+++ b/pkg/routing/record.go
@@ -17,7 +17,7 @@
 // peer is what an owner knows of one node's use of an upstream.
 type peer struct {
 	incarnation, sequence uint64
-	running, want         int
+	running, want, low    int
 	prefill               int
 	// evidence is the last one taken.
 	evidence Evidence
@@ -63,7 +63,7 @@
 // the echoed stamp shows; Running then covers what was started under it.
 func (p *peer) report(d Demand, start uint64) {
 	p.incarnation, p.sequence = d.Incarnation, d.Sequence
-	p.running, p.want, p.prefill = max(0, d.Running), max(0, d.Want, d.Running), d.Prefill
+	p.running, p.want, p.prefill, p.low = max(0, d.Running), max(0, d.Want, d.Running), d.Prefill, d.Low
 	if d.Start != start {
 		return
 	}
@@ -158,7 +158,7 @@
 			continue
 		}
 		r.abandon(now, p)
-		p.running, p.want, p.prefill, p.out, p.alone = 0, 0, 0, nil, time.Time{}
+		p.running, p.want, p.low, p.prefill, p.out, p.alone = 0, 0, 0, 0, nil, time.Time{}
 		if !member {
 			delete(r.peers, name)
 		}
@@ -229,7 +229,11 @@
 // learn takes evidence of one node. The limit rises only when each node that uses
 // slots has told how its requests fared under the present limit.
 func (r *record) learn(e Evidence) {
-	judged := r.running() >= r.limiter.limit
+	low := 0
+	for _, p := range r.peers {
+		low += p.low
+	}
+	judged := low >= r.limiter.limit
 	for _, p := range r.peers {
 		if p.charge() > 0 && p.evidence.Generation != r.limiter.generation {
 			judged = false
--- a/pkg/routing/sim_test.go
+++ b/pkg/routing/sim_test.go
@@ -386,7 +386,8 @@
 	w.open = slices.DeleteFunc(w.open, func(r *simRequest) bool {
 		if r.first > 0 && r.first <= w.now && !r.failed {
 			r.first = 0
-			r.node.holder.FirstToken(&r.ticket, r.late)
+			// An engine that is overloaded during the prefill answers late.
+			r.node.holder.FirstToken(&r.ticket, r.late || len(w.open)+len(w.ghosts) > w.bears)
 		}
 		if r.ends > w.now {
 			return false
