--- a/pkg/rollout/sim/node.go
+++ b/pkg/rollout/sim/node.go
@@ -34,6 +34,9 @@
 	requests          uint64
 	// local counts requests for the variant that limits each node by itself.
 	local rollout.Amount
+	// sent and added are the leader's last limit and the node's sum, for the
+	// variant whose grants are increments.
+	sent, added rollout.Amount
 }
 
 func newNode(r *run, i int) *node {
@@ -53,9 +56,9 @@
 
 func (n *node) accept(g rollout.Grant) {
 	if n.run.variant == AddedGrants {
-		u := n.holder.Usage()
-		g.Limit.Requests += max(0, u.Granted.Requests-u.Spent.Requests)
-		g.Limit.Tokens += max(0, u.Granted.Tokens-u.Spent.Tokens)
+		n.added.Requests += g.Limit.Requests
+		n.added.Tokens += g.Limit.Tokens
+		g.Limit = n.added
 	}
 	n.holder.Accept(g)
 }
--- a/pkg/rollout/sim/run.go
+++ b/pkg/rollout/sim/run.go
@@ -234,6 +234,12 @@
 func (r *run) sendGrant(g rollout.Grant) {
 	for _, n := range r.nodes {
 		if n.name == g.Node && n.silent == 0 {
+			if r.variant == AddedGrants {
+				limit := g.Limit
+				g.Limit.Requests -= n.sent.Requests
+				g.Limit.Tokens -= n.sent.Tokens
+				n.sent = limit
+			}
 			r.send(func() { n.accept(g) })
 		}
 	}
--- a/pkg/rollout/sim/scenario.go
+++ b/pkg/rollout/sim/scenario.go
@@ -21,6 +21,9 @@
 	Cut   Fault = "cut-short"
 )
 
+// Faults lists all faults.
+var Faults = []Fault{Fails, Slow, Crash, Cut}
+
 // Onset says when or where a fault shows.
 type Onset string
 
