Run bookings at most once through the replicated state

The intent is committed before the request is sent; duplicates through any node wait for the recorded answer. A request that may have run is settled by the service's status look-up or refused, and never sent again.

--- a/internal/caller/admit.go
+++ b/internal/caller/admit.go
@@ -37,6 +37,8 @@
 	body   []byte
 	// once is true when the request may run at most once.
 	once bool
+	// keyless is true when the request needs no idempotency key.
+	keyless bool
 }
 
 // authorize returns the view and the client account of a request.
@@ -142,7 +144,7 @@
 		return nil, err
 	}
 	c := a.newCall(now, account, service)
-	c.method, c.path, c.body, c.once = r.Method, path, body, route.Once
+	c.method, c.path, c.body, c.once, c.keyless = r.Method, path, body, route.Once, route.Keyless
 	if r.URL.RawQuery != "" {
 		c.path += "?" + r.URL.RawQuery
 	}
--- a/internal/caller/api.go
+++ b/internal/caller/api.go
@@ -40,7 +40,8 @@
 	// Unready is true once the node shuts down.
 	Unready atomic.Bool
 
-	next atomic.Uint64
+	next  atomic.Uint64
+	hooks bookingHooks
 }
 
 // Handler returns the API's routes.
--- a/internal/caller/relay.go
+++ b/internal/caller/relay.go
@@ -49,6 +49,10 @@
 
 func (a *API) plain(w http.ResponseWriter, r *http.Request) {
 	c, err := a.admitPlain(w, r, a.Now())
+	if err == nil && c.once {
+		a.runOnce(w, r, c)
+		return
+	}
 	a.run(w, r, c, err)
 }
 
--- a/internal/replica/booking.go
+++ b/internal/replica/booking.go
@@ -45,7 +45,7 @@
 	}
 	// The command may still be applied: it must not hold the key.
 	if abandonErr := a.Abandon(ctx); abandonErr != nil {
-		return nil, wire.Booked{}, fmt.Errorf("%w: the intent may stay recorded: %w", ErrUnavailable, abandonErr)
+		return nil, wire.Booked{}, fmt.Errorf("%w: %w", ErrIntentOpen, abandonErr)
 	}
 	if err == nil {
 		err = fmt.Errorf("%w: %s", ErrNoSession, o.Fault)
@@ -84,6 +84,19 @@
 	return done
 }
 
+// Orphan records that the request was sent and that this node gets no answer. It
+// returns nil once that is committed. The end of the session has the same effect.
+func (a *Attempt) Orphan(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), abandonLimit)
+	defer cancel()
+	defer a.release()
+	_, err := a.r.submit(ctx, a.step(state.VerbOrphan, nil))
+	return err
+}
+
+// ID returns the unique id of the attempt.
+func (a *Attempt) ID() string { return a.command.Booking.Attempt }
+
 func (a *Attempt) step(verb string, answer *wire.Answer) wire.Command {
 	c := a.command
 	b := *c.Booking
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -45,6 +45,9 @@
 	// ErrUnavailable means that no leader answered in time. A command that fails
 	// with it may still be applied.
 	ErrUnavailable = errors.New("the replicated state cannot be reached")
+	// ErrIntentOpen means that an intent may be recorded that this node could not
+	// abandon. The request was not sent and will not be, but its key stays taken.
+	ErrIntentOpen = errors.New("the intent of the booking could not be abandoned")
 	// ErrNoSession means that the node has no session at present.
 	ErrNoSession = errors.New("this node has no session with the replicated state")
 )
--- a/pkg/state/booking.go
+++ b/pkg/state/booking.go
@@ -12,7 +12,10 @@
 	VerbBegin   = "begin"
 	VerbFinish  = "finish"
 	VerbAbandon = "abandon"
-	VerbSettle  = "settle"
+	// VerbOrphan is the holder's word that it sent the request and will get no
+	// answer. The end of the holder's session has the same effect.
+	VerbOrphan = "orphan"
+	VerbSettle = "settle"
 )
 
 // States of bookings. The last four are answers only; no record has them.
@@ -21,7 +24,7 @@
 	StateRunning = "running"
 	// StateDone means that the answer is recorded.
 	StateDone = "done"
-	// StateUnknown means that the session that held the intent has ended: the
+	// StateUnknown means that the holder got no answer or its session has ended: the
 	// request may have run and is never sent again.
 	StateUnknown = "unknown"
 	// StateAbandoned means that the request was not sent and that the key is free.
@@ -136,6 +139,10 @@
 	case b.Verb == VerbAbandon:
 		m.drop(key)
 		result.State = StateAbandoned
+	case b.Verb == VerbOrphan:
+		m.release(key, in)
+		in.State = StateUnknown
+		result = booked(in)
 	case b.Answer == nil || len(b.Answer.Body) > MaxAnswerBytes:
 		return wire.Outcome{Fault: FaultInvalid}
 	case b.Verb == VerbFinish || (b.Verb == VerbSettle && in.State == StateUnknown):
--- a/pkg/state/machine_test.go
+++ b/pkg/state/machine_test.go
@@ -123,7 +123,7 @@
 		a := w.begins[id]
 		switch {
 		case a.sent && rapid.Bool().Draw(t, "finishes"):
-			w.apply(step(a.cmd, VerbFinish))
+			w.apply(step(a.cmd, rapid.SampledFrom([]string{VerbFinish, VerbOrphan}).Draw(t, "how")))
 		case !a.decided && rapid.Bool().Draw(t, "gives up"):
 			a.decided = true
 			w.apply(step(a.cmd, VerbAbandon))
--- a/pkg/wire/state.go
+++ b/pkg/wire/state.go
@@ -89,7 +89,7 @@
 	// Service.
 	Service string `json:"service"`
 
-	// begin, finish, abandon or settle.
+	// begin, finish, abandon, orphan or settle.
 	Verb string `json:"verb"`
 }
 
