--- a/internal/caller/booking_test.go
+++ b/internal/caller/booking_test.go
@@ -301,6 +301,8 @@
 func TestBookingOfACutOffNodeIsSettledAndNotSentAgain(t *testing.T) {
 	d := newDesk(t)
 	inside, leave := make(chan struct{}), make(chan struct{})
+	release := sync.OnceFunc(func() { close(leave) })
+	t.Cleanup(release)
 	hold := sync.OnceFunc(func() { close(inside); <-leave })
 	d.after.Store(&hold)
 	first := make(chan struct{})
@@ -311,7 +313,7 @@
 	d.mustBook("b", "k", "{}", http.StatusOK)
 	d.mustBook("c", "k", "{}", http.StatusOK)
 	d.ranOnce("k")
-	close(leave)
+	release()
 	d.nodes["a"].links.cut.Store(false)
 	<-first
 	d.ranOnce("k")
@@ -322,6 +324,8 @@
 func TestUnsettledBookingIsRefusedAndNotSentAgain(t *testing.T) {
 	d := newDesk(t)
 	inside, leave := make(chan struct{}), make(chan struct{})
+	release := sync.OnceFunc(func() { close(leave) })
+	t.Cleanup(release)
 	hold := sync.OnceFunc(func() { close(inside); <-leave })
 	d.before.Store(&hold)
 	first := make(chan struct{})
@@ -333,7 +337,7 @@
 	if !bytes.Contains([]byte(got.body), []byte("may-have-run")) {
 		t.Fatalf("got %s, want the verdict may-have-run", got.body)
 	}
-	close(leave)
+	release()
 	d.nodes["a"].links.cut.Store(false)
 	<-first
 	d.ranOnce("k")
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -24,6 +24,10 @@
 type State interface {
 	Change(ctx context.Context, c wire.Change) (wire.Changed, error)
 	View(now time.Time) (*config.View, bool)
+	// WaitInForce returns once every node with a session has the version in force.
+	WaitInForce(ctx context.Context, version uint64) error
+	// Voters changes the membership of the consensus group by one step.
+	Voters(ctx context.Context, v wire.Voters) error
 }
 
 // Upstreams lists the upstreams that a node knows.
@@ -46,6 +50,7 @@
 	r.Use(s.authorize)
 	r.HandleFunc("/v1/config", s.showConfig).Methods(http.MethodGet)
 	r.HandleFunc("/v1/changes", s.change).Methods(http.MethodPost)
+	r.HandleFunc("/v1/voters", s.changeVoters).Methods(http.MethodPost)
 	r.HandleFunc("/v1/upstreams", s.listUpstreams).Methods(http.MethodGet)
 	r.Handle("/debug/vars", expvar.Handler()).Methods(http.MethodGet)
 	return r
--- /dev/null
+++ b/internal/operator/voters.go
@@ -0,0 +1,49 @@
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/jaystage/jaystage/pkg/wire"
+)
+
+// votersTimeout bounds one change of the membership.
+const votersTimeout = 10 * time.Second
+
+// changeVoters adds a learner, promotes it or removes a member of the consensus
+// group. A lost voter is replaced in three steps: start the new one with an empty
+// data folder, add it, and promote it once it holds everything committed.
+func (s *Server) changeVoters(w http.ResponseWriter, r *http.Request) {
+	var v wire.Voters
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes)).Decode(&v); err != nil {
+		writeError(w, http.StatusBadRequest, "the request is not valid JSON: "+err.Error())
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), votersTimeout)
+	defer cancel()
+	if err := s.State.Voters(ctx, v); err != nil {
+		writeError(w, http.StatusConflict, err.Error())
+		return
+	}
+	writeJSON(w, http.StatusOK, v)
+}
+
+// Voters changes the membership of the consensus group by one step.
+func (c *Client) Voters(ctx context.Context, v wire.Voters) error {
+	var answer struct {
+		Failure
+		wire.Voters
+	}
+	status, err := c.call(ctx, http.MethodPost, "/v1/voters", v, &answer)
+	if err == nil && status == http.StatusConflict {
+		return &RefusedError{Reason: answer.Error}
+	}
+	return err
+}
+
+// RefusedError is a change that the node refused.
+type RefusedError struct{ Reason string }
+
+func (e *RefusedError) Error() string { return e.Reason }
--- a/internal/peer/dial.go
+++ b/internal/peer/dial.go
@@ -73,7 +73,7 @@
 // dial connects to a node, again and again with a growing, jittered pause, until
 // there is a link or nobody has asked for it for a while.
 func (l *Links) dial(ctx context.Context, r *remote) {
-	pause, reason := backoffMin, ""
+	pause, reason := firstBackoff, ""
 	for {
 		err := l.dialOnce(ctx, r.name)
 		l.mu.Lock()
@@ -93,7 +93,7 @@
 		case <-ctx.Done():
 		case <-time.After(pause/2 + rand.N(pause)):
 		}
-		pause = min(pause*2, backoffMax)
+		pause = min(pause*2, lastBackoff)
 	}
 }
 
--- a/internal/peer/links.go
+++ b/internal/peer/links.go
@@ -32,8 +32,8 @@
 	silenceLimit   = 1400 * time.Millisecond
 	suspectSilence = 1000 * time.Millisecond
 	dialTimeout    = time.Second
-	backoffMin     = 50 * time.Millisecond
-	backoffMax     = time.Second
+	firstBackoff   = 50 * time.Millisecond
+	lastBackoff    = time.Second
 	// unusedLimit is how long a link that nobody asks for is dialled again.
 	unusedLimit = 10 * time.Second
 )
