--- a/internal/caller/booking.go
+++ b/internal/caller/booking.go
@@ -1,7 +1,6 @@
 package caller
 
 import (
-	"bytes"
 	"context"
 	"crypto/rand"
 	"crypto/sha256"
@@ -50,15 +49,6 @@
 	resend    bool // send a booking again that may have run
 }
 
-// runOnce answers a request that may run at most once.
-func (a *API) runOnce(w http.ResponseWriter, r *http.Request, c *call) {
-	if err := a.book(r.Context(), w, c); err != nil {
-		e := verdict.From(err)
-		event.With(a.Log, event.RequestRefused).WithField("code", e.Code).WithField("verdict", e.Verdict.String()).Debug(e.Detail)
-		writeProblem(w, e)
-	}
-}
-
 // book records the intent, sends the request once and records the answer. A
 // duplicate gets the recorded answer. Once the intent is recorded, the work does
 // not end with the caller's connection.
@@ -67,11 +57,6 @@
 	if err != nil {
 		return err
 	}
-	if _, err := a.choose(c); err != nil {
-		return err
-	}
-	ctx, cancel := context.WithDeadline(ctx, c.start.Add(c.class.Complete.Std()))
-	defer cancel()
 	send := a.fetch
 	if a.hooks.sendFirst {
 		answer, err := a.fetch(ctx, c)
@@ -140,9 +125,8 @@
 // sendOnce sends a request whose intent this node holds and records what became of
 // it. It ends the attempt in every case.
 func (a *API) sendOnce(ctx context.Context, w http.ResponseWriter, c *call, b wire.Booking, attempt *replica.Attempt, send sender) error {
-	deadline, _ := ctx.Deadline()
-	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), deadline)
-	defer cancel()
+	ctx, end := a.begin(context.WithoutCancel(ctx), c)
+	defer end()
 	answer, err := send(ctx, c)
 	switch {
 	case err == nil:
@@ -179,34 +163,27 @@
 }
 
 // fetch sends the request over a connection of its own and reads the whole answer.
-// The lease is checked just before: the process may have been paused while the
-// intent was recorded.
+// The lease is checked just before sending: the process may have been paused while
+// the intent was recorded.
 func (a *API) fetch(ctx context.Context, c *call) (wire.Answer, error) {
-	if _, ok := a.Viewer.View(a.Now()); !ok {
-		return wire.Answer{}, &verdict.Error{
-			Verdict: verdict.NotRun, Code: verdict.CodeLeaseExpired, Status: http.StatusServiceUnavailable,
-			RetryAfter: leaseRetryAfter, Detail: "this node has lost contact with the replicated state",
-		}
-	}
-	target, err := a.choose(c)
+	at, err := a.choose(ctx, c)
 	if err != nil {
 		return wire.Answer{}, err
 	}
-	req, err := http.NewRequestWithContext(ctx, c.method, "http://"+target.Address+c.path, bytes.NewReader(c.body))
-	if err != nil {
-		return wire.Answer{}, &verdict.Error{Verdict: verdict.NotRun, Code: verdict.CodeBadRequest, Status: http.StatusBadRequest, Detail: "the request's path cannot be sent", Cause: err}
+	answer, err := a.exchange(ctx, c, at)
+	if failed := a.finish(ctx, c, at, err); failed != nil {
+		return wire.Answer{}, failed.err
 	}
-	req.GetBody = nil // net/http must not send the body a second time
-	req.Header = c.header.Clone()
-	req.Header.Set(RequestIDHeader, c.id)
-	resp, err := a.Transport.Do(req, true)
+	return answer, nil
+}
+
+func (a *API) exchange(ctx context.Context, c *call, at *attempt) (wire.Answer, error) {
+	resp, err := a.send(ctx, c, at)
 	if err != nil {
 		return wire.Answer{}, err
 	}
 	defer resp.Body.Close()
-	if echoed := resp.Header.Get(RequestIDHeader); echoed != "" && echoed != c.id {
-		return wire.Answer{}, &verdict.Error{Verdict: verdict.MayHaveRun, Code: verdict.CodeUpstreamFailed, Status: http.StatusBadGateway, Detail: "the upstream answered another request"}
-	}
+	c.first, c.status = a.Now(), resp.StatusCode
 	body, err := io.ReadAll(io.LimitReader(resp.Body, state.MaxAnswerBytes+1))
 	if err != nil {
 		return wire.Answer{}, &verdict.Error{Verdict: verdict.MayHaveRun, Code: verdict.CodeUpstreamFailed, Status: http.StatusBadGateway, Detail: "the upstream's answer ended early", Cause: err}
@@ -277,12 +254,14 @@
 // the answer. Only a positive answer settles it: a service that does not know the
 // key yet may still receive the request.
 func (a *API) settle(ctx context.Context, c *call, b wire.Booking) (wire.Booked, bool) {
-	target, err := a.choose(c)
-	if err != nil || c.service.Status == "" {
+	now := a.Now()
+	view, _ := a.Viewer.View(now)
+	list := a.candidates(view, c, now)
+	if len(list) == 0 || c.service.Status == "" {
 		return wire.Booked{}, false
 	}
 	path := strings.ReplaceAll(c.service.Status, "{key}", url.PathEscape(b.Key))
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+target.Address+path, http.NoBody)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+list[0].Address+path, http.NoBody)
 	if err != nil {
 		return wire.Booked{}, false
 	}
--- a/internal/caller/booking_test.go
+++ b/internal/caller/booking_test.go
@@ -24,6 +24,7 @@
 	"github.com/jaystage/jaystage/internal/replica"
 	_ "github.com/jaystage/jaystage/internal/testseed"
 	"github.com/jaystage/jaystage/internal/upstream"
+	"github.com/jaystage/jaystage/pkg/routing"
 	"github.com/jaystage/jaystage/pkg/wire"
 )
 
@@ -83,8 +84,35 @@
 	return c.Links.Call(ctx, to, kind, message, reply)
 }
 
-func (d *desk) Serving(string, string) []upstream.Entry {
-	return []upstream.Entry{{Announce: wire.Announce{ID: "b", Address: d.address}}}
+// solo hides the other nodes, so that each node owns its upstreams by itself and
+// the test needs no exchange of slots.
+type solo struct{ *replica.Replica }
+
+func (s solo) View(now time.Time) (*config.View, bool) {
+	view, ok := s.Replica.View(now)
+	alone := *view
+	alone.Nodes = nil
+	return &alone, ok
+}
+
+// serve gives a node its upstream until ctx ends.
+func (d *desk) serve(ctx context.Context, api *API, registry *upstream.Registry) {
+	policy := routing.DefaultPolicy()
+	policy.Lag = 0
+	api.Slots = NewSlots(time.Now(), api.Slots.self, policy)
+	watched := api.Watch(ctx)
+	for sequence := uint64(1); ; sequence++ {
+		registry.Apply(time.Now(), wire.Announce{
+			ID: "b", VM: "vm-b", Address: d.address, Incarnation: 1, Ready: true, Sequence: sequence,
+			Serving: []wire.Serving{{Service: "booking", Version: "v1"}},
+		})
+		select {
+		case <-ctx.Done():
+			<-watched
+			return
+		case <-time.After(300 * time.Millisecond):
+		}
+	}
 }
 
 func newDesk(t *testing.T) *desk {
@@ -151,7 +179,9 @@
 		d.t.Fatal(err)
 	}
 	e.Replica = r
-	e.api = &API{Viewer: r, Upstreams: d, Transport: upstream.NewTransport(), Bookings: r, Log: log, Now: time.Now}
+	registry := upstream.NewRegistry(time.Second)
+	e.api = New(routing.Node{Name: name, Incarnation: 1}, solo{r}, registry, log)
+	e.api.Bookings = r
 	e.api.hooks = bookingHooks{sendFirst: *mutation == "sendFirst", resend: *mutation == "resend"}
 	callers, peers := httptest.NewServer(e.api.Handler()), httptest.NewServer(links.Handler())
 	e.url = callers.URL
@@ -161,11 +191,14 @@
 	linksDone := make(chan struct{})
 	e.cancel = cancel
 	go func() { defer close(linksDone); links.Run(linksCtx) }()
+	served := make(chan struct{})
+	go func() { defer close(served); d.serve(ctx, e.api, registry) }()
 	go func() {
 		defer close(e.done)
 		_ = r.Run(ctx)
 		stopLinks()
 		<-linksDone
+		<-served
 		callers.CloseClientConnections()
 		callers.Close()
 		peers.CloseClientConnections()
@@ -182,8 +215,8 @@
 		Name:     "test",
 		Accounts: []config.Account{{Name: "acc", Token: bearer.Hash("secret"), Weight: 1}},
 		Services: []config.Service{{
-			Name: "booking", Kind: config.KindPlain, Version: "v1", Status: "/bookings/{key}",
-			Classes: []config.Class{{Name: "booking", Complete: 30 * second}},
+			Name: "booking", Kind: config.KindPlain, Version: "v1", Start: 64, Status: "/bookings/{key}",
+			Classes: []config.Class{{Name: "booking", First: 10 * second, Complete: 30 * second, Progress: 20 * second}},
 			Routes:  []config.Route{{Path: "/bookings", Methods: []string{"POST"}, Class: "booking", Once: true}},
 		}},
 	})
--- a/internal/config/view.go
+++ b/internal/config/view.go
@@ -39,8 +39,12 @@
 
 // Node is a node with a live session.
 type Node struct {
-	Name        string `json:"name"`
+	Name string `json:"name"`
+	// Incarnation is that of the session; a process that lost its session starts
+	// another one.
 	Incarnation uint64 `json:"incarnation"`
+	// Process is the start number of the process.
+	Process uint64 `json:"process"`
 	// Peer is the address of the node's listener for other nodes.
 	Peer string `json:"peer"`
 	// Announce is the address of the node's listener for upstreams.
@@ -62,19 +66,19 @@
 
 // View is an immutable reading of the key space. Holders must not change it.
 type View struct {
-	Version  uint64
-	Site     string
-	Accounts map[string]Account
+	Version  uint64             `json:"version"`
+	Site     string             `json:"site"`
+	Accounts map[string]Account `json:"accounts"`
 	// Tokens maps the SHA-256 of a bearer token, hexadecimal, to its account.
-	Tokens   map[string]string
-	Domains  map[string]Domain
-	Services map[string]Service
+	Tokens   map[string]string  `json:"-"`
+	Domains  map[string]Domain  `json:"domains"`
+	Services map[string]Service `json:"services"`
 	// Models maps each model name to its service.
-	Models           map[string]string
-	DrainedDomains   map[string]Drain
-	DrainedUpstreams map[string]Drain
-	Shares           map[string]Share
-	Nodes            map[string]Node
+	Models           map[string]string `json:"models"`
+	DrainedDomains   map[string]Drain  `json:"drained_domains"`
+	DrainedUpstreams map[string]Drain  `json:"drained_upstreams"`
+	Shares           map[string]Share  `json:"shares"`
+	Nodes            map[string]Node   `json:"nodes"`
 }
 
 // Items turns a site configuration into entries of the key space.
@@ -166,6 +170,15 @@
 	return value, err
 }
 
+// SortedNodes returns the nodes with a live session in the order of their names.
+func (v *View) SortedNodes() []Node {
+	nodes := make([]Node, 0, len(v.Nodes))
+	for _, name := range slices.Sorted(maps.Keys(v.Nodes)) {
+		nodes = append(nodes, v.Nodes[name])
+	}
+	return nodes
+}
+
 // Class returns the service's class of that name, or its default class when
 // name is empty.
 func (s Service) Class(name string) (Class, bool) {
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -14,12 +14,18 @@
 	NodeStopping     ID = 1002
 	NodeStopped      ID = 1003
 	RequestRefused   ID = 2001
-	RequestFailed    ID = 2002
 	RequestContinued ID = 2003
+	AttemptFailed    ID = 2004
+	CrashRefused     ID = 2005
+	StreamMoved      ID = 2006
+	RequestsEnded    ID = 2007
 	UpstreamJoined   ID = 3001
 	UpstreamLeaving  ID = 3002
 	UpstreamExpired  ID = 3003
 	AnnounceRefused  ID = 3004
+	UpstreamStalled  ID = 3005
+	ConnectionSilent ID = 3006
+	UpstreamCrashed  ID = 3007
 	ConfigApplied    ID = 4001
 	LeaseLost        ID = 4002
 	LeaseGained      ID = 4003
@@ -37,6 +43,7 @@
 	LinkDown         ID = 5002
 	LinkRefused      ID = 5003
 	LinkFailed       ID = 5004
+	UpdateDropped    ID = 5005
 	OperatorRefused  ID = 8001
 )
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -13,19 +13,24 @@
 
 	"github.com/jaystage/jaystage/internal/bearer"
 	"github.com/jaystage/jaystage/internal/caller"
+	"github.com/jaystage/jaystage/internal/cell"
 	"github.com/jaystage/jaystage/internal/event"
 	"github.com/jaystage/jaystage/internal/operator"
 	"github.com/jaystage/jaystage/internal/peer"
 	"github.com/jaystage/jaystage/internal/replica"
 	"github.com/jaystage/jaystage/internal/settings"
 	"github.com/jaystage/jaystage/internal/upstream"
+	"github.com/jaystage/jaystage/pkg/routing"
 )
 
 const (
 	announceInterval  = time.Second
+	keptEvents        = 1000
 	readHeaderTimeout = 10 * time.Second
 	idleTimeout       = 2 * time.Minute
 	maxHeaderBytes    = 64 << 10
+	// closeTimeout bounds how long connections without a request may take to close.
+	closeTimeout = 5 * time.Second
 )
 
 // Node is one running node.
@@ -36,8 +41,10 @@
 	Links     *peer.Links
 	Registry  *upstream.Registry
 	Callers   *caller.API
+	Cell      *cell.Cell
 	listeners []listener // callers, upstreams, operators
 	peers     *listener  // nil when the node has no listener for other nodes
+	process   uint64     // start number of this process
 }
 
 type listener struct {
@@ -47,23 +54,37 @@
 
 // New opens the node's listeners and its part in the replicated state. Run must be
 // called to serve them.
-func New(s settings.Settings, log logrus.FieldLogger) (*Node, error) {
-	n := &Node{Settings: s, Log: log, Registry: upstream.NewRegistry(announceInterval)}
+func New(s settings.Settings, log *logrus.Logger) (*Node, error) {
+	events := event.NewRing(keptEvents)
+	log.AddHook(events)
+	n := &Node{Settings: s, Log: log, Registry: upstream.NewRegistry(announceInterval), process: uint64(time.Now().UnixNano())}
 	if err := n.openState(); err != nil {
 		n.closeListeners()
 		return nil, err
 	}
-	n.Callers = &caller.API{
-		Viewer: n.State, Upstreams: n.Registry, Transport: upstream.NewTransport(), Bookings: n.State, Log: log, Now: time.Now,
-	}
-	announcements := &upstream.Announcements{Registry: n.Registry, Tokens: tokens(s.Security.Upstreams), Log: log, Now: time.Now}
-	operators := &operator.Server{State: n.State, Upstreams: n.Registry, Tokens: tokens(s.Security.Operators), Log: log, Now: time.Now}
+	n.openCell()
+	announcements := &upstream.Announcements{Take: n.Cell.Announce, Tokens: tokens(s.Security.Upstreams), Log: log, Now: time.Now}
+	operators := &operator.Server{State: n.State, Upstreams: n.Registry, Events: events, Tokens: tokens(s.Security.Operators), Log: log, Now: time.Now}
 	for i, handler := range []http.Handler{n.Callers.Handler(), announcements.Handler(), operators.Handler()} {
 		n.listeners[i].server.Handler = handler
 	}
 	return n, nil
 }
 
+// openCell joins the request path to the other nodes of the cell.
+func (n *Node) openCell() {
+	self := routing.Node{Name: n.Settings.Node.Name, Incarnation: n.process}
+	n.Cell = &cell.Cell{
+		Self: self, Name: n.Settings.Node.Cell, Links: n.Links, State: n.State, Registry: n.Registry, Log: n.Log, Now: time.Now,
+	}
+	n.Callers = caller.New(self, n.Cell, n.Registry, n.Log)
+	n.Callers.Bookings = n.State
+	n.Callers.Slots.SendDemand, n.Callers.Slots.SendGrant = n.Cell.SendDemand, n.Cell.SendGrant
+	n.Callers.Suspects.Spread, n.Callers.Suspects.SpreadClear = n.Cell.Spread, n.Cell.SpreadClear
+	n.Cell.Slots, n.Cell.Suspects = n.Callers.Slots, n.Callers.Suspects
+	n.Cell.Open()
+}
+
 func (n *Node) listen(key, address string) error {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
@@ -103,6 +124,10 @@
 		go func() { ended <- l.server.Serve(l.Listener) }()
 	}
 	expired := n.expire(ctx)
+	cellCtx, stopCell := context.WithCancel(context.WithoutCancel(ctx))
+	cellEnded := n.Cell.Run(cellCtx)
+	watch, stopWatch := context.WithCancel(context.WithoutCancel(ctx))
+	watched := n.Callers.Watch(watch)
 	event.With(n.Log, event.NodeStarted).WithField("callers", n.CallersAddress()).WithField("node", n.Settings.Node.Name).Info("node started")
 	var failed error
 	select {
@@ -114,17 +139,35 @@
 	if failed == nil {
 		time.Sleep(n.Settings.Shutdown.Unready.Std())
 	}
-	limit, cancel := context.WithTimeout(context.WithoutCancel(ctx), n.Settings.Shutdown.Limit.Std())
+	failed = errors.Join(failed, n.drain(ctx))
+	stopWatch()
+	<-watched
+	<-expired
+	stopCell()
+	<-cellEnded
+	failed = errors.Join(failed, stopState(), <-stateEnded)
+	event.With(n.Log, event.NodeStopped).Info("node stopped")
+	return failed
+}
+
+// drain waits for open requests up to the limit, ends the rest with their verdicts
+// and closes the listeners. The listeners stay open until then, so that a request
+// that the balancer still sends is refused as not run.
+func (n *Node) drain(ctx context.Context) error {
+	ctx = context.WithoutCancel(ctx)
+	limit, cancel := context.WithTimeout(ctx, n.Settings.Shutdown.Limit.Std())
 	defer cancel()
+	var failed error
+	if cut := n.Callers.Drain(limit); cut > 0 {
+		failed = eris.Errorf("%d open requests were ended at the shutdown limit; raise shutdown.limit", cut)
+	}
+	closing, stop := context.WithTimeout(ctx, closeTimeout)
+	defer stop()
 	for _, l := range n.listeners {
-		if err := l.server.Shutdown(limit); err != nil {
-			_ = l.server.Close()
-			failed = errors.Join(failed, eris.Wrap(err, "open requests were cut at the shutdown limit"))
+		if err := l.server.Shutdown(closing); err != nil {
+			failed = errors.Join(failed, eris.Wrap(err, "close listener"), l.server.Close())
 		}
 	}
-	<-expired
-	failed = errors.Join(failed, stopState(), <-stateEnded)
-	event.With(n.Log, event.NodeStopped).Info("node stopped")
 	return failed
 }
 
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -5,7 +5,10 @@
 	"context"
 	"encoding/json"
 	"expvar"
+	"fmt"
 	"net/http"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/gorilla/mux"
@@ -39,6 +42,7 @@
 type Server struct {
 	State     State
 	Upstreams Upstreams
+	Events    *event.Ring
 	Tokens    bearer.Tokens
 	Log       logrus.FieldLogger
 	Now       func() time.Time
@@ -52,6 +56,7 @@
 	r.HandleFunc("/v1/changes", s.change).Methods(http.MethodPost)
 	r.HandleFunc("/v1/voters", s.changeVoters).Methods(http.MethodPost)
 	r.HandleFunc("/v1/upstreams", s.listUpstreams).Methods(http.MethodGet)
+	r.HandleFunc("/v1/events", s.listEvents).Methods(http.MethodGet)
 	r.Handle("/debug/vars", expvar.Handler()).Methods(http.MethodGet)
 	return r
 }
@@ -82,8 +87,10 @@
 		writeError(w, http.StatusBadRequest, "a change needs an id, so that it can be sent again after a lost answer")
 		return
 	}
-	if holder, ok := s.Tokens.Holder(r); ok && c.Author == "" {
-		c.Author = holder
+	c.Author, _ = s.Tokens.Holder(r)
+	if err := stampDrains(c); err != nil {
+		writeError(w, http.StatusBadRequest, err.Error())
+		return
 	}
 	result, err := s.State.Change(r.Context(), c)
 	if err != nil {
@@ -97,10 +104,44 @@
 	writeJSON(w, status, result)
 }
 
+// stampDrains writes the author into the drains that a change sets, so that a
+// drain shows who set it. An operator cannot name another author.
+func stampDrains(c wire.Change) error {
+	for i, item := range c.Items {
+		if item.Deleted || !strings.HasPrefix(item.Key, config.PrefixDrainDomain) && !strings.HasPrefix(item.Key, config.PrefixDrainUpstream) {
+			continue
+		}
+		var d config.Drain
+		if err := json.Unmarshal(item.Value, &d); err != nil {
+			return fmt.Errorf("%s is not a drain: %w", item.Key, err)
+		}
+		d.Author = c.Author
+		value, err := json.Marshal(d)
+		if err != nil {
+			return err
+		}
+		c.Items[i].Value = value
+	}
+	return nil
+}
+
 func (s *Server) listUpstreams(w http.ResponseWriter, _ *http.Request) {
 	writeJSON(w, http.StatusOK, s.Upstreams.List())
 }
 
+func (s *Server) listEvents(w http.ResponseWriter, r *http.Request) {
+	since := uint64(0)
+	if text := r.URL.Query().Get("since"); text != "" {
+		n, err := strconv.ParseUint(text, 10, 64)
+		if err != nil {
+			writeError(w, http.StatusBadRequest, "since must be the sequence number of an event")
+			return
+		}
+		since = n
+	}
+	writeJSON(w, http.StatusOK, s.Events.Since(since))
+}
+
 // Failure is the body of a refused operator request.
 type Failure struct {
 	Error string `json:"error"`
--- a/internal/peer/dial.go
+++ b/internal/peer/dial.go
@@ -93,7 +93,7 @@
 		case <-ctx.Done():
 		case <-time.After(pause/2 + rand.N(pause)):
 		}
-		pause = min(pause*2, lastBackoff)
+		pause = min(pause*2, longestBackoff)
 	}
 }
 
--- a/internal/peer/links.go
+++ b/internal/peer/links.go
@@ -33,7 +33,7 @@
 	suspectSilence = 1000 * time.Millisecond
 	dialTimeout    = time.Second
 	firstBackoff   = 50 * time.Millisecond
-	lastBackoff    = time.Second
+	longestBackoff = time.Second
 	// unusedLimit is how long a link that nobody asks for is dialled again.
 	unusedLimit = 10 * time.Second
 )
--- a/pkg/raft/node.go
+++ b/pkg/raft/node.go
@@ -16,11 +16,20 @@
 	Leader
 )
 
+func (r Role) String() string {
+	names := [...]string{"follower", "pre-candidate", "candidate", "leader"}
+	if int(r) >= len(names) {
+		return "unknown"
+	}
+	return names[r]
+}
+
 // hooks turn single rules off. Only tests of the proofs set them.
 type hooks struct {
 	promoteEarly bool // promote a learner before it has caught up
 	leaseReceipt bool // measure the lease from the receipt of an answer
 	lateVote     bool // answer votes although a leader was heard recently
+	keepLease    bool // keep the lease after a transfer was ordered
 	anyone       bool // count answers whatever the incarnation
 }
 
@@ -59,6 +68,7 @@
 
 	progress    map[string]*progress
 	led         time.Duration // own clock when leadership began
+	backlog     int           // bytes of uncommitted entries
 	termStart   uint64        // index of the first entry of the own term
 	heartbeatAt time.Time
 	reads       []pendingRead
@@ -76,8 +86,11 @@
 	out      Output
 }
 
-// mark remembers the last entry of a write.
-type mark struct{ number, index, term uint64 }
+// mark remembers the last entry of a write and when it was asked for.
+type mark struct {
+	number, index, term uint64
+	at                  time.Time
+}
 
 // heldMessage promises durability and waits for a write; number 0 stands for the
 // write of the present step.
@@ -98,11 +111,7 @@
 
 // New returns a member in the state that was recovered from its folder.
 func New(cfg Config) *Node {
-	setDefault(&cfg.Election, 500*time.Millisecond)
-	setDefault(&cfg.Heartbeat, cfg.Election/8)
-	setDefault(&cfg.MaxBytes, 512<<10)
-	setDefault(&cfg.MaxInflight, 16)
-	setDefault(&cfg.MaxBacklog, 4096)
+	cfg.defaults()
 	n := &Node{
 		cfg: cfg, name: cfg.Name, incarnation: cfg.Incarnation, group: cfg.Group,
 		rand:     rand.New(rand.NewPCG(cfg.Seed, cfg.Incarnation)),
@@ -118,12 +127,6 @@
 	return n
 }
 
-func setDefault[T int | time.Duration](v *T, d T) {
-	if *v == 0 {
-		*v = d
-	}
-}
-
 // clock is the member's own time since its first step. It starts at one, so that
 // zero can stand for never.
 func (n *Node) clock() time.Duration { return n.now.Sub(n.start) + 1 }
@@ -187,22 +190,33 @@
 
 // tick does what falls due with time.
 func (n *Node) tick() {
+	if n.unproven && n.now.Sub(n.heard) >= 2*n.cfg.Election {
+		n.unproven = false
+	}
 	if n.group == "" || len(n.members()) == 0 {
 		n.join()
 		return
 	}
-	if n.unproven && n.now.Sub(n.heard) >= 2*n.cfg.Election {
-		n.unproven = false
-	}
 	if n.role == Leader {
 		n.tickLeader()
 		return
 	}
-	if !n.now.Before(n.deadline) && n.isVoter() && !n.unproven {
+	switch {
+	case n.now.Before(n.deadline) || n.unproven || n.stalled():
+	case n.mayCampaign():
 		n.campaign(false)
+	default:
+		// Its log may be too old to show which membership it is in now.
+		n.join()
 	}
 }
 
+// stalled reports whether the disk hangs. Such a member cannot lead: it applies and
+// votes only after a sync.
+func (n *Node) stalled() bool {
+	return len(n.writes) > 0 && n.now.Sub(n.writes[0].at) >= 2*n.cfg.Election
+}
+
 // onSynced releases what waited for a write.
 func (n *Node) onSynced(number uint64) {
 	if number <= n.synced || number > n.written {
@@ -222,7 +236,7 @@
 	}
 	if n.role == Candidate && n.selfWrite > 0 && n.selfWrite <= number {
 		n.selfWrite = 0
-		n.ballots[n.name] = true
+		n.ballots[n.name] = n.isVoter()
 		n.countVotes()
 	}
 }
@@ -237,7 +251,7 @@
 			w.Entries = n.log.slice(n.unsaved, 1<<62)
 		}
 		n.out.Write = w
-		n.writes = append(n.writes, mark{n.written, n.log.last(), n.log.lastTerm()})
+		n.writes = append(n.writes, mark{n.written, n.log.last(), n.log.lastTerm(), n.now})
 		n.dirty, n.unsaved, n.snapshot = false, 0, nil
 	}
 	if n.role == Candidate && n.selfWrite == 0 && !n.ballots[n.name] {
--- a/pkg/raft/sim_test.go
+++ b/pkg/raft/sim_test.go
@@ -33,48 +33,41 @@
 // apply stores one write the way package wal does.
 func (d *disk) apply(w Write) {
 	if s := w.Snapshot; s != nil {
-		kept := d.entries[:0:0]
 		agrees := slices.ContainsFunc(d.entries, func(e Entry) bool { return e.Index == s.Index && e.Term == s.Term })
-		for _, e := range d.entries {
-			if agrees && e.Index > s.Index {
-				kept = append(kept, e)
-			}
-		}
-		d.snapshot, d.entries = *s, kept
+		d.entries = slices.DeleteFunc(slices.Clone(d.entries), func(e Entry) bool { return !agrees || e.Index <= s.Index })
+		d.snapshot = *s
 	}
 	d.state = w.State
 	for _, e := range w.Entries {
-		if e.Index <= d.snapshot.Index {
-			continue
+		if e.Index > d.snapshot.Index {
+			d.entries = append(d.entries[:e.Index-d.snapshot.Index-1], e)
 		}
-		d.entries = append(d.entries[:e.Index-d.snapshot.Index-1], e)
 	}
 }
 
-type pendingWrite struct {
-	write Write
-	due   time.Duration
-}
-
 // server is one process with its disk and clock.
 type server struct {
 	name    string
 	node    *Node // nil while it is down
 	disk    disk
-	writes  []pendingWrite
+	writes  []timed[Write]
 	image   *disk // taken before the disk was wiped
 	rate    float64
 	upAt    time.Duration
 	frozen  time.Duration // until
 	inbox   []Message
+	joining []Member
+	tracker Tracker
 	index   uint64 // state machine: last applied entry and hash over all of them
 	chain   uint64
 	faulted bool
+	hung    bool // the disk completes no writes
+	trap    bool // crash as soon as an answer to a vote waits for its write
 }
 
-type packet struct {
-	msg Message
-	due time.Duration
+type timed[T any] struct {
+	what T
+	due  time.Duration
 }
 
 // mutation turns one rule off, either in the simulated runner or by a hook.
@@ -82,6 +75,8 @@
 	hooks        hooks
 	earlyVote    bool // send answers to votes before the vote is synced
 	earlyAck     bool // send acknowledgements of appends before they are synced
+	fastClocks   bool // all clocks but one run at twice its speed
+	trusting     bool // a restarted member is taken as proven
 	keepIdentity bool // a blank disk keeps its incarnation
 	blindAppend  bool // make followers accept appends at any position
 }
@@ -92,16 +87,16 @@
 	now      time.Duration
 	names    []string
 	servers  map[string]*server
-	packets  []packet
+	packets  []timed[Message]
 	blocked  map[[2]string]bool
+	idle     bool // clients only read
 	drop     float64
 	slow     float64
 	mutation mutation
 	cfg      Config
 	ids      uint64
-	admin    time.Duration // next action of the simulated operator
-	removed  Member        // removed on purpose, to be added again
-	readers  map[uint64]uint64
+	readers  map[uint64]uint64 // highest index committed when the read was asked for
+	floor    uint64            // highest index committed when a disk was last lost
 	check    *checker
 }
 
@@ -114,29 +109,40 @@
 	for i := range size {
 		s.names = append(s.names, string(rune('a'+i)))
 	}
-	for _, name := range s.names {
+	for i, name := range s.names {
 		srv := &server{name: name, disk: disk{incarnation: s.rng.Uint64() | 1}}
 		// Two clocks differ by at most 5%: 1.024/0.976 < 1.05.
 		srv.rate = 0.976 + 0.048*float64(s.rng.IntN(3))/2
+		if m.fastClocks && i > 0 {
+			srv.rate *= 2
+		}
 		s.servers[name] = srv
 		s.start(srv)
 	}
 	return s
 }
 
+// save returns the state machine's state, padded so that it takes several messages.
+func (srv *server) save() []byte {
+	return append(binary.LittleEndian.AppendUint64(nil, srv.chain), make([]byte, 1000)...)
+}
+
 // start starts the process of a server from its disk.
 func (s *sim) start(srv *server) {
 	cfg := s.cfg
 	cfg.Name, cfg.Incarnation, cfg.Group = srv.name, srv.disk.incarnation, srv.disk.group
-	cfg.Restarted = srv.disk.group != "" && !s.mutation.keepIdentity
+	cfg.Restarted = srv.disk.group != "" && !s.mutation.trusting
 	cfg.Peers, cfg.Found, cfg.NewGroup = s.names, true, "group"
 	cfg.Election, cfg.Heartbeat, cfg.Seed = simElection, simHeartbeat, s.rng.Uint64()
 	d := srv.disk.clone()
 	cfg.State, cfg.Snapshot, cfg.Entries = d.state, d.snapshot, d.entries
+	if err := cfg.Check(); err != nil {
+		s.check.fail(machineSafety, "%s recovered an impossible state: %v", srv.name, err)
+	}
 	srv.node = New(cfg)
 	srv.node.hooks = s.mutation.hooks
 	srv.writes, srv.inbox, srv.frozen, srv.faulted = nil, nil, 0, false
-	srv.index, srv.chain, srv.upAt = 0, 0, s.now
+	srv.index, srv.chain, srv.upAt, srv.tracker = 0, 0, s.now, Tracker{}
 	s.step(srv, Input{})
 }
 
@@ -144,7 +150,7 @@
 // in order.
 func (s *sim) crash(srv *server) {
 	for _, w := range srv.writes[:s.rng.IntN(len(srv.writes)+1)] {
-		srv.disk.apply(w.write)
+		srv.disk.apply(w.what)
 	}
 	srv.node = nil
 }
@@ -152,12 +158,10 @@
 // wipe replaces the disk by a blank one.
 func (s *sim) wipe(srv *server) {
 	image := srv.disk.clone()
-	srv.image = &image
-	fresh := disk{incarnation: s.rng.Uint64() | 1}
+	srv.image, srv.disk, s.floor = &image, disk{incarnation: s.rng.Uint64() | 1}, s.check.highest
 	if s.mutation.keepIdentity {
-		fresh.incarnation, fresh.group = image.incarnation, image.group
+		srv.disk.incarnation = image.incarnation
 	}
-	srv.disk = fresh
 }
 
 // clock is the time on the server's own clock.
@@ -186,22 +190,22 @@
 		if n := len(srv.writes); n > 0 {
 			due = max(due, srv.writes[n-1].due)
 		}
-		srv.writes = append(srv.writes, pendingWrite{*out.Write, due})
+		srv.writes = append(srv.writes, timed[Write]{*out.Write, due})
+	}
+	for _, h := range srv.node.held {
+		if (s.mutation.earlyVote && h.msg.Kind == KindVoteReply) || (s.mutation.earlyAck && h.msg.Kind == KindAppendReply) {
+			s.send(h.msg)
+		}
 	}
-	s.release(srv)
 	for _, m := range out.Messages {
 		s.send(m)
 	}
 	s.applyOutput(srv, out)
 	s.check.leader(srv)
-}
-
-// release sends messages early when a mutation asks for it.
-func (s *sim) release(srv *server) {
-	for _, h := range srv.node.held {
-		if (s.mutation.earlyVote && h.msg.Kind == KindVoteReply) || (s.mutation.earlyAck && h.msg.Kind == KindAppendReply) {
-			s.send(h.msg)
-		}
+	if srv.trap && slices.ContainsFunc(srv.node.held, func(h heldMessage) bool { return h.msg.Kind == KindVoteReply }) {
+		srv.trap = false
+		s.crash(srv)
+		s.start(srv)
 	}
 }
 
@@ -224,15 +228,18 @@
 		}
 		delete(s.readers, r.ID)
 	}
-	for _, m := range out.Joining {
-		if m.Incarnation == s.servers[m.Name].disk.incarnation {
-			s.operate(srv, Change{Kind: ChangeAdd, Member: m})
-		}
+	srv.joining = append(srv.joining, out.Joining...)
+	for _, o := range srv.tracker.Step(out) {
+		s.check.outcome(o)
 	}
 }
 
 // send puts a message on the network: it may be lost, late, repeated or overtaken.
+// A partition that begins later does not stop it.
 func (s *sim) send(m Message) {
+	if s.blocked[[2]string{m.From, m.To}] {
+		return
+	}
 	copies := 1
 	if s.rng.IntN(20) == 0 {
 		copies = 2
@@ -245,7 +252,7 @@
 		if s.rng.Float64() < s.slow {
 			due += time.Duration(s.rng.Int64N(int64(2 * simElection)))
 		}
-		s.packets = append(s.packets, packet{m, due})
+		s.packets = append(s.packets, timed[Message]{m, due})
 	}
 }
 
@@ -263,20 +270,12 @@
 }
 
 func (s *sim) deliver() {
-	rest := make([]packet, 0, len(s.packets))
-	var due []Message
-	for _, p := range s.packets {
-		if p.due > s.now {
-			rest = append(rest, p)
-		} else if !s.blocked[[2]string{p.msg.From, p.msg.To}] {
-			due = append(due, p.msg)
+	s.packets = slices.DeleteFunc(s.packets, func(p timed[Message]) bool {
+		if srv := s.servers[p.what.To]; p.due <= s.now {
+			srv.inbox = append(srv.inbox, p.what)
 		}
-	}
-	s.packets = rest
-	for _, m := range due {
-		srv := s.servers[m.To]
-		srv.inbox = append(srv.inbox, m)
-	}
+		return p.due <= s.now
+	})
 }
 
 // work lets a process handle its messages, syncs and timers, unless it is frozen.
@@ -286,17 +285,15 @@
 	}
 	inbox := srv.inbox
 	srv.inbox = nil
-	for len(srv.writes) > 0 && srv.writes[0].due <= s.now && srv.node != nil {
-		w := srv.writes[0].write
+	for len(srv.writes) > 0 && srv.writes[0].due <= s.now && !srv.hung && srv.node != nil {
+		w := srv.writes[0].what
 		srv.writes = srv.writes[1:]
 		srv.disk.apply(w)
 		s.step(srv, Input{Synced: w.Number})
 	}
 	for _, m := range inbox {
 		if s.mutation.blindAppend && m.Kind == KindAppend && srv.node != nil {
-			if term, ok := srv.node.log.term(m.Index); ok {
-				m.Prior = term
-			}
+			m.Prior, _ = srv.node.log.term(m.Index)
 		}
 		s.step(srv, Input{Message: &m})
 	}
@@ -321,32 +318,18 @@
 			continue
 		}
 		s.ids++
-		id := s.ids
-		switch s.rng.IntN(4) {
-		case 0:
-			s.step(srv, Input{Propose: []Proposal{{ID: id, Data: binary.LittleEndian.AppendUint64(nil, id)}}})
-		case 1:
-			s.readers[id] = s.check.highest
-			s.step(srv, Input{Read: []uint64{id}})
+		switch r := s.rng.IntN(4); {
+		case r == 0 && !s.idle:
+			s.step(srv, Input{Propose: []Proposal{{ID: s.ids, Data: binary.LittleEndian.AppendUint64(nil, s.ids)}}})
+		case r == 1:
+			s.readers[s.ids] = s.check.highest
+			s.step(srv, Input{Read: []uint64{s.ids}})
 		}
 	}
 }
 
-// operate asks a leader for a membership change.
-func (s *sim) operate(srv *server, c Change) {
-	if s.now < s.admin {
-		return
-	}
-	s.admin = s.now + simElection/4
-	if c.Kind == ChangePromote {
-		s.check.promotion(srv, s.servers[c.Member.Name], c.Member, func() { s.step(srv, Input{Change: &c}) })
-		return
-	}
-	s.step(srv, Input{Change: &c})
-}
-
-// operator promotes learners, adds removed members again and wipes folders that
-// were found to be out of date.
+// operator wipes folders that were found to be out of date and makes the changes
+// that a leader recommends.
 func (s *sim) operator() {
 	for _, name := range s.names {
 		if srv := s.servers[name]; srv.faulted && srv.node != nil {
@@ -356,20 +339,9 @@
 		}
 	}
 	for _, srv := range s.leaders() {
-		if srv.frozen > s.now {
-			continue
-		}
-		for _, m := range srv.node.members() {
-			if m.Learner {
-				s.operate(srv, Change{Kind: ChangePromote, Member: m})
-			}
-		}
-		if r := s.removed; r.Name != "" && s.rng.IntN(40) == 0 {
-			if _, ok := srv.node.member(r.Name); ok {
-				continue
-			}
-			r.Incarnation = s.servers[r.Name].disk.incarnation
-			s.operate(srv, Change{Kind: ChangeAdd, Member: r})
+		if c, ok := srv.node.Repair(srv.joining, s.names); ok && srv.frozen <= s.now {
+			s.check.promotion(srv, s.servers[c.Member.Name], c, func() { s.step(srv, Input{Change: &c}) })
 		}
+		srv.joining = nil
 	}
 }
