--- a/internal/caller/admit.go
+++ b/internal/caller/admit.go
@@ -139,7 +139,7 @@
 		return nil, err
 	}
 	c := a.newCall(now, account, service)
-	c.method, c.path, c.body, c.once, c.route = r.Method, path, body, route.Once, route.Path
+	c.method, c.path, c.body, c.once, c.keyless, c.route = r.Method, path, body, route.Once, route.Keyless, route.Path
 	c.fingerprint = routing.NewFingerprint(account.Name, service.Name+" "+r.Method+" "+c.path, body)
 	if r.URL.RawQuery != "" {
 		c.path += "?" + r.URL.RawQuery
--- a/internal/caller/api.go
+++ b/internal/caller/api.go
@@ -57,6 +57,7 @@
 	flights flights
 	shares  shares
 	drain   drain
+	hooks   bookingHooks
 }
 
 // New returns the API of the named node with a transport of its own.
@@ -128,6 +129,9 @@
 func (a *API) run(ctx context.Context, w http.ResponseWriter, c *call) error {
 	ctx, end := a.begin(ctx, c)
 	defer end()
+	if c.once && a.Bookings != nil {
+		return a.book(ctx, w, c)
+	}
 	for {
 		at, err := a.choose(ctx, c)
 		if err != nil {
--- a/internal/caller/call.go
+++ b/internal/caller/call.go
@@ -37,6 +37,8 @@
 	session string
 	// once is true when the request may run at most once.
 	once bool
+	// keyless is true when the request needs no idempotency key.
+	keyless bool
 	// transcript follows a completion; nil for a plain service.
 	transcript *stream.Transcript
 	// fingerprint names client account and content.
