--- a/internal/caller/api.go
+++ b/internal/caller/api.go
@@ -40,6 +40,7 @@
 	Viewer    Viewer
 	Upstreams Upstreams
 	Transport *upstream.Transport
+	Bookings  Bookings
 	Log       logrus.FieldLogger
 	Now       func() time.Time
 	Metrics   *Metrics
--- a/internal/fake/model.go
+++ b/internal/fake/model.go
@@ -60,7 +60,7 @@
 	coldSince  atomic.Int64
 	cache      prefixCache
 	mu         sync.Mutex
-	open       map[string]*answer
+	open       map[string]*generation
 	loads      []loadSample
 }
 
@@ -69,8 +69,8 @@
 	load wire.Load
 }
 
-// answer is one request that the engine runs.
-type answer struct {
+// generation is one request that the engine runs.
+type generation struct {
 	id      string
 	req     completionRequest
 	chat    bool
@@ -125,7 +125,7 @@
 }
 
 func (m *Model) complete(w http.ResponseWriter, r *http.Request, chat bool) {
-	a := &answer{id: r.Header.Get("X-Request-Id"), chat: chat, version: m.Version}
+	a := &generation{id: r.Header.Get("X-Request-Id"), chat: chat, version: m.Version}
 	if err := json.NewDecoder(r.Body).Decode(&a.req); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
@@ -181,11 +181,11 @@
 
 const queuePoll = 5 * time.Millisecond
 
-func (m *Model) track(a *answer, begins bool) {
+func (m *Model) track(a *generation, begins bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.open == nil {
-		m.open = make(map[string]*answer)
+		m.open = make(map[string]*generation)
 	}
 	if begins {
 		m.open[a.id] = a
@@ -195,7 +195,7 @@
 }
 
 // prefill computes the prompt and the delivered part of a continued answer.
-func (m *Model) prefill(ctx context.Context, a *answer) bool {
+func (m *Model) prefill(ctx context.Context, a *generation) bool {
 	text := a.prompt + Text(a.prompt, a.first)
 	missing := len(text)/bytesPerToken - m.cache.use(text, m.Cache)
 	if a.req.KV != nil {
