--- /dev/null
+++ b/internal/caller/choose_test.go
@@ -0,0 +1,166 @@
+package caller
+
+import (
+	"fmt"
+	"math"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/jaystage/jaystage/internal/config"
+	"github.com/jaystage/jaystage/internal/fake"
+	"github.com/jaystage/jaystage/pkg/wire"
+)
+
+// An upstream that gets no new work must not get any request.
+func TestSkippedUpstreams(t *testing.T) {
+	tests := []struct {
+		name string
+		view func(*config.View)
+		up   func(*wire.Announce)
+	}{
+		{"a drained domain", func(v *config.View) { v.DrainedDomains["cantt"] = config.Drain{} }, inDomain("cantt")},
+		{"a drained upstream", func(v *config.View) { v.DrainedUpstreams["m2"] = config.Drain{} }, nil},
+		{"a leaving upstream", nil, func(a *wire.Announce) { a.Leaving = true }},
+		{"an upstream that is not ready", nil, func(a *wire.Announce) { a.Ready = false }},
+		{"an upstream that is reclaimed soon", nil, func(a *wire.Announce) { a.Reclaim = 3 }},
+		{"another version", nil, func(a *wire.Announce) { a.Serving[0].Version = "v2" }},
+		{"a version judged bad", func(v *config.View) {
+			v.Shares["chat"] = config.Share{From: "v1", To: "v2", Fraction: 0.5, Bad: true}
+		}, func(a *wire.Announce) { a.Serving[0].Version = "v2" }},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name+" gets no request", func(t *testing.T) {
+			f := newFixture(t, nil)
+			f.setView(t, testSite(), tt.view)
+			f.addModel(t, "m1", fastModel(), nil)
+			f.addModel(t, "m2", fastModel(), tt.up)
+			for range 10 {
+				checkAnswer(t, f.post(t, "/v1/chat/completions", chatBody("hello", 2, true)), "hello", 2, nil)
+			}
+			if got := f.models["m2"].Runs.Load(); got != 0 {
+				t.Errorf("got %d requests, want 0", got)
+			}
+		})
+	}
+}
+
+// The new version of a rollout must not get more than its share over any run of
+// requests.
+func TestShareIsExact(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		fraction := rapid.Float64Range(0, 1).Draw(t, "fraction")
+		view := &config.View{Shares: map[string]config.Share{"chat": {From: "v1", To: "v2", Fraction: fraction}}}
+		var s shares
+		canary := 0
+		for n := 1; n <= 200; n++ {
+			c := &call{service: config.Service{Name: "chat", Version: "v1"}}
+			if s.version(view, c) == "v2" {
+				canary++
+			}
+			if limit := math.Ceil(fraction * float64(n)); float64(canary) > limit {
+				t.Fatalf("got %d of %d requests, want at most %v", canary, n, limit)
+			}
+		}
+	})
+}
+
+// Without a session lease nothing is admitted, and the refusal is true.
+func TestLostLease(t *testing.T) {
+	f := newFixture(t, nil)
+	f.addModel(t, "m1", fastModel(), nil)
+	resp := f.post(t, "/v1/chat/completions", chatBody("hello", 40, true))
+	checkAnswer(t, resp, "hello", 40, func(n int) { f.noLease.Store(n > 3) })
+	checkProblem(t, f.post(t, "/v1/chat/completions", chatBody("hello", 2, true)), "configuration-lease-expired", "not-run")
+	if got := f.models["m1"].Runs.Load(); got != 1 {
+		t.Errorf("got %d runs, want 1", got)
+	}
+}
+
+// A cold upstream must not get more requests than it bears.
+func TestColdUpstreamGetsFewRequests(t *testing.T) {
+	f := newFixture(t, func(s *config.Site) { s.Services[0].Start = 2 })
+	m := &fake.Model{Between: 5 * time.Millisecond, Warm: time.Hour, Cold: 2}
+	m.Chill()
+	f.addModel(t, "m1", m, nil)
+	var all sync.WaitGroup
+	var mu sync.Mutex
+	peak := int64(0)
+	for i := range 12 {
+		all.Go(func() {
+			prompt := fmt.Sprintf("prompt %d", i)
+			checkAnswer(t, f.post(t, "/v1/chat/completions", chatBody(prompt, 10, true)), prompt, 10, func(int) {
+				mu.Lock()
+				defer mu.Unlock()
+				peak = max(peak, m.Running.Load())
+			})
+		})
+	}
+	all.Wait()
+	if peak > 2 {
+		t.Errorf("got %d requests at once, want at most 2", peak)
+	}
+}
+
+// A graceful shutdown must cut no stream, and refuse truthfully what comes later.
+func TestDrain(t *testing.T) {
+	const tokens = 100
+	f := newFixture(t, nil)
+	f.addModel(t, "m1", fastModel(), nil)
+	resp := f.post(t, "/v1/chat/completions", chatBody("hello", tokens, true))
+	var cut chan int
+	checkAnswer(t, resp, "hello", tokens, func(n int) {
+		if n != 5 {
+			return
+		}
+		limit, stop := testContext()
+		t.Cleanup(stop)
+		cut = make(chan int, 1)
+		go func() { cut <- f.api.Drain(limit) }()
+		eventually(t, "the node is not ready", func() bool { return f.get(t, "/readyz").StatusCode == http.StatusServiceUnavailable })
+		late := f.post(t, "/v1/chat/completions", chatBody("late", 2, true))
+		checkProblem(t, late, "shutting-down", "not-run")
+		if !late.Close {
+			t.Error("the refusal leaves its connection open, want Connection: close")
+		}
+	})
+	if got := <-cut; got != 0 {
+		t.Errorf("got %d requests cut, want 0", got)
+	}
+}
+
+// At the limit of a shutdown the remaining requests must end with their verdicts.
+func TestDrainLimit(t *testing.T) {
+	f := newFixture(t, nil)
+	f.addModel(t, "m1", fastModel(), nil)
+	limit, expire := testContext()
+	go func() {
+		for open := f.api.flights.list(); len(open) == 0 || open[0].delivered.Load() == 0; open = f.api.flights.list() {
+			time.Sleep(time.Millisecond)
+		}
+		expire()
+		f.api.Drain(limit)
+	}()
+	resp := f.post(t, "/v1/chat/completions", chatBody("hello", 1<<20, false))
+	checkProblem(t, resp, "shutting-down", "ran")
+	eventually(t, "the upstream stops", func() bool { return f.models["m1"].Cancelled.Load() == 1 })
+}
+
+// A body over the limit must not run. The server may close the connection before
+// the caller has sent all of it.
+func TestBodyLimit(t *testing.T) {
+	f := newFixture(t, nil)
+	f.addModel(t, "m1", fastModel(), nil)
+	body := chatBody(strings.Repeat("x", MaxBodyBytes), 1, true)
+	if resp, err := f.try("/v1/chat/completions", body, nil); err == nil {
+		defer resp.Body.Close()
+		checkProblem(t, resp, "too-large", "not-run")
+	}
+	if got := f.models["m1"].Runs.Load(); got != 0 {
+		t.Errorf("got %d runs, want 0", got)
+	}
+}
--- a/internal/caller/retry_test.go
+++ b/internal/caller/retry_test.go
@@ -55,8 +55,9 @@
 	}()
 	resp := f.post(t, "/v1/chat/completions", chatBody("hello", 60, false))
 	checkWhole(t, resp, "hello", 60)
-	if f.api.Metrics.Recomputed() == 0 {
-		t.Error("got no recomputed tokens, want the moved answer counted")
+	continued := f.models["m1"].Recomputed.Load() + f.models["m2"].Recomputed.Load()
+	if continued == 0 || f.api.Metrics.Recomputed() == 0 {
+		t.Errorf("got %d tokens recomputed by engines and %d counted, want the answer continued", continued, f.api.Metrics.Recomputed())
 	}
 }
 
