--- a/internal/operator/voters.go
+++ b/internal/operator/voters.go
@@ -32,18 +32,6 @@
 
 // Voters changes the membership of the consensus group by one step.
 func (c *Client) Voters(ctx context.Context, v wire.Voters) error {
-	var answer struct {
-		Failure
-		wire.Voters
-	}
-	status, err := c.call(ctx, http.MethodPost, "/v1/voters", v, &answer)
-	if err == nil && status == http.StatusConflict {
-		return &RefusedError{Reason: answer.Error}
-	}
-	return err
+	var answer wire.Voters
+	return c.call(ctx, http.MethodPost, "/v1/voters", v, &answer)
 }
-
-// RefusedError is a change that the node refused.
-type RefusedError struct{ Reason string }
-
-func (e *RefusedError) Error() string { return e.Reason }
