--- a/pkg/routing/faults_test.go
+++ b/pkg/routing/faults_test.go
@@ -128,11 +128,16 @@
 
 // kill ends a process; the upstream notices its closed connections after 200 ms.
 func (w *world) kill(n *simNode) {
+	delete(w.limits, n.name)
 	n.alive, n.cutL, n.cutP = false, false, false
 	w.open = slices.DeleteFunc(w.open, func(r *simRequest) bool {
-		if r.node == n {
+		if r.carrier == n && r.node != n {
+			w.cut++
+			r.node.running--
+		}
+		if r.node == n || r.carrier == n {
 			w.ghosts = append(w.ghosts, w.now+200*time.Millisecond)
 		}
-		return r.node == n
+		return r.node == n || r.carrier == n
 	})
 }
--- a/pkg/routing/holder.go
+++ b/pkg/routing/holder.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"time"
 )
@@ -52,6 +53,8 @@
 	claimed int
 	queued  int
 	missed  int
+	// asked is the number of slots that the last report wanted.
+	asked   int
 	prefill int
 	// wantAlone counts requests that wait to run alone; alone is true while one runs.
 	wantAlone int
@@ -166,7 +169,7 @@
 	s := h.entry(upstream)
 	if h.Free(now, upstream) == 0 {
 		s.missed++
-		s.due = true
+		s.lack()
 		return Ticket{}, false
 	}
 	s.running++
@@ -190,6 +193,7 @@
 		s.due = true
 	case !late && t.full && s.evidenceOf(t.Generation):
 		s.evidence.Good++
+		s.due = s.due || s.evidence.Good == 1
 	}
 }
 
@@ -240,11 +244,15 @@
 func (h *Holder) Queue(upstream string, n int) {
 	s := h.entry(upstream)
 	if n > s.queued {
-		s.due = true
+		s.lack()
 	}
 	s.queued = max(0, n)
 }
 
+// lack makes a report due when the owner believes that this node has enough slots.
+// While it knows better, the regular reports suffice.
+func (s *held) lack() { s.due = s.due || s.asked <= s.grant.Slots }
+
 // Apply takes an owner's grant. Older grants, and those of owners that the view
 // has replaced, change nothing.
 func (h *Holder) Apply(g Grant) {
@@ -266,6 +274,9 @@
 		s.told(g)
 	}
 	s.due = s.due || g.Ask || g.Slots < s.grant.Slots
+	if g.Generation > s.grant.Generation {
+		s.low = math.MaxInt // full use is judged anew for each limit
+	}
 	s.grant, s.until = g, time.Time{}
 	if at, ok := s.sentAt(g.Sequence); ok {
 		s.until = at.Add(g.TTL)
@@ -319,6 +330,6 @@
 	}
 	d.Evidence.Cold, d.Hint.Cold = s.cold, s.cold
 	s.due, s.last, s.missed = false, now, 0
-	s.low, s.claimed = s.running, s.low
+	s.low, s.claimed, s.asked = s.running, s.low, want
 	return d
 }
--- a/pkg/routing/limit.go
+++ b/pkg/routing/limit.go
@@ -68,7 +68,8 @@
 		// Steps of an eighth keep an overshoot inside the range in which engines
 		// answer slowly but do not fail.
 		l.set(min(l.ceiling, l.limit+max(1, l.limit/8)))
-	case l.good >= 10*max(4, l.limit):
+	case l.good >= 2*max(4, l.limit):
+		// A single late answer among many good ones is no sign of overload.
 		l.good, l.slow = 0, 0
 	}
 }
--- a/pkg/routing/owner.go
+++ b/pkg/routing/owner.go
@@ -25,8 +25,8 @@
 	Size int
 }
 
-// settleBeat is the heartbeat interval of an upstream whose new owner waits for a
-// fresh load report.
+// settleBeat is the heartbeat interval while the owner needs load reports to learn
+// of requests that no node reports.
 const settleBeat = 200 * time.Millisecond
 
 // DefaultPolicy returns the settings of a node at today's scale.
@@ -109,7 +109,7 @@
 	}
 	r.heartbeat(now, a, start, o.policy)
 	grants := o.push(now, r)
-	if r.owned && !r.exact {
+	if r.owned && (!r.exact || r.ghost > 0) {
 		interval = settleBeat
 	}
 	return interval, grants
--- a/pkg/routing/sim_test.go
+++ b/pkg/routing/sim_test.go
@@ -37,7 +37,7 @@
 	Length   time.Duration
 	Hold     time.Duration // mean length of a request
 	Learning bool
-	Mode     string // grants (default), split, forward
+	Mode     string // grants (default), quota, split, forward
 	SteadyAt time.Duration
 }
 
@@ -48,6 +48,8 @@
 	first  time.Duration // when the first token comes, or 0 once it came
 	late   bool
 	failed bool
+	// carrier is the node through which a forwarded request runs.
+	carrier *simNode
 }
 
 type simNode struct {
@@ -92,6 +94,9 @@
 	busy     int
 	steps    int
 	messages int
+	cut      int
+	limits   map[string]*limiter // of nodes, for split and forward
+	use      []int               // open requests in each step
 }
 
 type simMessage struct {
@@ -100,7 +105,7 @@
 }
 
 func newWorld(s scenario) *world {
-	w := &world{scenario: s, rng: rand.New(rand.NewPCG(s.Seed, 1)), seen: map[string]time.Duration{}, bears: s.Bears}
+	w := &world{scenario: s, rng: rand.New(rand.NewPCG(s.Seed, 1)), seen: map[string]time.Duration{}, bears: s.Bears, limits: map[string]*limiter{}}
 	w.up = wire.Announce{ID: "u", Incarnation: 1, Limit: uint64(s.Limit), Ready: true}
 	for i := range s.Nodes {
 		n := &simNode{name: "n" + strconv.Itoa(i), rate: 1 + 0.048*w.rng.Float64(), alive: true}
@@ -260,13 +265,13 @@
 		if r.first > 0 && r.first <= w.now && !r.failed {
 			r.first = 0
 			// An engine that is overloaded during the prefill answers late.
-			r.node.holder.FirstToken(&r.ticket, r.late || len(w.open)+len(w.ghosts) > w.bears)
+			w.firstToken(r, r.late || len(w.open)+len(w.ghosts) > w.bears)
 		}
 		if r.ends > w.now {
 			return false
 		}
 		r.node.running--
-		r.node.holder.Return(r.ticket, r.failed)
+		w.give(r, r.failed)
 		return true
 	})
 	w.ghosts = slices.DeleteFunc(w.ghosts, func(at time.Duration) bool { return at <= w.now })
@@ -280,7 +285,7 @@
 	}
 	n.queue = min(n.queue+tries, 100)
 	for n.queue > 0 && n.lease.After(w.local(n)) {
-		t, ok := n.holder.Take(w.local(n), "u", 0)
+		t, ok := w.take(n)
 		if !ok {
 			break
 		}
@@ -296,7 +301,7 @@
 
 func (w *world) begin(n *simNode, t Ticket) {
 	hold := time.Duration((0.5 + w.rng.Float64()) * float64(w.Hold))
-	r := &simRequest{node: n, ticket: t, ends: w.now + hold, first: w.now + hold/4}
+	r := &simRequest{node: n, ticket: t, ends: w.now + hold, first: w.now + hold/4, carrier: w.carrier(n)}
 	w.open = append(w.open, r)
 	n.running++
 	n.started++
@@ -339,6 +344,7 @@
 	}
 	running := len(w.open) + len(w.ghosts)
 	w.peak = max(w.peak, running)
+	w.use = append(w.use, running)
 	if w.full == 0 && running >= w.Bears {
 		w.full = w.now
 	}
