--- a/pkg/routing/compare_test.go
+++ b/pkg/routing/compare_test.go
@@ -77,7 +77,7 @@
 		case r.ticket.full:
 			e.Good = 1
 		}
-		l.learn(e, true)
+		l.learn(e, e.Good)
 	}
 }
 
@@ -87,7 +87,7 @@
 		return
 	}
 	if l := w.limits[r.carrier.name]; l != nil && failed {
-		l.learn(Evidence{Generation: r.ticket.Generation, Cold: true}, true)
+		l.learn(Evidence{Generation: r.ticket.Generation, Cold: true}, 0)
 	}
 }
 
--- a/pkg/routing/limit.go
+++ b/pkg/routing/limit.go
@@ -1,5 +1,8 @@
 package routing
 
+// leastGood is the least number of good answers that raise a limit.
+const leastGood = 4
+
 // limiter learns how many requests at once an upstream bears. The limit rises
 // only on good answers that started under it while all of it was in use, and
 // falls at once on bad evidence.
@@ -47,28 +50,25 @@
 	l.fallen = l.generation
 }
 
-// learn takes evidence of one node. judged is true when the limit is in full use
-// and all nodes that use it have sent evidence of it.
-func (l *limiter) learn(e Evidence, judged bool) {
-	if e.Generation < l.fallen {
-		return
-	}
-	if e.Cold {
-		l.cold()
-		return
-	}
-	l.slow += e.Slow
-	if e.Generation == l.generation && judged {
-		l.good += e.Good
+// learn takes evidence of one node. good is the number of good answers that are
+// known to have started while the whole limit was in use.
+func (l *limiter) learn(e Evidence, good int) {
+	if e.Generation >= l.fallen {
+		if e.Cold {
+			l.cold()
+			return
+		}
+		l.slow += e.Slow
 	}
+	l.good += good
 	switch {
 	case l.slow >= 2 && 5*l.slow > l.good:
 		l.set(max(1, l.limit*7/10))
-	case judged && l.good >= max(4, l.limit/2) && l.slow == 0 && l.limit < l.ceiling:
+	case good > 0 && l.good >= max(leastGood, l.limit/4) && l.slow == 0 && l.limit < l.ceiling:
 		// Steps of an eighth keep an overshoot inside the range in which engines
 		// answer slowly but do not fail.
 		l.set(min(l.ceiling, l.limit+max(1, l.limit/8)))
-	case l.good >= 2*max(4, l.limit):
+	case l.good >= 2*max(leastGood, l.limit):
 		// A single late answer among many good ones is no sign of overload.
 		l.good, l.slow = 0, 0
 	}
--- a/pkg/routing/owner.go
+++ b/pkg/routing/owner.go
@@ -148,7 +148,7 @@
 	}
 	r.hint(d.Hint)
 	r.sample(o.view)
-	r.learn(p.news(d.Evidence))
+	r.learn(now, p, p.news(d.Evidence))
 	p.stale = true
 	return o.push(now, r)
 }
--- /dev/null
+++ b/pkg/routing/owner_test.go
@@ -0,0 +1,130 @@
+package routing
+
+import (
+	"testing"
+	"time"
+
+	"github.com/jaystage/jaystage/pkg/wire"
+)
+
+// alone returns the owner and holder of a cell of one node, settled.
+func alone(t *testing.T) (*Owner, *Holder, time.Time) {
+	t.Helper()
+	now := time.Unix(0, 0)
+	self := Node{"n0", 1}
+	o, h := NewOwner(now, self, DefaultPolicy()), NewHolder(self)
+	v := View{Version: 1, Nodes: []Node{self}}
+	o.Renew(now, v, now.Add(time.Hour))
+	h.Renew(now, v, now.Add(time.Hour))
+	return o, h, now
+}
+
+func announce(incarnation, sequence uint64) wire.Announce {
+	return wire.Announce{ID: "u", Incarnation: incarnation, Sequence: sequence, Limit: 8, Ready: true}
+}
+
+// settle feeds heartbeats until the owner may grant.
+func settle(t *testing.T, o *Owner, h *Holder, now time.Time, incarnation uint64) time.Time {
+	t.Helper()
+	for i := range uint64(20) {
+		_, grants := o.Heartbeat(now, announce(incarnation, i+1), 8)
+		for _, g := range grants {
+			h.Apply(g)
+		}
+		exchange(o, h, now)
+		now = now.Add(200 * time.Millisecond)
+	}
+	if got := o.Limit(now, "u"); got != 8 {
+		t.Fatalf("limit of a settled owner: got %d, want 8", got)
+	}
+	return now
+}
+
+func exchange(o *Owner, h *Holder, now time.Time) {
+	for _, d := range h.Demands(now) {
+		for _, g := range o.Demand(now, d) {
+			h.Apply(g)
+		}
+	}
+}
+
+func TestHeartbeats(t *testing.T) {
+	t.Run("an older sequence does not override a newer one", func(t *testing.T) {
+		o, h, now := alone(t)
+		now = settle(t, o, h, now, 2)
+		leaving := announce(2, 100)
+		leaving.Leaving = true
+		o.Heartbeat(now, leaving, 8)
+		o.Heartbeat(now, announce(2, 99), 8)
+		if got := o.Limit(now, "u"); got != 0 {
+			t.Errorf("limit of a leaving upstream: got %d, want 0", got)
+		}
+	})
+	t.Run("an older incarnation does not override a newer one", func(t *testing.T) {
+		o, h, now := alone(t)
+		now = settle(t, o, h, now, 2)
+		o.Heartbeat(now, announce(1, 500), 1)
+		if got := o.Limit(now, "u"); got != 8 {
+			t.Errorf("limit: got %d, want 8", got)
+		}
+	})
+	t.Run("a silent upstream gets nothing", func(t *testing.T) {
+		o, h, now := alone(t)
+		now = settle(t, o, h, now, 1)
+		if got := o.Limit(now.Add(10*time.Second), "u"); got != 0 {
+			t.Errorf("limit after 10 s of silence: got %d, want 0", got)
+		}
+	})
+	t.Run("heartbeats of many upstreams do not exceed the byte budget", func(t *testing.T) {
+		o, _, now := alone(t)
+		var interval time.Duration
+		for i := range 290 {
+			a := announce(1, 1)
+			a.ID = "u" + string(rune('A'+i))
+			interval, _ = o.Heartbeat(now, a, 8)
+		}
+		p := DefaultPolicy()
+		if got := o.interval().Seconds(); 290*float64(p.Size)/got > float64(p.Bytes)*1.01 {
+			t.Errorf("interval for 290 upstreams: got %.1f s, want at least %.1f s", got, 290*float64(p.Size)/float64(p.Bytes))
+		}
+		if interval <= 0 {
+			t.Errorf("interval told to an upstream: got %v, want above zero", interval)
+		}
+	})
+}
+
+func TestHolderStopsAtOnceOnAColdUpstream(t *testing.T) {
+	o, h, now := alone(t)
+	now = settle(t, o, h, now, 1)
+	h.Queue("u", 4)
+	exchange(o, h, now)
+	ticket, ok := h.Take(now, "u", 0)
+	if !ok {
+		t.Fatal("slot on a warm upstream: got none, want one")
+	}
+	h.Return(ticket, true)
+	if _, ok := h.Take(now, "u", 0); ok {
+		t.Error("slot right after a failure: got one, want none")
+	}
+}
+
+func TestAloneExcludesOtherNodes(t *testing.T) {
+	o, h, now := alone(t)
+	now = settle(t, o, h, now, 1)
+	h.WantAlone("u", 1)
+	exchange(o, h, now)
+	ticket, ok := h.TakeAlone(now, "u", 0)
+	if !ok {
+		t.Fatal("slot for a request alone on an idle upstream: got none, want one")
+	}
+	if _, ok := h.Take(now, "u", 0); ok {
+		t.Error("slot beside a request that runs alone: got one, want none")
+	}
+	h.Return(ticket, false)
+	now = now.Add(time.Second)
+	h.Queue("u", 1)
+	exchange(o, h, now)
+	if _, ok := h.Take(now, "u", 0); !ok {
+		t.Error("slot after the request that ran alone: got none, want one")
+	}
+}
--- a/pkg/routing/record.go
+++ b/pkg/routing/record.go
@@ -28,7 +28,9 @@
 	last int
 	// reported is true once the node follows this owner's view.
 	reported bool
-	asked    bool
+	// fresh is true once the node has reported since good answers were last counted.
+	fresh bool
+	asked bool
 	// stale is true when the node's last report has no answer yet.
 	stale   bool
 	holding bool
@@ -62,8 +64,12 @@
 // after the node had replaced it, or after it had expired on the owner's clock as
 // the echoed stamp shows; Running then covers what was started under it.
 func (p *peer) report(d Demand, start uint64) {
+	next := d.Incarnation == p.incarnation && d.Sequence == p.sequence+1
 	p.incarnation, p.sequence = d.Incarnation, d.Sequence
 	p.running, p.want, p.prefill, p.low = max(0, d.Running), max(0, d.Want, d.Running), d.Prefill, d.Low
+	if !next {
+		p.low = 0 // the missing report may have told of a lower value
+	}
 	if d.Start != start {
 		return
 	}
@@ -127,6 +133,7 @@
 	// from the upstream's own load report and falls with it.
 	ghost   int
 	ghostAt time.Time
+	proof   proof
 	// exact is true once ghost was computed from a load report that is younger than
 	// the takeover.
 	exact bool
@@ -199,6 +206,7 @@
 	}
 	r.bump(r.epoch)
 	r.settleGhost(now, policy.Lag)
+	r.proof.load(now, r.load(), &r.limiter, policy.Lag)
 	if now.Sub(r.lowAt) >= policy.Lag {
 		r.low[1], r.low[0], r.lowAt = r.low[0], r.running(), now
 	}
@@ -232,28 +240,6 @@
 	r.ghost = min(r.ghost, extra)
 }
 
-// learn takes evidence of one node. The limit rises only when each node that uses
-// slots has told how its requests fared under the present limit.
-func (r *record) learn(e Evidence) {
-	low := 0
-	for _, p := range r.peers {
-		low += p.low
-	}
-	judged := low >= r.limiter.limit
-	for _, p := range r.peers {
-		if p.charge() > 0 && p.evidence.Generation != r.limiter.generation {
-			judged = false
-		}
-	}
-	before := r.limiter.generation
-	r.limiter.learn(e, judged)
-	if r.limiter.generation != before {
-		for _, p := range r.peers {
-			p.stale = p.stale || p.charge() > 0
-		}
-	}
-}
-
 // sample keeps the least sum of running requests. Open requests only end between
 // a takeover and the first grant, so the first complete sum is a lower bound for
 // the time before it.
