--- a/pkg/routing/compare_test.go
+++ b/pkg/routing/compare_test.go
@@ -101,14 +101,14 @@
 	messages float64 // between nodes, a second and node
 }
 
-func compareModes(s scenario, killed bool) comparison {
-	if killed {
+func compareModes(s scenario, ownerFault string) comparison {
+	if ownerFault != "" {
 		v := View{}
 		for i := range s.Nodes {
 			v.Nodes = append(v.Nodes, Node{"n" + string(rune('0'+i)), 1})
 		}
 		owner := int(v.Owner("u")[1] - '0')
-		s.Faults = append(s.Faults, fault{At: 20 * time.Second, Kind: "restart", Node: owner})
+		s.Faults = append(s.Faults, fault{At: 20 * time.Second, Kind: ownerFault, Node: owner})
 	}
 	w := newWorld(s)
 	res := comparison{}
@@ -151,20 +151,21 @@
 // against a change that lets grants load an upstream beyond what it bears.
 func TestCompareLimitEnforcement(t *testing.T) {
 	cases := []struct {
-		name   string
-		s      scenario
-		killed bool
+		name  string
+		s     scenario
+		fault string
 	}{
-		{"warm, limit 16, 8 nodes", scenario{Nodes: 8, Start: 16, Limit: 16, Bears: 16, Hold: 2 * time.Second}, false},
-		{"warm, limit 2, 8 nodes", scenario{Nodes: 8, Start: 2, Limit: 2, Bears: 2, Hold: 2 * time.Second}, false},
-		{"cold, start 2, limit 16, 6 nodes", scenario{Nodes: 6, Start: 2, Limit: 16, Bears: 16, Hold: time.Second, Learning: true, Faults: []fault{{At: simStep, Until: 5 * time.Second, Kind: "cold"}}}, false},
-		{"warm, limit 16, 8 nodes, owner restarts at 20 s", scenario{Nodes: 8, Start: 16, Limit: 16, Bears: 16, Hold: 2 * time.Second}, true},
+		{"warm, limit 16, 8 nodes", scenario{Nodes: 8, Start: 16, Limit: 16, Bears: 16, Hold: 2 * time.Second}, ""},
+		{"warm, limit 2, 8 nodes", scenario{Nodes: 8, Start: 2, Limit: 2, Bears: 2, Hold: 2 * time.Second}, ""},
+		{"cold, start 2, limit 16, 6 nodes", scenario{Nodes: 6, Start: 2, Limit: 16, Bears: 16, Hold: time.Second, Learning: true, Faults: []fault{{At: simStep, Until: 5 * time.Second, Kind: "cold"}}}, ""},
+		{"warm, limit 16, 8 nodes, owner restarts at 20 s", scenario{Nodes: 8, Start: 16, Limit: 16, Bears: 16, Hold: 2 * time.Second}, "restart"},
+		{"warm, limit 16, 8 nodes, owner dies at 20 s", scenario{Nodes: 8, Start: 16, Limit: 16, Bears: 16, Hold: 2 * time.Second}, "kill"},
 	}
 	for _, c := range cases {
 		for _, mode := range []string{"split", "grants", "forward"} {
 			s := c.s
 			s.Seed, s.Load, s.Mode, s.Length = 1, 3, mode, 40*time.Second
-			r := compareModes(s, c.killed)
+			r := compareModes(s, c.fault)
 			t.Logf("| %s | %s | %.2f | %.1f s | %.2f | %.1f s | %d | %.1f |", c.name, mode, r.worst, r.full.Seconds(), r.use, r.outage.Seconds(), r.cut, r.messages)
 			most := 1.0
 			if s.Learning {
--- a/pkg/routing/faults_test.go
+++ b/pkg/routing/faults_test.go
@@ -107,6 +107,11 @@
 		case "leave":
 			w.up.Leaving, w.quiet = true, w.now
 			w.announce()
+		case "drain":
+			w.quiet = w.now
+			for _, n := range w.nodes {
+				w.grants(n, n.owner.Drain(w.local(n), []string{"u"}))
+			}
 		case "reborn":
 			w.reborn()
 		}
--- a/pkg/routing/grants_test.go
+++ b/pkg/routing/grants_test.go
@@ -71,7 +71,7 @@
 	return rapid.Custom(func(t *rapid.T) scenario {
 		s := scenarios(nodeFaults...).Draw(t, "scenario")
 		at := time.Duration(rapid.IntRange(500, 900).Draw(t, "leaves")) * simStep
-		s.Faults = append(s.Faults, fault{At: at, Kind: "leave"})
+		s.Faults = append(s.Faults, fault{At: at, Kind: rapid.SampledFrom([]string{"leave", "drain"}).Draw(t, "way")})
 		// Nodes that lose the owner just then learn nothing of it.
 		for i := range rapid.IntRange(0, 3).Draw(t, "cut") {
 			s.Faults = append(s.Faults, fault{At: at - simStep, Until: at + 3*time.Second, Kind: "cutPeers", Node: i})
@@ -83,7 +83,7 @@
 
 // The limit of each node's session and of its grants bound how long a node that
 // learns nothing goes on.
-func TestLeavingUpstreamGetsNothingNewAfterTwoSeconds(t *testing.T) {
+func TestLeavingOrDrainedUpstreamGetsNothingNewAfterTwoSeconds(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		if err := newWorld(leaving().Draw(t, "scenario")).run(); err != nil {
 			t.Fatal(err)
--- a/pkg/routing/owner.go
+++ b/pkg/routing/owner.go
@@ -48,11 +48,12 @@
 	origin  time.Time
 	number  uint64
 	records map[string]*record
+	drained map[string]bool
 }
 
 // NewOwner returns an owner that owns nothing until it has a view and a lease.
 func NewOwner(now time.Time, self Node, policy Policy) *Owner {
-	return &Owner{self: self, policy: policy, origin: now, records: make(map[string]*record)}
+	return &Owner{self: self, policy: policy, origin: now, records: make(map[string]*record), drained: make(map[string]bool)}
 }
 
 // Renew takes the reply to a session renewal: the node's view, which may be the
@@ -89,6 +90,20 @@
 	return out
 }
 
+// Drain sets which upstreams get nothing new, those in drained failure domains
+// among them, and returns the smaller grants that follow.
+func (o *Owner) Drain(now time.Time, upstreams []string) []Grant {
+	clear(o.drained)
+	var out []Grant
+	for _, id := range upstreams {
+		o.drained[id] = true
+	}
+	for _, id := range slices.Sorted(maps.Keys(o.records)) {
+		out = append(out, o.push(now, o.records[id])...)
+	}
+	return out
+}
+
 // Heartbeat takes an upstream's announcement. It returns the interval until the
 // next one and the grants that follow. An announcement that is not newer than the
 // last one by incarnation and sequence changes nothing. start is the number of
@@ -191,7 +206,7 @@
 }
 
 func (o *Owner) limit(now time.Time, r *record) int {
-	if !r.owned || !o.lease.After(now) || !r.usable(now) || !r.settled(now, o) {
+	if !r.owned || !o.lease.After(now) || !r.usable(now) || o.drained[r.id] || !r.settled(now, o) {
 		return 0
 	}
 	return r.limiter.limit
--- a/pkg/routing/sim_test.go
+++ b/pkg/routing/sim_test.go
@@ -121,6 +121,9 @@
 	self := Node{n.name, n.start}
 	n.owner = NewOwner(w.local(n), self, DefaultPolicy())
 	n.holder = NewHolder(self)
+	if w.quiet > 0 {
+		n.owner.Drain(w.local(n), []string{"u"})
+	}
 }
 
 // local is the node's clock. Rates differ by at most 4.8%.
@@ -291,7 +294,7 @@
 		}
 		n.queue--
 		if w.quiet > 0 && w.now-w.quiet > 2*time.Second {
-			return fmt.Errorf("%v: %s started a request %v after the upstream began to leave", w.now, n.name, w.now-w.quiet)
+			return fmt.Errorf("%v: %s started a request %v after the upstream was to get nothing new", w.now, n.name, w.now-w.quiet)
 		}
 		w.begin(n, t)
 	}
