--- a/pkg/routing/choose_test.go
+++ b/pkg/routing/choose_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/jaystage/jaystage/pkg/wire"
 )
 
 func candidate(id string, change func(*Candidate)) Candidate {
@@ -55,6 +57,23 @@
 	}
 }
 
+func TestDirectory(t *testing.T) {
+	now := time.Unix(0, 0)
+	d := NewDirectory(time.Second)
+	a := wire.Announce{ID: "u", Incarnation: 1, Sequence: 5, Ready: true, Reclaim: 1, Serving: []wire.Serving{{Service: "chat", Version: "v1"}}}
+	d.Heard(now, a, time.Hour)
+	d.Sent("u", true)
+	a.Sequence, a.Leaving = 4, true
+	d.Heard(now, a, time.Hour)
+	got := d.Candidates(now.Add(time.Minute), Query{Service: "chat", Version: "v1"}, NewHolder(Node{}), nil)
+	if len(got) != 1 || got[0].Leaving || got[0].Sent != 1 || got[0].Reclaim <= 0 {
+		t.Errorf("candidates after an older announcement: got %+v, want u with one request sent and under notice", got)
+	}
+	if got := d.Candidates(now, Query{Service: "chat", Version: "v2"}, NewHolder(Node{}), nil); len(got) != 0 {
+		t.Errorf("candidates of a version that no upstream serves: got %+v, want none", got)
+	}
+}
+
 func TestPrefix(t *testing.T) {
 	blocks := Blocks("model", "aaaabbbbccccdd", 4)
 	other := Blocks("model", "aaaaxxxxcccc", 4)
--- a/pkg/routing/holder.go
+++ b/pkg/routing/holder.go
@@ -11,6 +11,9 @@
 const (
 	// renewEvery leaves three tries before a grant expires.
 	renewEvery = 475 * time.Millisecond
+	// forgetAfter bounds the memory for upstreams that are not used any more. It is
+	// far longer than a grant.
+	forgetAfter = time.Minute
 	// urgentEvery bounds the reports that a change causes.
 	urgentEvery = 5 * time.Millisecond
 )
@@ -34,6 +37,8 @@
 	view  View
 	lease time.Time
 	slots map[string]*held
+	// base is the highest sequence of a forgotten entry; a new one continues there.
+	base uint64
 }
 
 type sending struct {
@@ -106,7 +111,7 @@
 func (h *Holder) entry(upstream string) *held {
 	s, ok := h.slots[upstream]
 	if !ok {
-		s = &held{floor: h.view.Version}
+		s = &held{floor: h.view.Version, sequence: h.base}
 		h.slots[upstream] = s
 	}
 	return s
@@ -315,6 +320,10 @@
 			s.active = active
 			out = append(out, h.demand(now, id, s, want))
 		}
+		if want == 0 && since >= forgetAfter && !s.due && !s.last.IsZero() {
+			h.base = max(h.base, s.sequence)
+			delete(h.slots, id)
+		}
 	}
 	return out
 }
