--- a/pkg/routing/sim_test.go
+++ b/pkg/routing/sim_test.go
@@ -87,10 +87,8 @@
 	beat     time.Duration
 	turned   time.Duration // when the upstream last turned cold
 	quiet    time.Duration // when the upstream began to leave, or 0
-	peak     int
-	worst    int // highest excess at which the upstream failed a request
+	worst    int           // highest excess at which the upstream failed a request
 	started  int
-	full     time.Duration
 	busy     int
 	steps    int
 	messages int
@@ -341,11 +339,7 @@
 		sum += n.running + free
 	}
 	running := len(w.open) + len(w.ghosts)
-	w.peak = max(w.peak, running)
 	w.use = append(w.use, running)
-	if w.full == 0 && running >= w.Bears {
-		w.full = w.now
-	}
 	if w.now > w.SteadyAt {
 		w.busy += running
 		w.steps++
