--- /dev/null
+++ b/internal/node/process_test.go
@@ -0,0 +1,314 @@
+//go:build process
+
+package node
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/jaystage/jaystage/internal/bearer"
+	"github.com/jaystage/jaystage/internal/config"
+	"github.com/jaystage/jaystage/internal/fake"
+	"github.com/jaystage/jaystage/internal/operator"
+	"github.com/jaystage/jaystage/pkg/wire"
+)
+
+const (
+	processPatience = 90 * time.Second
+	secret          = "secret"
+)
+
+// process is one node of the built binary. Only this test starts processes.
+type process struct {
+	t                                 *testing.T
+	name, dir, settings               string
+	callers, upstreams, admins, peers string
+	binary                            string
+	cmd                               *exec.Cmd
+	ended                             chan struct{}
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// startProcesses builds the binary and runs three voters.
+func startProcesses(t *testing.T) map[string]*process {
+	t.Helper()
+	dir := t.TempDir()
+	binary := filepath.Join(dir, "jaystage")
+	if out, err := exec.Command("go", "build", "-o", binary, "github.com/jaystage/jaystage/cmd/jaystage").CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	nodes := map[string]*process{}
+	var peers strings.Builder
+	for _, name := range []string{"a", "b", "c"} {
+		p := &process{
+			t: t, name: name, dir: filepath.Join(dir, name), settings: filepath.Join(dir, name+".toml"), binary: binary,
+			callers: freeAddress(t), upstreams: freeAddress(t), admins: freeAddress(t), peers: freeAddress(t),
+		}
+		nodes[name] = p
+		fmt.Fprintf(&peers, "[[peer]]\nname = %q\naddress = %q\nvoter = true\n", name, p.peers)
+	}
+	hash := bearer.Hash(secret)
+	for _, p := range nodes {
+		text := fmt.Sprintf(`[node]
+name = %q
+domain = "local"
+cell = "one"
+voter = true
+data = %q
+[listen]
+callers = %q
+upstreams = %q
+operators = %q
+peers = %q
+[security]
+peer_key = "0123456789abcdef"
+plaintext = true
+upstream = [{name = "u", token = %q}]
+operator = [{name = "o", token = %q}]
+[shutdown]
+limit = "10s"
+%s`, p.name, p.dir, p.callers, p.upstreams, p.admins, p.peers, hash, hash, peers.String())
+		if err := os.WriteFile(p.settings, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		p.start()
+	}
+	t.Cleanup(func() {
+		for _, p := range nodes {
+			p.signal(syscall.SIGKILL)
+			<-p.ended
+		}
+	})
+	return nodes
+}
+
+func (p *process) start() {
+	p.t.Helper()
+	log, err := os.OpenFile(p.settings+".log", os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	cmd := exec.Command(p.binary, "node", "--settings", p.settings)
+	cmd.Stdout, cmd.Stderr = log, log
+	if err := cmd.Start(); err != nil {
+		p.t.Fatal(err)
+	}
+	p.cmd, p.ended = cmd, make(chan struct{})
+	ended := p.ended
+	go func() { defer close(ended); _ = cmd.Wait(); _ = log.Close() }()
+}
+
+func (p *process) signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
+
+func (p *process) kill() { p.signal(syscall.SIGKILL); <-p.ended }
+
+func (p *process) client() *operator.Client {
+	return &operator.Client{Address: p.admins, Token: secret, HTTP: &http.Client{Timeout: 15 * time.Second}}
+}
+
+func (p *process) ready() bool {
+	resp, err := (&http.Client{Timeout: time.Second}).Get("http://" + p.callers + "/readyz")
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+func until(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	end := time.Now().Add(processPatience)
+	for !condition() {
+		if time.Now().After(end) {
+			t.Fatalf("not within %v: %s", processPatience, what)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// configureProcesses puts a booking service in force that counts its runs.
+func configureProcesses(t *testing.T, nodes map[string]*process) *fake.Booking {
+	t.Helper()
+	service := &fake.Booking{}
+	server := httptest.NewServer(service.Handler())
+	ctx, cancel := context.WithCancel(context.Background())
+	announcer := &fake.Announcer{
+		Nodes: []string{nodes["a"].upstreams, nodes["b"].upstreams, nodes["c"].upstreams}, Token: secret, HTTP: http.DefaultClient,
+		State: func() wire.Announce {
+			return wire.Announce{
+				ID: "booking-1", Incarnation: 1, Address: server.Listener.Addr().String(), VM: "vm", Domain: "local", Ready: true,
+				Serving: []wire.Serving{{Service: "booking", Version: "v1"}},
+			}
+		},
+	}
+	done := announcer.Run(ctx)
+	t.Cleanup(func() { cancel(); <-done; server.CloseClientConnections(); server.Close() })
+	second := config.Duration(time.Second)
+	items, err := config.Items(config.Site{
+		Name: "test", Accounts: []config.Account{{Name: "acc", Token: bearer.Hash(secret), Weight: 1}},
+		Domains: []config.Domain{{Name: "local"}},
+		Services: []config.Service{{
+			Name: "booking", Kind: config.KindPlain, Version: "v1", Start: 64, Status: "/bookings/{key}",
+			Classes: []config.Class{{Name: "booking", First: 5 * second, Complete: 20 * second, Progress: 5 * second}},
+			Routes:  []config.Route{{Path: "/bookings", Class: "booking", Once: true}},
+		}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	until(t, "the configuration is accepted", func() bool {
+		got, err := nodes["a"].client().Change(ctx, wire.Change{ID: "site", Items: items})
+		return err == nil && len(got.Conflict) == 0
+	})
+	return service
+}
+
+func (p *process) book(key string) (int, string, error) {
+	req, _ := http.NewRequest(http.MethodPost, "http://"+p.callers+"/s/booking/bookings", bytes.NewReader([]byte("{}")))
+	req.Header.Set("Authorization", "Bearer "+secret)
+	req.Header.Set("Idempotency-Key", key)
+	resp, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 25 * time.Second}).Do(req)
+	if err != nil {
+		return 0, "", err
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(text), err
+}
+
+// Guards against bookings that are lost or run twice and changes that revert while
+// real processes are killed, frozen, stopped gracefully and lose their disks.
+func TestProcessesKeepBookingsAndChangesThroughFaults(t *testing.T) {
+	nodes := startProcesses(t)
+	service := configureProcesses(t, nodes)
+	for name, p := range nodes {
+		until(t, name+" is ready", p.ready)
+	}
+	stop := make(chan struct{})
+	var group sync.WaitGroup
+	var mu sync.Mutex
+	answered := map[string]string{}
+	for w := range 3 {
+		group.Go(func() { bookUntil(t, stop, nodes, w, &mu, answered) })
+	}
+	version := uint64(0)
+	for i, fault := range []func(*process){
+		func(p *process) { p.kill(); p.start() },
+		func(p *process) { p.signal(syscall.SIGSTOP); time.Sleep(3 * time.Second); p.signal(syscall.SIGCONT) },
+		func(p *process) { p.signal(syscall.SIGTERM); <-p.ended; p.start() },
+		func(p *process) { p.kill(); replaceDisk(t, p, nodes) },
+	} {
+		p := nodes[[]string{"a", "b", "c", "a"}[i]]
+		fault(p)
+		until(t, p.name+" is ready again", p.ready)
+		until(t, "a change is accepted", func() bool {
+			value, _ := json.Marshal(config.Domain{Name: fmt.Sprint("d", i)})
+			got, err := p.client().Change(t.Context(), wire.Change{ID: fmt.Sprint("change", i), Base: 1 << 40, Items: []wire.Item{{Key: fmt.Sprint("domain/d", i), Value: value}}})
+			if err == nil && got.Version < version {
+				t.Errorf("the version fell from %d to %d", version, got.Version)
+			}
+			version = max(version, got.Version)
+			return err == nil
+		})
+	}
+	close(stop)
+	group.Wait()
+	checkProcesses(t, nodes, service, answered)
+}
+
+// bookUntil books one key after the other, each through all nodes in turn until it
+// has a final answer.
+func bookUntil(t *testing.T, stop <-chan struct{}, nodes map[string]*process, w int, mu *sync.Mutex, answered map[string]string) {
+	for i := 0; ; i++ {
+		select {
+		case <-stop:
+			return
+		default:
+		}
+		key := fmt.Sprintf("w%d-%d", w, i)
+		end := time.Now().Add(processPatience)
+		for try := 0; ; try++ {
+			status, body, err := nodes[[]string{"a", "b", "c"}[(w+try)%3]].book(key)
+			if err == nil && (status == http.StatusCreated || status == http.StatusOK || strings.Contains(body, "outcome-unknown")) {
+				mu.Lock()
+				answered[key] = fmt.Sprint(status)
+				mu.Unlock()
+				break
+			}
+			if time.Now().After(end) {
+				t.Errorf("booking %s has no answer: %d %s %v", key, status, body, err)
+				return
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+}
+
+func checkProcesses(t *testing.T, nodes map[string]*process, service *fake.Booking, answered map[string]string) {
+	t.Helper()
+	unknown := 0
+	for key, status := range answered {
+		runs := service.Runs(key)
+		if runs > 1 || (runs == 0 && strings.HasPrefix(status, "2")) {
+			t.Errorf("booking %s answered %s ran %d times", key, status, runs)
+		}
+		if !strings.HasPrefix(status, "2") {
+			unknown++
+		}
+	}
+	if len(answered) < 10 {
+		t.Errorf("only %d bookings were answered", len(answered))
+	}
+	t.Logf("%d bookings answered, %d of them with an unknown outcome", len(answered), unknown)
+	for name, p := range nodes {
+		until(t, name+" has all changes", func() bool {
+			view, err := p.client().Config(t.Context())
+			if err != nil {
+				return false
+			}
+			for i := range 4 {
+				if _, ok := view.Domains[fmt.Sprint("d", i)]; !ok {
+					return false
+				}
+			}
+			return true
+		})
+	}
+}
+
+// replaceDisk brings a killed voter back with an empty data folder.
+func replaceDisk(t *testing.T, p *process, nodes map[string]*process) {
+	t.Helper()
+	if err := os.RemoveAll(p.dir); err != nil {
+		t.Fatal(err)
+	}
+	p.start()
+	for _, verb := range []string{"add", "promote"} {
+		until(t, verb+" "+p.name, func() bool {
+			return nodes["b"].client().Voters(t.Context(), wire.Voters{Verb: verb, Name: p.name}) == nil
+		})
+	}
+}
