--- a/internal/replica/voter.go
+++ b/internal/replica/voter.go
@@ -21,8 +21,8 @@
 	// maxTogether bounds the commands that one step appends.
 	maxTogether      = 512
 	expireInterval   = time.Minute
-	snapshotEntries  = 10_000
-	snapshotBytes    = 8 << 20
+	snapshotEntries  = 50_000
+	snapshotBytes    = 32 << 20
 	maxCommandBytes  = 3 << 20
 	handOverLimit    = 2 * time.Second
 	handOverInterval = 10 * time.Millisecond
