--- a/internal/fake/write.go
+++ b/internal/fake/write.go
@@ -38,7 +38,7 @@
 	Usage       *Usage        `json:"usage,omitempty"`
 }
 
-func (a *answer) document(object string) modelAnswer {
+func (a *generation) document(object string) modelAnswer {
 	id := "chatcmpl-" + a.id
 	if !a.chat {
 		id, object = "cmpl-"+a.id+"-0", "text_completion"
@@ -46,13 +46,13 @@
 	return modelAnswer{ID: id, Object: object, Created: time.Now().Unix(), Model: a.req.Model, Fingerprint: a.version, Choices: []modelChoice{}}
 }
 
-func (a *answer) usage(tokens int) *Usage {
+func (a *generation) usage(tokens int) *Usage {
 	prompt := len(a.prompt+Text(a.prompt, a.first)) / bytesPerToken
 	return &Usage{Prompt: prompt, Completion: tokens, Total: prompt + tokens}
 }
 
 // write sends the answer.
-func (m *Model) write(w http.ResponseWriter, r *http.Request, a *answer) {
+func (m *Model) write(w http.ResponseWriter, r *http.Request, a *generation) {
 	w.Header().Set("X-Request-Id", a.id)
 	if a.req.Stream {
 		m.stream(w, r, a)
@@ -77,7 +77,7 @@
 	_ = json.NewEncoder(w).Encode(doc)
 }
 
-func (m *Model) stream(w http.ResponseWriter, r *http.Request, a *answer) {
+func (m *Model) stream(w http.ResponseWriter, r *http.Request, a *generation) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	doc := a.document("chat.completion.chunk")
 	flush := http.NewResponseController(w)
