--- /dev/null
+++ b/internal/caller/desk_test.go
@@ -0,0 +1,293 @@
+package caller
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"flag"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/jaystage/jaystage/internal/bearer"
+	"github.com/jaystage/jaystage/internal/config"
+	"github.com/jaystage/jaystage/internal/fake"
+	"github.com/jaystage/jaystage/internal/peer"
+	"github.com/jaystage/jaystage/internal/replica"
+	_ "github.com/jaystage/jaystage/internal/testseed"
+	"github.com/jaystage/jaystage/internal/upstream"
+	"github.com/jaystage/jaystage/pkg/routing"
+	"github.com/jaystage/jaystage/pkg/wire"
+)
+
+const patience = 60 * time.Second
+
+var mutation = flag.String("mutation", "", "rule to turn off: sendFirst or resend")
+
+// desk runs callers' APIs on three voters, with one booking service that counts its
+// runs.
+type desk struct {
+	t       *testing.T
+	service *fake.Booking
+	// before runs in the service before a booking; after runs after it, before the
+	// answer goes out. Both may be nil.
+	before, after atomic.Pointer[func()]
+	address       string
+	nodes         map[string]*entry
+}
+
+type entry struct {
+	*replica.Replica
+	links  *cuttable
+	api    *API
+	url    string
+	cancel context.CancelFunc
+	done   chan struct{}
+}
+
+// cuttable loses all messages once cut.
+type cuttable struct {
+	*peer.Links
+	cut atomic.Bool
+}
+
+var errCut = errors.New("cut off")
+
+func (c *cuttable) Handle(kind string, h peer.Handler) {
+	c.Links.Handle(kind, func(ctx context.Context, from string, body []byte) (any, error) {
+		if c.cut.Load() {
+			return nil, errCut
+		}
+		return h(ctx, from, body)
+	})
+}
+
+func (c *cuttable) Send(to, kind string, message any) error {
+	if c.cut.Load() {
+		return errCut
+	}
+	return c.Links.Send(to, kind, message)
+}
+
+func (c *cuttable) Call(ctx context.Context, to, kind string, message, reply any) error {
+	if c.cut.Load() {
+		return errCut
+	}
+	return c.Links.Call(ctx, to, kind, message, reply)
+}
+
+// solo hides the other nodes, so that each node owns its upstreams by itself and
+// the test needs no exchange of slots.
+type solo struct{ *replica.Replica }
+
+func (s solo) View(now time.Time) (*config.View, bool) {
+	view, ok := s.Replica.View(now)
+	alone := *view
+	alone.Nodes = nil
+	return &alone, ok
+}
+
+// serve gives a node its upstream until ctx ends.
+func (d *desk) serve(ctx context.Context, api *API, registry *upstream.Registry) {
+	policy := routing.DefaultPolicy()
+	policy.Lag = 0
+	api.Slots = NewSlots(time.Now(), api.Slots.self, policy)
+	watched := api.Watch(ctx)
+	for sequence := uint64(1); ; sequence++ {
+		registry.Apply(time.Now(), wire.Announce{
+			ID: "b", VM: "vm-b", Address: d.address, Incarnation: 1, Ready: true, Sequence: sequence,
+			Serving: []wire.Serving{{Service: "booking", Version: "v1"}},
+		})
+		select {
+		case <-ctx.Done():
+			<-watched
+			return
+		case <-time.After(300 * time.Millisecond):
+		}
+	}
+}
+
+func newDesk(t *testing.T) *desk {
+	t.Helper()
+	d := &desk{t: t, service: &fake.Booking{}, nodes: map[string]*entry{}}
+	run := func(f *atomic.Pointer[func()]) {
+		if p := f.Load(); p != nil {
+			(*p)()
+		}
+	}
+	inner := d.service.Handler()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method != http.MethodPost {
+			inner.ServeHTTP(w, r)
+			return
+		}
+		run(&d.before)
+		rec := httptest.NewRecorder()
+		inner.ServeHTTP(rec, r)
+		run(&d.after)
+		for name, values := range rec.Header() {
+			w.Header()[name] = values
+		}
+		w.WriteHeader(rec.Code)
+		_, _ = w.Write(rec.Body.Bytes())
+	}))
+	d.address = server.Listener.Addr().String()
+	names := []string{"a", "b", "c"}
+	var addresses sync.Map
+	for _, name := range names {
+		d.start(name, names, &addresses)
+	}
+	t.Cleanup(func() {
+		for _, e := range d.nodes {
+			e.cancel()
+		}
+		for _, e := range d.nodes {
+			<-e.done
+		}
+		server.CloseClientConnections()
+		server.Close()
+	})
+	d.configure()
+	return d
+}
+
+func (d *desk) start(name string, names []string, addresses *sync.Map) {
+	d.t.Helper()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	links := peer.New(peer.Config{Name: name, Incarnation: 1, Key: []byte("0123456789abcdef"), Log: log, Address: func(n string) (string, bool) {
+		a, ok := addresses.Load(n)
+		if !ok {
+			return "", false
+		}
+		return a.(string), true
+	}})
+	e := &entry{links: &cuttable{Links: links}, done: make(chan struct{})}
+	r, err := replica.Open(replica.Config{
+		Entry: config.Node{Name: name}, Voter: true, Data: filepath.Join(d.t.TempDir(), name),
+		Voters: names, Seeds: names, Links: e.links, Log: log,
+	})
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	e.Replica = r
+	registry := upstream.NewRegistry(time.Second)
+	e.api = New(routing.Node{Name: name, Incarnation: 1}, solo{r}, registry, log)
+	e.api.Bookings = r
+	e.api.hooks = bookingHooks{sendFirst: *mutation == "sendFirst", resend: *mutation == "resend"}
+	callers, peers := httptest.NewServer(e.api.Handler()), httptest.NewServer(links.Handler())
+	e.url = callers.URL
+	addresses.Store(name, peers.Listener.Addr().String())
+	ctx, cancel := context.WithCancel(context.Background())
+	linksCtx, stopLinks := context.WithCancel(context.Background())
+	linksDone := make(chan struct{})
+	e.cancel = cancel
+	go func() { defer close(linksDone); links.Run(linksCtx) }()
+	served := make(chan struct{})
+	go func() { defer close(served); d.serve(ctx, e.api, registry) }()
+	go func() {
+		defer close(e.done)
+		_ = r.Run(ctx)
+		stopLinks()
+		<-linksDone
+		<-served
+		callers.CloseClientConnections()
+		callers.Close()
+		peers.CloseClientConnections()
+		peers.Close()
+	}()
+	d.nodes[name] = e
+}
+
+// configure puts a configuration with one booking service in force.
+func (d *desk) configure() {
+	d.t.Helper()
+	second := config.Duration(time.Second)
+	items, err := config.Items(config.Site{
+		Name:     "test",
+		Accounts: []config.Account{{Name: "acc", Token: bearer.Hash("secret"), Weight: 1}},
+		Services: []config.Service{{
+			Name: "booking", Kind: config.KindPlain, Version: "v1", Start: 64, Status: "/bookings/{key}",
+			Classes: []config.Class{{Name: "booking", First: 10 * second, Complete: 30 * second, Progress: 20 * second}},
+			Routes:  []config.Route{{Path: "/bookings", Methods: []string{"POST"}, Class: "booking", Once: true}},
+		}},
+	})
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	a := d.nodes["a"]
+	changed, err := a.Change(ctx, wire.Change{ID: "site", Items: items})
+	if err == nil {
+		err = a.WaitInForce(ctx, changed.Version)
+	}
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	for name, e := range d.nodes {
+		d.eventually(name+" admits", func() bool {
+			view, ok := e.View(time.Now())
+			return ok && view.Version >= changed.Version
+		})
+	}
+}
+
+func (d *desk) eventually(what string, condition func() bool) {
+	d.t.Helper()
+	end := time.Now().Add(patience)
+	for !condition() {
+		if time.Now().After(end) {
+			d.t.Fatalf("not within %v: %s", patience, what)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+type reply struct {
+	status int
+	body   string
+}
+
+// book sends one booking through a node.
+func (d *desk) book(node, key, body string) (reply, error) {
+	req, err := http.NewRequest(http.MethodPost, d.nodes[node].url+"/s/booking/bookings", bytes.NewReader([]byte(body)))
+	if err != nil {
+		return reply{}, err
+	}
+	req.Header.Set("Authorization", "Bearer secret")
+	if key != "" {
+		req.Header.Set(KeyHeader, key)
+	}
+	// Each attempt has its own connection: the test's client must not repeat it.
+	resp, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(req)
+	if err != nil {
+		return reply{}, err
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	return reply{resp.StatusCode, string(text)}, err
+}
+
+func (d *desk) mustBook(node, key, body string, status int) reply {
+	d.t.Helper()
+	got, err := d.book(node, key, body)
+	if err != nil || got.status != status {
+		d.t.Fatalf("booking %s through %s: got %+v, %v, want status %d", key, node, got, err, status)
+	}
+	return got
+}
+
+func (d *desk) ranOnce(key string) {
+	d.t.Helper()
+	if got := d.service.Runs(key); got != 1 {
+		d.t.Fatalf("booking %s ran %d times, want once", key, got)
+	}
+}
--- a/internal/node/process_test.go
+++ b/internal/node/process_test.go
@@ -70,9 +70,23 @@
 		nodes[name] = p
 		fmt.Fprintf(&peers, "[[peer]]\nname = %q\naddress = %q\nvoter = true\n", name, p.peers)
 	}
-	hash := bearer.Hash(secret)
 	for _, p := range nodes {
-		text := fmt.Sprintf(`[node]
+		p.writeSettings(peers.String())
+		p.start()
+	}
+	t.Cleanup(func() {
+		for _, p := range nodes {
+			p.signal(syscall.SIGKILL)
+			<-p.ended
+		}
+	})
+	return nodes
+}
+
+func (p *process) writeSettings(peers string) {
+	p.t.Helper()
+	hash := bearer.Hash(secret)
+	text := fmt.Sprintf(`[node]
 name = %q
 domain = "local"
 cell = "one"
@@ -90,19 +104,10 @@
 operator = [{name = "o", token = %q}]
 [shutdown]
 limit = "10s"
-%s`, p.name, p.dir, p.callers, p.upstreams, p.admins, p.peers, hash, hash, peers.String())
-		if err := os.WriteFile(p.settings, []byte(text), 0o600); err != nil {
-			t.Fatal(err)
-		}
-		p.start()
+%s`, p.name, p.dir, p.callers, p.upstreams, p.admins, p.peers, hash, hash, peers)
+	if err := os.WriteFile(p.settings, []byte(text), 0o600); err != nil {
+		p.t.Fatal(err)
 	}
-	t.Cleanup(func() {
-		for _, p := range nodes {
-			p.signal(syscall.SIGKILL)
-			<-p.ended
-		}
-	})
-	return nodes
 }
 
 func (p *process) start() {
