--- a/internal/caller/choose_test.go
+++ b/internal/caller/choose_test.go
@@ -37,7 +37,8 @@
 		t.Run(tt.name+" gets no request", func(t *testing.T) {
 			f := newFixture(t, nil)
 			f.setView(t, testSite(), tt.view)
-			f.addModel(t, "m1", fastModel(), nil)
+			// m2 costs nothing, so it is preferred unless it is skipped.
+			f.addModel(t, "m1", fastModel(), func(a *wire.Announce) { a.Price = 1 })
 			f.addModel(t, "m2", fastModel(), tt.up)
 			for range 10 {
 				checkAnswer(t, f.post(t, "/v1/chat/completions", chatBody("hello", 2, true)), "hello", 2, nil)
