--- a/internal/caller/bench_test.go
+++ b/internal/caller/bench_test.go
@@ -8,6 +8,7 @@
 	"runtime"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -51,27 +52,53 @@
 }
 
 // BenchmarkOpenStreams measures the memory of a node per open stream: heap and
-// stacks of the whole process, less those without streams. Callers and upstreams
-// run in the same process, so it is an upper bound.
+// stacks with streams through the node, less those with as many streams straight
+// to the upstream, since callers and upstreams run in the same process.
 func BenchmarkOpenStreams(b *testing.B) {
 	const streams = 200
 	f := newFixture(b, nil)
-	f.addModel(b, "m1", &fake.Model{Between: time.Hour}, nil)
+	f.addModel(b, "m1", &fake.Model{Between: time.Millisecond}, nil)
 	setStart(f, streams)
+	direct := openStreams(b, f, streams, "http://"+f.procs["m1"].Address())
+	through := openStreams(b, f, streams, f.server.URL)
+	b.ReportMetric((through-direct)/streams/1024, "KiB/stream")
+}
+
+// openStreams returns the bytes that the process holds for the streams.
+func openStreams(b *testing.B, f *fixture, streams int, url string) float64 {
+	b.Helper()
 	before := memory()
 	ctx, stop := testContext()
 	defer stop()
+	f.models["m1"].Stalled.Store(false)
+	var begun atomic.Int64
+	client := &http.Client{Transport: &http.Transport{}}
 	for range streams {
-		req, _ := http.NewRequestWithContext(ctx, http.MethodPost, f.server.URL+"/v1/chat/completions", stringsReader(chatBody("hello", 10, true)))
+		req, _ := http.NewRequestWithContext(ctx, http.MethodPost, url+"/v1/chat/completions", stringsReader(chatBody("hello", 1<<20, true)))
 		req.Header.Set("Authorization", "Bearer "+testToken)
 		go func() {
-			if resp, err := http.DefaultClient.Do(req); err == nil {
-				_ = resp.Body.Close()
+			resp, err := client.Do(req)
+			if err != nil {
+				return
 			}
+			defer resp.Body.Close()
+			first := true
+			_, _, _ = readTokens(resp.Body, func(int) {
+				if first {
+					begun.Add(1)
+				}
+				first = false
+			})
 		}()
 	}
-	eventually(b, "all streams are open", func() bool { return f.models["m1"].Running.Load() == streams })
-	b.ReportMetric(float64(memory()-before)/streams/1024, "KiB/stream")
+	running := func() int64 { return f.models["m1"].Running.Load() }
+	eventually(b, "all streams are open", func() bool { return begun.Load() == int64(streams) })
+	f.models["m1"].Stalled.Store(true)
+	time.Sleep(100 * time.Millisecond)
+	held := float64(memory()) - float64(before)
+	stop()
+	eventually(b, "all streams have ended", func() bool { return running() == 0 })
+	return held
 }
 
 func setStart(f *fixture, n int) {
--- a/internal/caller/follow_test.go
+++ b/internal/caller/follow_test.go
@@ -113,7 +113,7 @@
 
 // Every stream must leave an upstream before its VM is reclaimed.
 func TestReclaimOfDomain(t *testing.T) {
-	const streams, tokens = 12, 120
+	const streams, tokens = 12, 1500
 	f := newFixture(t, nil)
 	reclaim := func(id string, p *fake.Process) {
 		f.announce(id, "chat", p.Address(), p.Incarnation(), func(a *wire.Announce) { a.Reclaim = 1.2 })
