--- a/internal/load/cluster.go
+++ b/internal/load/cluster.go
@@ -17,6 +17,7 @@
 	"github.com/jaystage/jaystage/internal/config"
 	"github.com/jaystage/jaystage/internal/fake"
 	"github.com/jaystage/jaystage/internal/upstream"
+	"github.com/jaystage/jaystage/pkg/routing"
 	"github.com/jaystage/jaystage/pkg/wire"
 )
 
@@ -136,7 +137,7 @@
 	var handler http.Handler
 	switch name {
 	case "jaystage":
-		c.api = caller.New("load", c, c.registry, log)
+		c.api = caller.New(routing.Node{Name: "load", Incarnation: 1}, c, c.registry, log)
 		handler = c.api.Handler()
 	case "round-robin":
 		handler = &baseline{runners: c.runners}
