--- a/internal/caller/api.go
+++ b/internal/caller/api.go
@@ -53,6 +53,7 @@
 	Unready atomic.Bool
 
 	next    atomic.Uint64
+	queues  queues
 	budgets budgets
 	flights flights
 	shares  shares
@@ -132,6 +133,9 @@
 	if c.once && a.Bookings != nil {
 		return a.book(ctx, w, c)
 	}
+	if err := a.enqueue(ctx, c); err != nil {
+		return err
+	}
 	for {
 		at, err := a.choose(ctx, c)
 		if err != nil {
--- a/internal/caller/call.go
+++ b/internal/caller/call.go
@@ -48,6 +48,11 @@
 	// trial is true while the call runs alone as a suspect of crashes.
 	trial bool
 
+	// place is the call's number in its queue, or zero; turn tells when it starts.
+	place uint64
+	turn  chan *verdict.Error
+	// answered is true once the caller has the whole answer.
+	answered bool
 	// started is true once the caller has a part of the answer.
 	started  bool
 	attempts int
@@ -118,6 +123,7 @@
 
 // release returns what a call still holds at its end.
 func (a *API) release(c *call) {
+	a.dequeue(c)
 	if c.trial {
 		a.Suspects.done(c.fingerprint, false)
 		c.trial = false
--- a/internal/caller/choose_test.go
+++ b/internal/caller/choose_test.go
@@ -1,11 +1,13 @@
 package caller
 
 import (
+	"encoding/json"
 	"fmt"
 	"math"
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -165,3 +167,38 @@
 		t.Errorf("got %d runs, want 0", got)
 	}
 }
+
+// Under overload a request must be answered or refused truthfully, with the time
+// after which another try makes sense.
+func TestOverload(t *testing.T) {
+	const requests = 30
+	f := newFixture(t, func(s *config.Site) {
+		s.Services[0].Start, s.Services[0].Classes[0].First = 2, seconds(0.4)
+	})
+	f.addModel(t, "m1", &fake.Model{Between: 5 * time.Millisecond}, func(a *wire.Announce) { a.Limit = 2 })
+	var all sync.WaitGroup
+	var answered, refused atomic.Int64
+	for i := range requests {
+		all.Go(func() {
+			prompt := fmt.Sprintf("prompt %d", i)
+			resp := f.post(t, "/v1/chat/completions", chatBody(prompt, 40, true))
+			if resp.StatusCode == http.StatusOK {
+				answered.Add(1)
+				checkAnswer(t, resp, prompt, 40, nil)
+				return
+			}
+			refused.Add(1)
+			if resp.Header.Get("Retry-After") == "" {
+				t.Error("got a refusal without Retry-After")
+			}
+			var p Problem
+			if err := json.NewDecoder(resp.Body).Decode(&p); err != nil || p.Verdict != "not-run" {
+				t.Errorf("got %+v, %v, want verdict not-run", p, err)
+			}
+		})
+	}
+	all.Wait()
+	if runs := f.models["m1"].Runs.Load(); runs != answered.Load() || refused.Load() == 0 {
+		t.Errorf("got %d runs, %d answered, %d refused of %d", runs, answered.Load(), refused.Load(), requests)
+	}
+}
--- a/internal/caller/finish.go
+++ b/internal/caller/finish.go
@@ -59,7 +59,7 @@
 		a.Slots.put(now, at, false)
 		a.budgets.success(now, c)
 		a.Suspects.done(c.fingerprint, true)
-		c.trial = false
+		c.trial, c.answered = false, true
 		a.paced(at, now)
 		a.Metrics.answered(c, at, now)
 		a.reportEnd(now, at, nil)
--- a/internal/caller/take.go
+++ b/internal/caller/take.go
@@ -33,16 +33,12 @@
 		candidates = append(candidates, s.candidate(now, view, c, &list[i]))
 	}
 	choice, ok := routing.Choose(now, request, candidates)
-	if !ok {
-		// The upstream that would be best if it had a free slot gets the demand.
-		if choice, ok = s.wanted(now, request, candidates); !ok {
-			return taken{}, false
-		}
+	var ticket routing.Ticket
+	if ok {
+		ticket, ok = s.holder.Take(now, choice.ID, choice.Long)
 	}
-	ticket, ok := s.holder.Take(now, choice.ID, choice.Long)
 	if !ok {
-		s.pump(now)
-		if ticket, ok = s.holder.Take(now, choice.ID, choice.Long); !ok {
+		if choice, ticket, ok = s.demand(now, request, candidates); !ok {
 			return taken{}, false
 		}
 	}
@@ -52,13 +48,30 @@
 	return t, true
 }
 
-// wanted chooses as if each upstream had a free slot.
-func (s *Slots) wanted(now time.Time, r routing.Request, candidates []routing.Candidate) (routing.Choice, bool) {
+// demand asks for a slot where the node has none free: first of the upstream that
+// would be best, then of the next ones, since the best may be in full use. An owner
+// in this node answers at once.
+func (s *Slots) demand(now time.Time, r routing.Request, candidates []routing.Candidate) (routing.Choice, routing.Ticket, bool) {
 	open := slices.Clone(candidates)
 	for i := range open {
 		open[i].Free = 1
 	}
-	return routing.Choose(now, r, open)
+	for {
+		choice, ok := routing.Choose(now, r, open)
+		if !ok {
+			return choice, routing.Ticket{}, false
+		}
+		ticket, ok := s.holder.Take(now, choice.ID, choice.Long)
+		if !ok {
+			s.pump(now)
+			ticket, ok = s.holder.Take(now, choice.ID, choice.Long)
+		}
+		if ok {
+			return choice, ticket, true
+		}
+		i := slices.IndexFunc(open, func(c routing.Candidate) bool { return c.ID == choice.ID })
+		open[i].Free = 0
+	}
 }
 
 func (s *Slots) started(c *call, e upstream.Entry) {
--- a/internal/caller/watch.go
+++ b/internal/caller/watch.go
@@ -91,6 +91,7 @@
 			case <-sweep.C:
 				now := a.Now()
 				a.renew(now)
+				a.advanceQueues(now)
 				a.sweep(now)
 			}
 		}
