--- a/internal/caller/api.go
+++ b/internal/caller/api.go
@@ -51,6 +51,9 @@
 	// Unready is true once the node shuts down: the balancer is told so, and
 	// answers close their connection.
 	Unready atomic.Bool
+	// WriteTimeout is how long a caller may leave its connection unread before its
+	// request ends.
+	WriteTimeout time.Duration
 
 	next    atomic.Uint64
 	queues  queues
@@ -66,7 +69,7 @@
 	now := time.Now()
 	a := &API{
 		Viewer: viewer, Upstreams: upstreams, Transport: upstream.NewTransport(), Log: log, Now: time.Now,
-		Metrics: NewMetrics(), Suspects: NewSuspects(), Slots: NewSlots(now, self, routing.DefaultPolicy()),
+		WriteTimeout: writeTimeout, Metrics: NewMetrics(), Suspects: NewSuspects(), Slots: NewSlots(now, self, slotPolicy()),
 	}
 	a.renew(now)
 	return a
--- a/internal/caller/choose_test.go
+++ b/internal/caller/choose_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"math"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -196,3 +197,49 @@
 		t.Errorf("got %d runs, %d answered, %d refused of %d", runs, answered.Load(), refused.Load(), requests)
 	}
 }
+
+// An account must not run more requests at once than its limit.
+func TestAccountLimit(t *testing.T) {
+	f := newFixture(t, func(s *config.Site) { s.Accounts[0].Concurrency = 3 })
+	f.addModel(t, "m1", fastModel(), nil)
+	var all sync.WaitGroup
+	var peak atomic.Int64
+	for range 12 {
+		all.Go(func() {
+			resp := f.post(t, "/v1/chat/completions", chatBody("hello", 20, true))
+			if resp.StatusCode == http.StatusTooManyRequests {
+				return
+			}
+			checkAnswer(t, resp, "hello", 20, func(int) {
+				if n := f.models["m1"].Running.Load(); n > peak.Load() {
+					peak.Store(n)
+				}
+			})
+		})
+	}
+	all.Wait()
+	if got := peak.Load(); got == 0 || got > 3 {
+		t.Errorf("got %d requests at once, want 1 to 3", got)
+	}
+}
+
+// A caller that stops reading must not hold its slot for good.
+func TestSilentCaller(t *testing.T) {
+	f := newFixture(t, nil)
+	f.api.WriteTimeout = 300 * time.Millisecond
+	f.addModel(t, "m1", &fake.Model{}, nil)
+	conn, err := net.Dial("tcp", f.server.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	body := chatBody("hello", 1<<22, true)
+	_, err = fmt.Fprintf(conn, "POST /v1/chat/completions HTTP/1.1\r\nHost: n\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s", testToken, len(body), body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "the upstream runs the request", func() bool { return f.models["m1"].Runs.Load() == 1 })
+	eventually(t, "the slot is free and the upstream stops", func() bool {
+		return f.running("m1") == 0 && f.models["m1"].Running.Load() == 0
+	})
+}
--- a/internal/caller/follow.go
+++ b/internal/caller/follow.go
@@ -128,7 +128,7 @@
 	control := http.NewResponseController(w)
 	at.pause()
 	defer func() { at.advance(a.Now()) }()
-	_ = control.SetWriteDeadline(a.Now().Add(writeTimeout))
+	_ = control.SetWriteDeadline(a.Now().Add(a.WriteTimeout))
 	if _, err := w.Write(b); err != nil {
 		return errors.Join(errGone, err)
 	}
--- a/internal/caller/queue.go
+++ b/internal/caller/queue.go
@@ -30,6 +30,7 @@
 type queues struct {
 	mu       sync.Mutex
 	services map[string]*queue
+	quota    admission.Quota
 	next     uint64
 }
 
@@ -50,7 +51,7 @@
 	s, ok := q.services[service.Name]
 	if !ok {
 		s = &queue{
-			controller: admission.New(policyOf(view, service), nil), version: view.Version,
+			controller: admission.New(policyOf(view, service), q.quota), version: view.Version,
 			waiting: make(map[uint64]*call), output: make(map[string]float64),
 		}
 		q.services[service.Name] = s
@@ -90,6 +91,9 @@
 		return leaseExpired()
 	}
 	a.queues.mu.Lock()
+	if a.queues.quota == nil {
+		a.queues.quota = &quota{slots: a.Slots}
+	}
 	q := a.queues.of(view, c.service)
 	a.size(now, view, q, c.service)
 	a.queues.next++
--- a/internal/caller/slots.go
+++ b/internal/caller/slots.go
@@ -59,6 +59,14 @@
 	speed   speed
 }
 
+// slotPolicy returns the settings of an owner. Its ceiling also bounds the
+// concurrency limits of client accounts.
+func slotPolicy() routing.Policy {
+	p := routing.DefaultPolicy()
+	p.Max = 4096
+	return p
+}
+
 // NewSlots returns the slots of a node that owns nothing until Renew.
 func NewSlots(now time.Time, self routing.Node, policy routing.Policy) *Slots {
 	return &Slots{
--- a/internal/caller/watch.go
+++ b/internal/caller/watch.go
@@ -115,6 +115,9 @@
 	} else if ok {
 		a.Slots.Renew(now, routing.View{Version: 1, Nodes: []routing.Node{a.Slots.self}}, now.Add(routing.SessionTTL))
 	}
+	if ok {
+		a.Slots.accounts(now, view)
+	}
 	for _, e := range a.Upstreams.List() {
 		start := 0
 		for _, s := range e.Serving {
--- a/internal/upstream/announce.go
+++ b/internal/upstream/announce.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/gorilla/mux"
@@ -44,6 +45,10 @@
 		http.Error(w, "the announcement is not valid JSON: "+err.Error(), http.StatusBadRequest)
 		return
 	}
+	if strings.Contains(a.ID, "/") {
+		http.Error(w, "the id of an upstream holds no slash", http.StatusBadRequest)
+		return
+	}
 	if a.ID == "" || a.Address == "" || a.Domain == "" || a.VM == "" {
 		http.Error(w, "id, address, domain and vm are required", http.StatusBadRequest)
 		return
