--- a/internal/caller/api.go
+++ b/internal/caller/api.go
@@ -51,8 +51,12 @@
 	// Unready is true once the node shuts down: the balancer is told so, and
 	// answers close their connection.
 	Unready atomic.Bool
+	// WriteTimeout is how long a caller may leave its connection unread before its
+	// request ends.
+	WriteTimeout time.Duration
 
 	next    atomic.Uint64
+	queues  queues
 	budgets budgets
 	flights flights
 	shares  shares
@@ -65,7 +69,7 @@
 	now := time.Now()
 	a := &API{
 		Viewer: viewer, Upstreams: upstreams, Transport: upstream.NewTransport(), Log: log, Now: time.Now,
-		Metrics: NewMetrics(), Suspects: NewSuspects(), Slots: NewSlots(now, self, routing.DefaultPolicy()),
+		WriteTimeout: writeTimeout, Metrics: NewMetrics(), Suspects: NewSuspects(), Slots: NewSlots(now, self, slotPolicy()),
 	}
 	a.renew(now)
 	return a
@@ -132,6 +136,9 @@
 	if c.once && a.Bookings != nil {
 		return a.book(ctx, w, c)
 	}
+	if err := a.enqueue(ctx, c); err != nil {
+		return err
+	}
 	for {
 		at, err := a.choose(ctx, c)
 		if err != nil {
--- a/internal/caller/choose_test.go
+++ b/internal/caller/choose_test.go
@@ -1,11 +1,14 @@
 package caller
 
 import (
+	"encoding/json"
 	"fmt"
 	"math"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -37,7 +40,8 @@
 		t.Run(tt.name+" gets no request", func(t *testing.T) {
 			f := newFixture(t, nil)
 			f.setView(t, testSite(), tt.view)
-			f.addModel(t, "m1", fastModel(), nil)
+			// m2 costs nothing, so it is preferred unless it is skipped.
+			f.addModel(t, "m1", fastModel(), func(a *wire.Announce) { a.Price = 1 })
 			f.addModel(t, "m2", fastModel(), tt.up)
 			for range 10 {
 				checkAnswer(t, f.post(t, "/v1/chat/completions", chatBody("hello", 2, true)), "hello", 2, nil)
@@ -88,21 +92,15 @@
 	m.Chill()
 	f.addModel(t, "m1", m, nil)
 	var all sync.WaitGroup
-	var mu sync.Mutex
-	peak := int64(0)
 	for i := range 12 {
 		all.Go(func() {
 			prompt := fmt.Sprintf("prompt %d", i)
-			checkAnswer(t, f.post(t, "/v1/chat/completions", chatBody(prompt, 10, true)), prompt, 10, func(int) {
-				mu.Lock()
-				defer mu.Unlock()
-				peak = max(peak, m.Running.Load())
-			})
+			checkAnswer(t, f.post(t, "/v1/chat/completions", chatBody(prompt, 10, true)), prompt, 10, nil)
 		})
 	}
 	all.Wait()
-	if peak > 2 {
-		t.Errorf("got %d requests at once, want at most 2", peak)
+	if got := m.Overloads.Load(); got != 0 {
+		t.Errorf("got %d requests over the upstream's capacity, want 0", got)
 	}
 }
 
@@ -164,3 +162,84 @@
 		t.Errorf("got %d runs, want 0", got)
 	}
 }
+
+// Under overload a request must be answered or refused truthfully, with the time
+// after which another try makes sense.
+func TestOverload(t *testing.T) {
+	const requests = 30
+	f := newFixture(t, func(s *config.Site) {
+		s.Services[0].Start, s.Services[0].Classes[0].First = 2, seconds(0.4)
+	})
+	f.addModel(t, "m1", &fake.Model{Between: 5 * time.Millisecond}, func(a *wire.Announce) { a.Limit = 2 })
+	var all sync.WaitGroup
+	var answered, refused atomic.Int64
+	for i := range requests {
+		all.Go(func() {
+			prompt := fmt.Sprintf("prompt %d", i)
+			resp := f.post(t, "/v1/chat/completions", chatBody(prompt, 40, true))
+			if resp.StatusCode == http.StatusOK {
+				answered.Add(1)
+				checkAnswer(t, resp, prompt, 40, nil)
+				return
+			}
+			refused.Add(1)
+			if resp.Header.Get("Retry-After") == "" {
+				t.Error("got a refusal without Retry-After")
+			}
+			var p Problem
+			if err := json.NewDecoder(resp.Body).Decode(&p); err != nil || p.Verdict != "not-run" {
+				t.Errorf("got %+v, %v, want verdict not-run", p, err)
+			}
+		})
+	}
+	all.Wait()
+	if runs := f.models["m1"].Runs.Load(); runs != answered.Load() || refused.Load() == 0 {
+		t.Errorf("got %d runs, %d answered, %d refused of %d", runs, answered.Load(), refused.Load(), requests)
+	}
+}
+
+// An account must not run more requests at once than its limit.
+func TestAccountLimit(t *testing.T) {
+	f := newFixture(t, func(s *config.Site) { s.Accounts[0].Concurrency = 3 })
+	f.addModel(t, "m1", fastModel(), nil)
+	var all sync.WaitGroup
+	var peak atomic.Int64
+	for range 12 {
+		all.Go(func() {
+			resp := f.post(t, "/v1/chat/completions", chatBody("hello", 20, true))
+			if resp.StatusCode == http.StatusTooManyRequests {
+				return
+			}
+			checkAnswer(t, resp, "hello", 20, func(int) {
+				if n := f.models["m1"].Running.Load(); n > peak.Load() {
+					peak.Store(n)
+				}
+			})
+		})
+	}
+	all.Wait()
+	if got := peak.Load(); got == 0 || got > 3 {
+		t.Errorf("got %d requests at once, want 1 to 3", got)
+	}
+}
+
+// A caller that stops reading must not hold its slot for good.
+func TestSilentCaller(t *testing.T) {
+	f := newFixture(t, nil)
+	f.api.WriteTimeout = 300 * time.Millisecond
+	f.addModel(t, "m1", &fake.Model{}, nil)
+	conn, err := net.Dial("tcp", f.server.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	body := chatBody("hello", 1<<22, true)
+	_, err = fmt.Fprintf(conn, "POST /v1/chat/completions HTTP/1.1\r\nHost: n\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s", testToken, len(body), body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "the upstream runs the request", func() bool { return f.models["m1"].Runs.Load() == 1 })
+	eventually(t, "the slot is free and the upstream stops", func() bool {
+		return f.running("m1") == 0 && f.models["m1"].Running.Load() == 0
+	})
+}
--- a/internal/caller/watch.go
+++ b/internal/caller/watch.go
@@ -91,6 +91,7 @@
 			case <-sweep.C:
 				now := a.Now()
 				a.renew(now)
+				a.advanceQueues(now)
 				a.sweep(now)
 			}
 		}
@@ -114,6 +115,9 @@
 	} else if ok {
 		a.Slots.Renew(now, routing.View{Version: 1, Nodes: []routing.Node{a.Slots.self}}, now.Add(routing.SessionTTL))
 	}
+	if ok {
+		a.Slots.accounts(now, view)
+	}
 	for _, e := range a.Upstreams.List() {
 		start := 0
 		for _, s := range e.Serving {
