--- a/internal/capacity/control.go
+++ b/internal/capacity/control.go
@@ -146,10 +146,14 @@
 	Disk   float64 `json:"disk"`
 	// Groups keeps each leader's loop under half a core.
 	Groups float64 `json:"groups"`
-	// VMs is the number of VMs of four cores, used to one half, with MemoryPerVM bytes.
-	VMs         float64 `json:"vms"`
+	// VMs is the number of VMs of four cores, used to one half.
+	VMs float64 `json:"vms"`
+	// MemoryPerVM is Memory over the VMs allowed.
 	MemoryPerVM float64 `json:"memory_per_vm"`
 	Allowed     float64 `json:"allowed"`
+	// Saves of a voter's log a second, and the share of time that they take.
+	Saves    float64 `json:"saves"`
+	SaveTime float64 `json:"save_time"`
 }
 
 func (m *model) control() Control {
@@ -162,6 +166,8 @@
 		Allowed: maxControlVMs,
 	}
 	c.VMs = max(m.Voters, math.Ceil(c.Core/(vmCores*vmUse)))
-	c.MemoryPerVM = c.Memory / c.VMs
+	c.MemoryPerVM = c.Memory / c.Allowed
+	c.Saves = 2*m.bookings()/batch + m.changes()
+	c.SaveTime = c.Saves * m.at("save.time", batch) / 1e9
 	return c
 }
--- a/internal/capacity/data.go
+++ b/internal/capacity/data.go
@@ -48,6 +48,8 @@
 	list := []Hour{
 		m.pushed("failure domain lost", "leader: sessions ended and pushed", domain, left),
 		m.introduced("failure domain lost", 1),
+		m.moved("failure domain lost", m.Domains),
+		m.moved("region cut off", m.Regions),
 		m.full("region back after minutes", region),
 		m.pushed("region back after minutes", "leader: sessions ended and started again", 2*region, m.Nodes),
 		m.pushed("restarts of one hour", "leader: sessions ended and started", 2*restarts/24, m.Nodes),
@@ -83,6 +85,19 @@
 	}
 }
 
+// moved is the data path of a node that carries its part of the load of one of n
+// equal parts of the system, which were lost.
+func (m *model) moved(event string, n float64) Hour {
+	if n < 2 {
+		return Hour{Event: event, What: "the only one: no node is left", Sum: "1 of 1"}
+	}
+	core := m.data().Total().Core
+	return Hour{
+		Event: event, What: "node that is left: data path, each second", Sum: fmt.Sprintf("%s cores × %.0f / %.0f", number(core), n, n-1),
+		Core: core * n / (n - 1), Slopes: []string{"request.cpu", "token.cpu"},
+	}
+}
+
 // reread is a node's cost of taking each session start by itself.
 func (m *model) reread(event string) Hour {
 	return Hour{
--- a/internal/capacity/model.go
+++ b/internal/capacity/model.go
@@ -47,8 +47,15 @@
 // model works out costs at one size.
 type model struct {
 	Size
-	slopes  Slopes
-	missing []string
+	slopes Slopes
+	// Intervals in seconds.
+	beat, ping, report float64
+	missing            []string
+}
+
+// newModel returns a model with the intervals that the code uses.
+func newModel(s Slopes, z Size) *model {
+	return &model{Size: z, slopes: s, beat: z.heartbeat(), ping: pingInterval, report: stepInterval}
 }
 
 // at returns the fitted cost at a size of n steps.
@@ -107,7 +114,9 @@
 	r.In += in*(inBytes+TLSBytes+PacketBytes) + out*PacketBytes
 	r.Out += out*(outBytes+TLSBytes+PacketBytes) + in*PacketBytes
 	r.Core += (in + out) * m.core("frame.cpu") / 2
-	r.Slopes = append(r.Slopes, "frame.cpu")
+	if !slices.Contains(r.Slopes, "frame.cpu") {
+		r.Slopes = append(r.Slopes, "frame.cpu")
+	}
 	return r
 }
 
--- a/internal/capacity/node.go
+++ b/internal/capacity/node.go
@@ -22,8 +22,8 @@
 
 // pings is the cost of keeping a number of links up.
 func (m *model) pings(links float64) Row {
-	rate := links / pingInterval
-	r := Row{Mechanism: "link pings (internal/peer)", Sum: fmt.Sprintf("%.0f links / 0.4 s", links)}
+	rate := links / m.ping
+	r := Row{Mechanism: "link pings (internal/peer)", Sum: fmt.Sprintf("%.0f links / %.1f s", links, m.ping)}
 	return m.send(r, rate, PingBytes, rate, PingBytes)
 }
 
@@ -52,9 +52,9 @@
 
 // reports is the cost of a node's rollout reports while rollouts run.
 func (m *model) reports() Row {
-	rate, keys := 1/stepInterval, m.Rollouts*m.Keys
+	rate, keys := 1/m.report, m.Rollouts*m.Keys
 	r := Row{
-		Mechanism: "rollout reports (internal/rollouts)", Sum: fmt.Sprintf("1 report of %.0f keys / 0.5 s while %.0f rollouts run", keys, m.Rollouts),
+		Mechanism: "rollout reports (internal/rollouts)", Sum: fmt.Sprintf("1 report of %.0f keys / %.1f s while %.0f rollouts run", keys, m.report, m.Rollouts),
 		Core: rate * (keys*m.core("report.cpu") + m.core("frame.cpu")), Slopes: []string{"report.cpu", "report.bytes", "frame.cpu"},
 	}
 	return r.asks(rate, m.permits(), m.at("report.bytes", keys))
@@ -78,9 +78,9 @@
 }
 
 func (m *model) heartbeats() Row {
-	rate := m.perNode() / m.beat()
+	rate := m.perNode() / m.beat
 	r := Row{
-		Mechanism: "heartbeats over HTTP (internal/upstream)", Sum: fmt.Sprintf("%.1f upstreams / %.2f s", m.perNode(), m.beat()),
+		Mechanism: "heartbeats over HTTP (internal/upstream)", Sum: fmt.Sprintf("%.1f upstreams / %.2f s", m.perNode(), m.beat),
 		Messages: 2 * rate, Core: rate * m.core("heartbeat.cpu"), Slopes: []string{"heartbeat.cpu", "heartbeat.in", "heartbeat.out"},
 	}
 	r.In, r.Out = rate*(m.per("heartbeat.in")+2*PacketBytes), rate*(m.per("heartbeat.out")+PacketBytes)
@@ -88,16 +88,16 @@
 }
 
 func (m *model) spread() Row {
-	rate := m.perNode() / m.beat() * (m.Cell - 1)
-	r := Row{Mechanism: "heartbeats passed on (internal/cell)", Sum: fmt.Sprintf("%.1f upstreams × %.0f nodes / %.2f s", m.perNode(), m.Cell-1, m.beat()), Slopes: []string{"pulse.bytes"}}
+	rate := m.perNode() / m.beat * (m.Cell - 1)
+	r := Row{Mechanism: "heartbeats passed on (internal/cell)", Sum: fmt.Sprintf("%.1f upstreams × %.0f nodes / %.2f s", m.perNode(), m.Cell-1, m.beat), Slopes: []string{"pulse.bytes"}}
 	return m.send(r, 0, 0, rate, m.per("pulse.bytes"))
 }
 
 func (m *model) heard() Row {
 	others := m.perCell() - m.perNode()
-	rate := others / m.beat()
+	rate := others / m.beat
 	r := Row{
-		Mechanism: "heartbeats from other owners (internal/cell)", Sum: fmt.Sprintf("%.1f upstreams / %.2f s", others, m.beat()),
+		Mechanism: "heartbeats from other owners (internal/cell)", Sum: fmt.Sprintf("%.1f upstreams / %.2f s", others, m.beat),
 		Core: rate * m.core("pulse.cpu"), Slopes: []string{"pulse.bytes", "pulse.cpu"},
 	}
 	return m.send(r, rate, m.per("pulse.bytes"), 0, 0)
@@ -132,3 +132,34 @@
 		Slopes: []string{"prefix.memory", "upstream.memory", "tick.cpu"},
 	}
 }
+
+// Intervals in seconds of the measures that would bring a node nearer to its budget.
+const (
+	longBeat   = 30
+	longPing   = 1.2
+	longReport = 5
+	slotReport = 2
+	// slotBytes holds one upstream in a report without names of fields and upstreams.
+	slotBytes = 16
+)
+
+// reduced is a node with measures that are not built: load in the headers of answers
+// and rare heartbeats, rare pings and rollout reports, one slot report and one grant a
+// pair of nodes with all upstreams in it, and ticks that visit only upstreams that are
+// due. Probes travel in the pings.
+func (m *model) reduced() Role {
+	n := *m
+	n.beat, n.ping, n.report = longBeat, longPing, longReport
+	rate := (n.Cell - 1) / slotReport
+	size := slotBytes*n.perNode() + envelope("cell")
+	slots := Row{
+		Mechanism: "slot reports and grants, one frame a pair of nodes", Sum: fmt.Sprintf("2 × %.0f nodes / %d s × %.1f upstreams × %d B", n.Cell-1, slotReport, n.perNode(), slotBytes),
+		Core: 2 * rate * n.perNode() * n.core("demand.cpu"), Slopes: []string{"demand.cpu"},
+	}
+	tables := n.tables()
+	tables.Sum = fmt.Sprintf("%.1f upstreams / %d s, only those that are due", n.perCell(), slotReport)
+	tables.Core = n.perCell() / slotReport * n.core("tick.cpu")
+	return Role{Name: "Entry node and owner with measures that are not built", Budget: &NodeBudget, Rows: []Row{
+		n.renewals(), n.pings(n.Cell), n.follow(), n.reports(), n.heartbeats(), n.spread(), n.heard(), n.send(slots, 2*rate, size, 2*rate, size), tables,
+	}}
+}
--- a/internal/capacity/plan.go
+++ b/internal/capacity/plan.go
@@ -94,8 +94,8 @@
 func (z Size) perCell() float64 { return z.Upstreams * z.Cell / z.Nodes }
 func (z Size) perNode() float64 { return z.Upstreams / z.Nodes }
 
-// beat is the heartbeat interval in seconds that an owner asks for.
-func (z Size) beat() float64 {
+// heartbeat is the interval in seconds that an owner asks for.
+func (z Size) heartbeat() float64 {
 	p := routing.DefaultPolicy()
 	return max(p.Beat.Seconds(), z.perNode()*float64(p.Size)/float64(p.Bytes))
 }
--- a/internal/capacity/table.go
+++ b/internal/capacity/table.go
@@ -31,7 +31,7 @@
 
 // Make works out the tables for a size. The error lists the slopes that are missing.
 func Make(s Slopes, z Size) (Plan, error) {
-	m := &model{Size: z, slopes: s}
+	m := newModel(s, z)
 	p := Plan{Size: z, Control: m.control(), Hours: m.hours()}
 	node := Role{Name: "Entry node and owner together", Budget: &NodeBudget}
 	entry, owner := m.entry(), m.owner()
@@ -40,7 +40,7 @@
 		total.Mechanism = r.Name
 		node.Rows = append(node.Rows, total)
 	}
-	p.Roles = []Role{entry, owner, node, m.leader(), m.follower(), m.controller(), m.operators(), m.data()}
+	p.Roles = []Role{entry, owner, node, m.reduced(), m.leader(), m.follower(), m.controller(), m.operators(), m.data()}
 	unit := m.per(reference)
 	for _, slope := range s.Slopes {
 		step, base := slope.Fit()
@@ -110,7 +110,8 @@
 		{"VMs of 4 cores, half used", number(c.VMs)},
 		{"VMs allowed", number(c.Allowed) + ", " + against(c.VMs, c.Allowed)},
 		{"memory of all voters", bytes(c.Memory)},
-		{"memory of each of these VMs", bytes(c.MemoryPerVM)},
+		{"memory of each when all VMs allowed share it", bytes(c.MemoryPerVM)},
+		{"log saves under load, 16 commands each", number(c.Saves) + "/s, " + percent(c.SaveTime) + " of the time"},
 		{"log written by one voter in a day", bytes(c.Disk)},
 	})
 }
