--- a/internal/caller/bench_test.go
+++ b/internal/caller/bench_test.go
@@ -119,22 +119,34 @@
 				more := make(chan struct{})
 				f := streaming(b, 2, more)
 				before := capacity.Live()
-				conns := make([]net.Conn, n)
-				readers := make([]*bufio.Reader, n)
-				for i := range conns {
-					conns[i], readers[i] = openStream(b, f, 2)
+				open := make(map[net.Conn]*bufio.Reader)
+				for range n {
+					conn, r := openStream(b, f, 2)
+					open[conn] = r
 				}
 				b.ReportMetric(capacity.Live()-before, "live-bytes")
 				close(more)
-				for i, r := range readers {
+				for conn, r := range open {
 					_, _ = io.Copy(io.Discard, r)
-					_ = conns[i].Close()
+					_ = conn.Close()
 				}
 			}
 		})
 	}
 }
 
+// relay measures whole streams, one after the other.
+func relay(b *testing.B, f *fixture, tokens int) {
+	b.Helper()
+	cpu := capacity.CPU()
+	for b.Loop() {
+		conn, r := openStream(b, f, tokens)
+		_, _ = io.Copy(io.Discard, r)
+		_ = conn.Close()
+	}
+	b.ReportMetric(float64(capacity.CPU()-cpu)/float64(b.N), "cpu-ns")
+}
+
 // BenchmarkTokens measures a stream of n tokens that the upstream writes one by one;
 // cpu-ns holds the time of the upstream's and the caller's end too.
 func BenchmarkTokens(b *testing.B) {
@@ -143,13 +155,7 @@
 			more := make(chan struct{})
 			close(more)
 			f := streaming(b, n, more)
-			cpu := capacity.CPU()
-			for b.Loop() {
-				conn, r := openStream(b, f, n)
-				_, _ = io.Copy(io.Discard, r)
-				_ = conn.Close()
-			}
-			b.ReportMetric(float64(capacity.CPU()-cpu)/float64(b.N), "cpu-ns")
+			relay(b, f, n)
 		})
 	}
 }
@@ -178,13 +184,7 @@
 				f.announce(fmt.Sprintf("u%d", i), "chat", e.Address, 1, func(a *wire.Announce) { a.Limit = 4096 })
 			}
 			f.api.renew(time.Now())
-			cpu := capacity.CPU()
-			for b.Loop() {
-				conn, r := openStream(b, f, 1)
-				_, _ = io.Copy(io.Discard, r)
-				_ = conn.Close()
-			}
-			b.ReportMetric(float64(capacity.CPU()-cpu)/float64(b.N), "cpu-ns")
+			relay(b, f, 1)
 		})
 	}
 }
--- a/internal/capacity/table.go
+++ b/internal/capacity/table.go
@@ -53,12 +53,12 @@
 	return p, m.err()
 }
 
-// Markdown returns the tables one by one, each under its heading. The slopes, which
-// do not depend on the size, come first and only at the full size.
+// Markdown returns the tables one by one, each under its heading. The slopes and their
+// commands, which do not depend on the size, come first and only at the full size.
 func (p Plan) Markdown() []string {
 	var out []string
 	if p.Size.Name == FullSize.Name {
-		out = append(out, p.slopeTable())
+		out = append(out, p.slopeTable(), p.commandTable())
 	}
 	for _, r := range p.Roles {
 		out = append(out, r.table(p.Size.Name))
@@ -87,6 +87,20 @@
 	return table("Slopes", []string{"slope", "one step", "at zero", "ratio to reference.cpu", "step"}, rows)
 }
 
+// commandTable names the command that repeats each slope.
+func (p Plan) commandTable() string {
+	var rows [][]string
+	for _, f := range p.Slopes {
+		command := "`" + f.Command + "`"
+		if last := len(rows) - 1; last >= 0 && rows[last][1] == command {
+			rows[last][0] += ", " + f.Name
+			continue
+		}
+		rows = append(rows, []string{f.Name, command})
+	}
+	return table("Commands that repeat the slopes", []string{"slopes", "command, from the root of the repository"}, rows)
+}
+
 func (r Role) table(size string) string {
 	var rows [][]string
 	for _, row := range append(r.Rows[:len(r.Rows):len(r.Rows)], r.Total()) {
