--- a/internal/caller/follow.go
+++ b/internal/caller/follow.go
@@ -50,10 +50,15 @@
 		n, readErr := body.Read(buf)
 		p.Feed(buf[:n])
 		var err error
-		if out, err = a.events(c, at, &p, out[:0]); err == nil && readErr != nil && !t.Done() {
-			end, ok := t.Complete()
-			if out = append(out, end...); !ok {
-				err = fmt.Errorf("%w: %w", stream.ErrCut, readErr)
+		out, err = a.events(c, at, &p, out[:0])
+		if err == nil && readErr != nil && !t.Done() {
+			err = fmt.Errorf("%w: %w", stream.ErrCut, readErr)
+		}
+		ends := err != nil || at.move.Load()
+		if ends && !t.Done() {
+			// A continued answer whose last token was delivered would get one more.
+			if end, ok := t.Complete(); ok {
+				out, err = append(out, end...), nil
 			}
 		}
 		if len(out) > 0 {
@@ -68,7 +73,9 @@
 		case err != nil:
 			return err
 		case t.Done():
-			a.drainBody(at, body)
+			if !ends {
+				a.drainBody(at, body)
+			}
 			return nil
 		case at.move.Load() && a.moveOn(c, at):
 			return errMoved
--- a/internal/caller/follow_test.go
+++ b/internal/caller/follow_test.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"net/http"
+	"net/http/httptest"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/jaystage/jaystage/internal/config"
 	"github.com/jaystage/jaystage/internal/fake"
+	"github.com/jaystage/jaystage/pkg/stream"
 	"github.com/jaystage/jaystage/pkg/wire"
 )
 
@@ -217,3 +219,39 @@
 		t.Errorf("got %d tokens computed again, want the KV cache to be moved", got)
 	}
 }
+
+// An answer whose last token was delivered must not get another one when its
+// stream moves or fails before [DONE].
+func TestEndedAnswerIsNotContinued(t *testing.T) {
+	const last = `data: {"id":"chatcmpl-js-a.1","object":"chat.completion.chunk","choices":[{"index":0,"delta":{"content":"a "},"finish_reason":"length"}]}` + "\n\n"
+	tests := []struct {
+		name, then string
+		move       bool
+	}{
+		{"a move adds no token", "", true},
+		{"an error adds no token", `data: {"error":{}}` + "\n\n", false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFixture(t, nil)
+			f.addModel(t, "m2", fastModel(), nil)
+			req, err := stream.ParseRequest(stream.Chat, []byte(chatBody("hello", 1, true)))
+			if err != nil {
+				t.Fatal(err)
+			}
+			c := &call{id: "js-a", transcript: stream.NewTranscript(req, "chatcmpl-js-a"), service: f.view.Load().Services["chat"]}
+			at := &attempt{call: c, cancel: func(error) {}, ctx: t.Context()}
+			if _, err := c.transcript.Begin("js-a.1", stream.Options{}); err != nil {
+				t.Fatal(err)
+			}
+			at.move.Store(tt.move)
+			w := httptest.NewRecorder()
+			if err := f.api.followStream(w, c, at, stringsReader(last+tt.then)); err != nil {
+				t.Errorf("got %v, want the answer to be complete", err)
+			}
+			if text, done, _ := readTokens(w.Body, nil); text != "a " || !done {
+				t.Errorf("got %q, [DONE] %t, want one token", text, done)
+			}
+		})
+	}
+}
