--- a/internal/caller/client_test.go
+++ b/internal/caller/client_test.go
@@ -36,40 +36,7 @@
 		}
 	})
 	t.Run("a stream continued after a kill has one id, one finish and its usage", func(t *testing.T) {
-		streamed := request
-		streamed.StreamOptions = &openai.StreamOptions{IncludeUsage: true}
-		stream, err := client.CreateChatCompletionStream(context.Background(), streamed)
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer stream.Close()
-		var text strings.Builder
-		ids, finishes, usage := make(map[string]bool), 0, 0
-		for n := 1; ; n++ {
-			chunk, err := stream.Recv()
-			if errors.Is(err, io.EOF) {
-				break
-			}
-			if err != nil {
-				t.Fatal(err)
-			}
-			ids[chunk.ID] = true
-			for _, c := range chunk.Choices {
-				text.WriteString(c.Delta.Content)
-				if c.FinishReason != "" {
-					finishes++
-				}
-			}
-			if chunk.Usage != nil {
-				usage = chunk.Usage.CompletionTokens
-			}
-			if n == 5 {
-				f.procs[f.runner()].Kill()
-			}
-		}
-		if text.String() != want || len(ids) != 1 || finishes != 1 || usage != tokens {
-			t.Errorf("got %q, %d ids, %d finishes, usage %d, want %q, 1, 1, %d", text.String(), len(ids), finishes, usage, want, tokens)
-		}
+		checkClientStream(t, f, client, request, want, tokens)
 	})
 	t.Run("a refusal is an error with its status", func(t *testing.T) {
 		unknown := request
@@ -81,3 +48,43 @@
 		}
 	})
 }
+
+// checkClientStream kills the upstream in the middle of a stream and fails unless
+// the client sees one whole answer.
+func checkClientStream(t *testing.T, f *fixture, client *openai.Client, request openai.ChatCompletionRequest, want string, tokens int) {
+	t.Helper()
+	streamed := request
+	streamed.StreamOptions = &openai.StreamOptions{IncludeUsage: true}
+	stream, err := client.CreateChatCompletionStream(context.Background(), streamed)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer stream.Close()
+	var text strings.Builder
+	ids, finishes, usage := make(map[string]bool), 0, 0
+	for n := 1; ; n++ {
+		chunk, err := stream.Recv()
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+		ids[chunk.ID] = true
+		for _, c := range chunk.Choices {
+			text.WriteString(c.Delta.Content)
+			if c.FinishReason != "" {
+				finishes++
+			}
+		}
+		if chunk.Usage != nil {
+			usage = chunk.Usage.CompletionTokens
+		}
+		if n == 5 {
+			f.procs[f.runner()].Kill()
+		}
+	}
+	if text.String() != want || len(ids) != 1 || finishes != 1 || usage != tokens {
+		t.Errorf("got %q, %d ids, %d finishes, usage %d, want %q, 1, 1, %d", text.String(), len(ids), finishes, usage, want, tokens)
+	}
+}
