--- a/internal/caller/bench_test.go
+++ b/internal/caller/bench_test.go
@@ -6,6 +6,8 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
+	"slices"
 	"testing"
 	"time"
 
@@ -16,8 +18,9 @@
 	"github.com/jaystage/jaystage/pkg/wire"
 )
 
-// BenchmarkUpstreamMemory measures the memory of a node that owns n upstreams, holds
-// slots of them and has 200 prompts of 64 blocks in the prefix index of each.
+// BenchmarkUpstreamMemory measures the memory of a node that knows n upstreams of its
+// cell, owns an eighth of them, holds slots of them and has 200 prompts of 64 blocks,
+// more than fit, in the prefix index of each.
 func BenchmarkUpstreamMemory(b *testing.B) {
 	for _, prompts := range []int{0, 200} {
 		for _, n := range []int{50, 100, 200} {
@@ -26,15 +29,15 @@
 					before := capacity.Live()
 					keep := knowUpstreams(n, prompts)
 					b.ReportMetric(capacity.Live()-before, "live-bytes")
-					keep()
+					runtime.KeepAlive(keep)
 				}
 			})
 		}
 	}
 }
 
-// knowUpstreams fills a node's tables; the function it returns uses them.
-func knowUpstreams(n, prompts int) func() {
+// knowUpstreams fills a node's tables.
+func knowUpstreams(n, prompts int) *API {
 	now := time.Now()
 	self := routing.Node{Name: "entry-000", Incarnation: 1}
 	view := routing.View{Version: 1}
@@ -60,7 +63,7 @@
 			slots.prefix.Sent(id, blocks)
 		}
 	}
-	return func() { slots.Tick(registry.List()[0].Seen) }
+	return &API{Upstreams: registry, Slots: slots}
 }
 
 // streaming returns an API with one raw upstream that sends the first token of each
@@ -161,18 +164,38 @@
 }
 
 // BenchmarkTick measures one tick of the slots, due 200 times a second, at a node that
-// owns n upstreams and has nothing to report.
+// knows n upstreams, owns an eighth of them and has nothing to report.
 func BenchmarkTick(b *testing.B) {
 	for _, n := range []int{50, 100, 200} {
 		b.Run(fmt.Sprintf("n=%d", n), func(b *testing.B) {
-			tick := knowUpstreams(n, 0)
+			a, now := knowUpstreams(n, 0), time.Now()
 			for b.Loop() {
-				tick()
+				a.Slots.Tick(now)
 			}
 		})
 	}
 }
 
+// BenchmarkDemand measures the owner's decision on a demand for each of n upstreams
+// that it owns, the grants included.
+func BenchmarkDemand(b *testing.B) {
+	for _, n := range []int{10, 20, 40} {
+		b.Run(fmt.Sprintf("n=%d", n), func(b *testing.B) {
+			a, sequence := knowUpstreams(16*n, 0), uint64(1)
+			grants := 0
+			a.Slots.SendGrant = func(string, routing.Grant) { grants++ }
+			list := slices.DeleteFunc(a.Upstreams.List(), func(e upstream.Entry) bool { return !a.Slots.owner.Owns(e.ID) })[:n]
+			for b.Loop() {
+				sequence++
+				for _, e := range list {
+					a.Slots.TakeDemand(e.Seen, routing.Demand{Upstream: e.ID, Node: "entry-001", Incarnation: 1, Sequence: sequence, Epoch: 1, Want: 8})
+				}
+			}
+			b.ReportMetric(float64(grants)/float64(b.N), "grants")
+		})
+	}
+}
+
 // BenchmarkRequest measures a request of one token at a node that knows n upstreams of
 // its service; cpu-ns holds the time of the upstream's and the caller's end too.
 func BenchmarkRequest(b *testing.B) {
--- a/internal/capacity/control.go
+++ b/internal/capacity/control.go
@@ -85,7 +85,6 @@
 	rate, keys := m.Nodes/stepInterval, m.Rollouts*m.Keys
 	r := Row{
 		Mechanism: "rollout reports taken (internal/rollouts)", Sum: fmt.Sprintf("%.0f nodes / 0.5 s while %.0f rollouts run", m.Nodes, m.Rollouts),
-		State:  0,
 		Core:   (m.at("take.cpu", m.Nodes)/stepInterval*m.Rollouts)/1e9 + rate*m.core("frame.cpu"),
 		Slopes: []string{"report.bytes", "take.cpu", "frame.cpu"},
 	}
--- a/internal/capacity/node.go
+++ b/internal/capacity/node.go
@@ -109,7 +109,7 @@
 	rate := m.perNode() * (m.Cell - 1) / reportEvery
 	r := Row{
 		Mechanism: "slot demands taken, grants sent (pkg/routing)", Sum: fmt.Sprintf("%.1f upstreams × %.0f nodes / 0.475 s", m.perNode(), m.Cell-1),
-		Core: rate * m.core("demand.cpu"), Slopes: []string{"demand.bytes", "demand.cpu", "grant.bytes"},
+		Core: rate * (m.core("demand.cpu") + m.core("decide.cpu")), Slopes: []string{"decide.cpu", "demand.bytes", "demand.cpu", "grant.bytes"},
 	}
 	return m.send(r, rate, m.at("demand.bytes", 1), rate, m.at("grant.bytes", 1))
 }
@@ -154,7 +154,7 @@
 	size := slotBytes*n.perNode() + envelope("cell")
 	slots := Row{
 		Mechanism: "slot reports and grants, one frame a pair of nodes", Sum: fmt.Sprintf("2 × %.0f nodes / %d s × %.1f upstreams × %d B", n.Cell-1, slotReport, n.perNode(), slotBytes),
-		Core: 2 * rate * n.perNode() * n.core("demand.cpu"), Slopes: []string{"demand.cpu"},
+		Core: rate * n.perNode() * (n.core("demand.cpu") + n.core("decide.cpu") + n.core("grant.cpu")), Slopes: []string{"decide.cpu", "demand.cpu", "grant.cpu"},
 	}
 	tables := n.tables()
 	tables.Sum = fmt.Sprintf("%.1f upstreams / %d s, only those that are due", n.perCell(), slotReport)
