--- a/internal/capacity/measure.go
+++ b/internal/capacity/measure.go
@@ -1,7 +1,10 @@
 package capacity
 
 import (
+	"context"
+	"net"
 	"runtime"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -73,3 +76,34 @@
 	runtime.ReadMemStats(&m)
 	return float64(m.HeapAlloc + m.StackInuse)
 }
+
+// Counter counts the bytes that the connections it dials receive and send.
+type Counter struct{ In, Out atomic.Int64 }
+
+// Dial connects; it serves as DialContext of an HTTP transport.
+func (c *Counter) Dial(ctx context.Context, network, address string) (net.Conn, error) {
+	conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return countedConn{conn, c}, nil
+}
+
+type countedConn struct {
+	net.Conn
+	counter *Counter
+}
+
+// Read implements net.Conn.
+func (c countedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.counter.In.Add(int64(n))
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c countedConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.counter.Out.Add(int64(n))
+	return n, err
+}
--- a/internal/cell/bench_test.go
+++ b/internal/cell/bench_test.go
@@ -6,10 +6,8 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -65,24 +63,6 @@
 	}
 }
 
-// countingConn counts the bytes of a connection.
-type countingConn struct {
-	net.Conn
-	in, out *atomic.Int64
-}
-
-func (c countingConn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	c.in.Add(int64(n))
-	return n, err
-}
-
-func (c countingConn) Write(b []byte) (int, error) {
-	n, err := c.Conn.Write(b)
-	c.out.Add(int64(n))
-	return n, err
-}
-
 // BenchmarkHeartbeat measures n heartbeats over HTTP at the owner, which passes each
 // on to seven nodes. cpu-ns holds the time of both ends of the HTTP connection.
 func BenchmarkHeartbeat(b *testing.B) {
@@ -92,11 +72,8 @@
 			s := &upstream.Announcements{Take: c.Announce, Tokens: bearer.Tokens{"u": bearer.Hash("0123456789abcdef0123456789abcdef")}, Log: c.Log, Now: time.Now}
 			server := httptest.NewServer(s.Handler())
 			defer server.Close()
-			var in, out atomic.Int64
-			client := &http.Client{Transport: &http.Transport{DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
-				conn, err := (&net.Dialer{}).DialContext(ctx, network, addr)
-				return countingConn{conn, &in, &out}, err
-			}}}
+			var wired capacity.Counter
+			client := &http.Client{Transport: &http.Transport{DialContext: wired.Dial}}
 			defer client.CloseIdleConnections()
 			sequence := uint64(0)
 			round := func() {
@@ -108,8 +85,7 @@
 			}
 			round() // the first announcements are no heartbeats
 			announced := sent.bytes / 7
-			in.Store(0)
-			out.Store(0)
+			in, out := wired.In.Load(), wired.Out.Load()
 			*sent = sink{}
 			cpu := capacity.CPU()
 			for b.Loop() {
@@ -117,8 +93,8 @@
 			}
 			per := func(v float64, unit string) { b.ReportMetric(v/float64(b.N), unit) }
 			per(float64(capacity.CPU()-cpu), "cpu-ns")
-			per(float64(out.Load()), "in-bytes")
-			per(float64(in.Load()), "out-bytes")
+			per(float64(wired.Out.Load()-out), "in-bytes")
+			per(float64(wired.In.Load()-in), "out-bytes")
 			per(float64(sent.bytes)/7, "pulse-bytes")
 			b.ReportMetric(float64(announced), "announce-bytes")
 		})
