--- a/internal/cell/cell_test.go
+++ b/internal/cell/cell_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"reflect"
 	"testing"
 	"time"
 
@@ -220,25 +221,47 @@
 	}
 }
 
+// fill sets every field of a struct, so that a field that a conversion leaves out
+// shows as a difference.
+func fill(t *rapid.T, v reflect.Value) {
+	for i := range v.NumField() {
+		field, name := v.Field(i), v.Type().Field(i).Name
+		switch field.Kind() {
+		case reflect.Struct:
+			fill(t, field)
+		case reflect.String:
+			field.SetString(rapid.StringMatching(`[a-z]{1,8}`).Draw(t, name))
+		case reflect.Bool:
+			field.SetBool(true)
+		case reflect.Uint64:
+			field.SetUint(rapid.Uint64Range(1, 1<<40).Draw(t, name))
+		case reflect.Int, reflect.Int64:
+			field.SetInt(rapid.Int64Range(1, 1<<40).Draw(t, name))
+		case reflect.Slice:
+			field.Set(reflect.MakeSlice(field.Type(), 1, 1))
+			fill(t, field.Index(0))
+		default:
+			t.Fatalf("field %s: got kind %s, want one that is filled here", name, field.Kind())
+		}
+	}
+}
+
 func TestConversionsKeepEveryField(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		n := func(name string) uint64 { return rapid.Uint64Range(0, 1<<40).Draw(t, name) }
-		d := routing.Demand{
-			Upstream: "u", Node: "n", Incarnation: n("i"), Sequence: n("s"), Epoch: n("e"), Running: int(n("r")), Want: int(n("w")),
-			Prefill: int(n("p")), Alone: true, Start: n("st"), Applied: n("ap"), Echo: time.Duration(n("ec")),
-			Evidence: routing.Evidence{Generation: n("g"), Good: int(n("go")), Slow: int(n("sl")), Cold: true},
-			Hint:     routing.Hint{Epoch: n("he"), Number: n("hn"), Incarnation: n("hi"), Limit: int(n("hl")), Cold: true},
-		}
+		var d routing.Demand
+		fill(t, reflect.ValueOf(&d).Elem())
 		if got := demandFromWire(demandToWire(d)); got != d {
 			t.Fatalf("demand: got %+v, want %+v", got, d)
 		}
-		g := routing.Grant{
-			Upstream: "u", To: "t", Owner: "o", Start: n("gs"), Epoch: n("ge"), Number: n("gn"), Sequence: n("gq"), TTL: time.Duration(n("gt")),
-			Slots: int(n("gl")), Alone: true, Stamp: time.Duration(n("gst")), Ask: true, Incarnation: n("gi"), Limit: int(n("gli")),
-			Generation: n("gg"), Prefill: int(n("gp")),
-		}
+		var g routing.Grant
+		fill(t, reflect.ValueOf(&g).Elem())
 		if got := grantFromWire(grantToWire(g)); got != g {
 			t.Fatalf("grant: got %+v, want %+v", got, g)
 		}
+		var s routing.Suspect
+		fill(t, reflect.ValueOf(&s).Elem())
+		if got := suspectFromWire(suspectToWire(s)); !reflect.DeepEqual(got, s) {
+			t.Fatalf("suspect: got %+v, want %+v", got, s)
+		}
 	})
 }
--- a/internal/cell/convert.go
+++ b/internal/cell/convert.go
@@ -10,7 +10,7 @@
 func demandToWire(d routing.Demand) wire.SlotDemand {
 	return wire.SlotDemand{
 		Upstream: d.Upstream, Node: d.Node, Incarnation: d.Incarnation, Sequence: d.Sequence, Epoch: d.Epoch,
-		Running: uint64(d.Running), Want: uint64(d.Want), Prefill: uint64(d.Prefill), Alone: d.Alone,
+		Running: uint64(d.Running), Low: uint64(d.Low), Want: uint64(d.Want), Prefill: uint64(d.Prefill), Alone: d.Alone,
 		Start: d.Start, Applied: d.Applied, Echo: uint64(d.Echo),
 		Generation: d.Evidence.Generation, Good: uint64(d.Evidence.Good), Slow: uint64(d.Evidence.Slow), Cold: d.Evidence.Cold,
 		Hint: wire.SlotHint{
@@ -22,7 +22,7 @@
 func demandFromWire(d wire.SlotDemand) routing.Demand {
 	return routing.Demand{
 		Upstream: d.Upstream, Node: d.Node, Incarnation: d.Incarnation, Sequence: d.Sequence, Epoch: d.Epoch,
-		Running: int(d.Running), Want: int(d.Want), Prefill: int(d.Prefill), Alone: d.Alone,
+		Running: int(d.Running), Low: int(d.Low), Want: int(d.Want), Prefill: int(d.Prefill), Alone: d.Alone,
 		Start: d.Start, Applied: d.Applied, Echo: time.Duration(d.Echo),
 		Evidence: routing.Evidence{Generation: d.Generation, Good: int(d.Good), Slow: int(d.Slow), Cold: d.Cold},
 		Hint: routing.Hint{
--- a/pkg/wire/cell.go
+++ b/pkg/wire/cell.go
@@ -84,6 +84,9 @@
 	// Start number of the reporting process.
 	Incarnation uint64 `json:"incarnation"`
 
+	// Least number of open requests since the previous report.
+	Low uint64 `json:"low,omitempty,omitzero"`
+
 	// Reporting node.
 	Node string `json:"node"`
 
