--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -18,6 +18,7 @@
 	"github.com/jaystage/jaystage/internal/event"
 	"github.com/jaystage/jaystage/internal/operator"
 	"github.com/jaystage/jaystage/internal/peer"
+	"github.com/jaystage/jaystage/internal/periodic"
 	"github.com/jaystage/jaystage/internal/replica"
 	"github.com/jaystage/jaystage/internal/rollouts"
 	"github.com/jaystage/jaystage/internal/settings"
@@ -183,23 +184,11 @@
 
 // expire removes upstreams that missed their heartbeats, until ctx ends.
 func (n *Node) expire(ctx context.Context) <-chan struct{} {
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		ticker := time.NewTicker(announceInterval)
-		defer ticker.Stop()
-		for {
-			select {
-			case <-ctx.Done():
-				return
-			case now := <-ticker.C:
-				for _, e := range n.Registry.Expire(now) {
-					event.With(n.Log, event.UpstreamExpired).WithField("upstream", e.ID).Warn("upstream missed its heartbeats")
-				}
-			}
+	return periodic.Run(ctx, announceInterval, func(_ context.Context, now time.Time) {
+		for _, e := range n.Registry.Expire(now) {
+			event.With(n.Log, event.UpstreamExpired).WithField("upstream", e.ID).Warn("upstream missed its heartbeats")
 		}
-	}()
-	return done
+	})
 }
 
 func tokens(list []settings.Token) bearer.Tokens {
--- a/internal/rollouts/controller.go
+++ b/internal/rollouts/controller.go
@@ -15,6 +15,7 @@
 	"github.com/jaystage/jaystage/internal/config"
 	"github.com/jaystage/jaystage/internal/event"
 	"github.com/jaystage/jaystage/internal/peer"
+	"github.com/jaystage/jaystage/internal/periodic"
 	"github.com/jaystage/jaystage/internal/upstream"
 	"github.com/jaystage/jaystage/pkg/rollout"
 	"github.com/jaystage/jaystage/pkg/wire"
@@ -93,22 +94,10 @@
 // Run reports, and judges while the node leads, until ctx ends. The channel closes
 // after that.
 func (c *Controller) Run(ctx context.Context) <-chan struct{} {
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		ticker := time.NewTicker(stepInterval)
-		defer ticker.Stop()
-		for {
-			select {
-			case <-ctx.Done():
-				return
-			case <-ticker.C:
-				c.report(ctx)
-				c.judge(ctx)
-			}
-		}
-	}()
-	return done
+	return periodic.Run(ctx, stepInterval, func(ctx context.Context, _ time.Time) {
+		c.report(ctx)
+		c.judge(ctx)
+	})
 }
 
 // report sends the node's counts to the leader and takes the permits of the reply.
