Admit bookings before their intent is recorded

Requests on routes with Once skipped the admission queue, so they were neither refused under overload nor ordered by class and fair share, and a booking that waited for a slot held a recorded intent. They now take a place in the queue first. A booking that has to wait or is refused looks its key up at the leader, which records nothing; a duplicate leaves the queue and gets its answer without a slot. A booking that starts at once needs no extra look-up, because begin recognizes duplicates. A refusal with the verdict not-run is given only after a look-up that found the key free.

The place in the queue ends when the answer has arrived, not when it is recorded.

--- a/internal/caller/booking.go
+++ b/internal/caller/booking.go
@@ -29,13 +29,17 @@
 	// recordWait is how long an answer is held back until it is recorded. It covers
 	// an election; after it the caller gets the answer, and recording goes on.
 	recordWait = 3 * time.Second
-	// statusTimeout bounds the look-up of what became of a booking.
+	// statusTimeout bounds the look-up of what became of a booking, in the record or
+	// at the service.
 	statusTimeout = 2 * time.Second
 )
 
 // Bookings records requests that may run at most once.
 type Bookings interface {
 	Begin(ctx context.Context, b wire.Booking) (*replica.Attempt, wire.Booked, error)
+	// Lookup tells the state of a key without recording anything; a key that is free
+	// is abandoned.
+	Lookup(ctx context.Context, b wire.Booking) (wire.Booked, error)
 	Await(ctx context.Context, b wire.Booking) (wire.Booked, error)
 	Settle(ctx context.Context, b wire.Booking, answer wire.Answer) (wire.Booked, error)
 }
@@ -49,8 +53,8 @@
 	resend    bool // send a booking again that may have run
 }
 
-// book records the intent, sends the request once and records the answer. A
-// duplicate gets the recorded answer. Once the intent is recorded, the work does
+// book waits for admission, records the intent, sends the request once and records
+// the answer. A duplicate gets the recorded answer. Once the intent is recorded, the work does
 // not end with the caller's connection.
 func (a *API) book(ctx context.Context, w http.ResponseWriter, c *call) error {
 	b, err := newBooking(c)
@@ -63,14 +67,21 @@
 		send = func(context.Context, *call) (wire.Answer, error) { return answer, err }
 	}
 	for {
-		attempt, booked, err := a.Bookings.Begin(ctx, b)
+		booked, err := a.admitOnce(ctx, c, b)
 		if err != nil {
-			return beginFailed(err)
+			return err
 		}
-		if booked.Fresh {
-			b.Attempt = attempt.ID()
-			return a.sendOnce(ctx, w, c, b, attempt, send)
+		if booked.State == state.StateAbandoned {
+			var attempt *replica.Attempt
+			if attempt, booked, err = a.Bookings.Begin(ctx, b); err != nil {
+				return beginFailed(err)
+			}
+			if booked.Fresh {
+				b.Attempt = attempt.ID()
+				return a.sendOnce(ctx, w, c, b, attempt, send)
+			}
 		}
+		a.dequeue(c) // a duplicate needs no slot
 		if booked.State == state.StateRunning {
 			if booked, err = a.Bookings.Await(ctx, b); err != nil {
 				return &verdict.Error{
@@ -85,6 +96,42 @@
 	}
 }
 
+// admitOnce waits for the turn of a booking. It returns the state of the key:
+// abandoned when the booking may begin, another one for a duplicate. The record is
+// read only when the booking has to wait or is refused, since Begin tells duplicates
+// apart as well. A refusal says that the request was not run, so it needs a look-up
+// that found the key free.
+func (a *API) admitOnce(ctx context.Context, c *call, b wire.Booking) (wire.Booked, error) {
+	free := wire.Booked{State: state.StateAbandoned}
+	refusal := a.offer(c)
+	if refusal == nil && len(c.turn) == 0 && !c.keyless {
+		// If this look-up fails, Begin finds the duplicate later.
+		if booked, err := a.lookup(ctx, b); err == nil && booked.State != state.StateAbandoned {
+			return booked, nil
+		}
+	}
+	if refusal == nil {
+		refusal = a.awaitTurn(ctx, c)
+	}
+	if refusal == nil {
+		return free, nil
+	}
+	booked, err := a.lookup(context.WithoutCancel(ctx), b)
+	switch {
+	case err != nil:
+		return free, beginFailed(err)
+	case booked.State == state.StateAbandoned:
+		return free, refusal
+	}
+	return booked, nil
+}
+
+func (a *API) lookup(ctx context.Context, b wire.Booking) (wire.Booked, error) {
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	return a.Bookings.Lookup(ctx, b)
+}
+
 // newBooking names the booking of a call and binds its key to the request.
 func newBooking(c *call) (wire.Booking, error) {
 	key := c.header.Get(KeyHeader)
@@ -128,6 +175,7 @@
 	ctx, end := a.begin(context.WithoutCancel(ctx), c)
 	defer end()
 	answer, err := send(ctx, c)
+	a.dequeue(c) // recording the answer needs no slot
 	switch {
 	case err == nil:
 		return a.recordAnswer(ctx, w, answer, attempt)
--- a/internal/caller/booking_test.go
+++ b/internal/caller/booking_test.go
@@ -2,11 +2,16 @@
 
 import (
 	"bytes"
+	"context"
 	"fmt"
 	"net/http"
 	"sync"
 	"testing"
 	"time"
+
+	"github.com/jaystage/jaystage/internal/config"
+	"github.com/jaystage/jaystage/pkg/state"
+	"github.com/jaystage/jaystage/pkg/wire"
 )
 
 // Guards against a second run when duplicates arrive through all nodes at the same
@@ -104,6 +109,74 @@
 	d.ranOnce("k")
 }
 
+// awaitSeen tells when a duplicate waits for the end of a running booking.
+type awaitSeen struct {
+	Bookings
+	seen chan struct{}
+}
+
+func (a awaitSeen) Await(ctx context.Context, b wire.Booking) (wire.Booked, error) {
+	a.seen <- struct{}{}
+	return a.Bookings.Await(ctx, b)
+}
+
+// Guards against bookings that hold a recorded intent while they wait, and against
+// duplicates that are refused because the service is overloaded.
+func TestWaitingBookingHoldsNoIntentAndDuplicatesNeedNoSlot(t *testing.T) {
+	d := newDesk(t, func(s *config.Site) { s.Accounts[0].Concurrency = 1 })
+	done := d.mustBook("a", "done", "{}", http.StatusCreated)
+	api := d.nodes["a"].api
+	awaits := awaitSeen{api.Bookings, make(chan struct{}, 1)}
+	api.Bookings = awaits
+	inside, leave := make(chan struct{}), make(chan struct{})
+	release := sync.OnceFunc(func() { close(leave) })
+	t.Cleanup(release)
+	enter := sync.OnceFunc(func() { close(inside) })
+	hold := func() { enter(); <-leave }
+	d.before.Store(&hold)
+	var group sync.WaitGroup
+	book := func(key string) {
+		group.Go(func() {
+			if got, err := d.book("a", key, "{}"); err != nil || got.status != http.StatusCreated {
+				t.Errorf("booking %s: got %+v, %v, want it booked", key, got, err)
+			}
+		})
+	}
+	book("running")
+	<-inside
+	book("waiting")
+	d.eventually("a booking waits", func() bool {
+		api.queues.mu.Lock()
+		defer api.queues.mu.Unlock()
+		q := api.queues.services["booking"]
+		return q != nil && q.controller.Waiting() == 1
+	})
+	refused := d.mustBook("a", "refused", "{}", http.StatusTooManyRequests)
+	if !bytes.Contains([]byte(refused.body), []byte("not-run")) {
+		t.Errorf("got %s, want the verdict not-run", refused.body)
+	}
+	// The look-up names no hash, so that a recorded key does not match.
+	for key, want := range map[string]string{"waiting": state.StateAbandoned, "refused": state.StateAbandoned, "running": state.StateMismatch} {
+		got, err := d.nodes["b"].Lookup(t.Context(), wire.Booking{Account: "acc", Service: "booking", Key: key})
+		if err != nil || got.State != want {
+			t.Errorf("record of %s: got %+v, %v, want %s", key, got, err, want)
+		}
+	}
+	if got := d.mustBook("a", "done", "{}", http.StatusCreated); got != done {
+		t.Errorf("duplicate of a finished booking: got %+v, want %+v", got, done)
+	}
+	book("running")
+	select {
+	case <-awaits.seen:
+	case <-time.After(patience):
+		t.Error("the duplicate of a running booking does not wait for its answer")
+	}
+	release()
+	group.Wait()
+	d.ranOnce("running")
+	d.ranOnce("waiting")
+}
+
 // Guards against a lost or doubled booking when leaders fail while bookings run.
 func TestBookingsRunAtMostOnceWhileLeadersAreCutOff(t *testing.T) {
 	d := newDesk(t)
--- a/internal/caller/desk_test.go
+++ b/internal/caller/desk_test.go
@@ -114,7 +114,7 @@
 	}
 }
 
-func newDesk(t *testing.T) *desk {
+func newDesk(t *testing.T, changes ...func(*config.Site)) *desk {
 	t.Helper()
 	d := &desk{t: t, service: &fake.Booking{}, nodes: map[string]*entry{}}
 	run := func(f *atomic.Pointer[func()]) {
@@ -154,7 +154,7 @@
 		server.CloseClientConnections()
 		server.Close()
 	})
-	d.configure()
+	d.configure(changes)
 	return d
 }
 
@@ -207,10 +207,10 @@
 }
 
 // configure puts a configuration with one booking service in force.
-func (d *desk) configure() {
+func (d *desk) configure(changes []func(*config.Site)) {
 	d.t.Helper()
 	second := config.Duration(time.Second)
-	items, err := config.Items(config.Site{
+	site := config.Site{
 		Name:     "test",
 		Accounts: []config.Account{{Name: "acc", Token: bearer.Hash("secret"), Weight: 1}},
 		Services: []config.Service{{
@@ -218,7 +218,11 @@
 			Classes: []config.Class{{Name: "booking", First: 10 * second, Complete: 30 * second, Progress: 20 * second}},
 			Routes:  []config.Route{{Path: "/bookings", Methods: []string{"POST"}, Class: "booking", Once: true}},
 		}},
-	})
+	}
+	for _, change := range changes {
+		change(&site)
+	}
+	items, err := config.Items(site)
 	if err != nil {
 		d.t.Fatal(err)
 	}
--- a/internal/caller/queue.go
+++ b/internal/caller/queue.go
@@ -82,9 +82,17 @@
 }
 
 // enqueue waits for the call's turn, or refuses the call when its deadline cannot
-// be met. A request that may run at most once has its own record and does not wait
-// here.
+// be met.
 func (a *API) enqueue(ctx context.Context, c *call) error {
+	if err := a.offer(c); err != nil {
+		return err
+	}
+	return a.awaitTurn(ctx, c)
+}
+
+// offer gives the call a place in its queue, or refuses it. A call that starts at
+// once has its turn already.
+func (a *API) offer(c *call) error {
 	now := a.Now()
 	view, ok := a.Viewer.View(now)
 	if !ok {
@@ -110,6 +118,11 @@
 	if !decision.Accepted {
 		return decision.Refusal
 	}
+	return nil
+}
+
+// awaitTurn waits until a call that has a place starts or is refused after all.
+func (a *API) awaitTurn(ctx context.Context, c *call) error {
 	select {
 	case refusal := <-c.turn:
 		if refusal != nil {
--- a/internal/replica/booking.go
+++ b/internal/replica/booking.go
@@ -119,6 +119,19 @@
 	return *o.Booked, nil
 }
 
+// Lookup returns the state of a booking as the leader has it, without recording an
+// intent; a key that is free is abandoned.
+func (r *Replica) Lookup(ctx context.Context, b wire.Booking) (wire.Booked, error) {
+	got, _, err := ask(ctx, r, kindLookup, func() any { return b }, func(p wire.Proposed) (bool, string) { return p.Elsewhere, p.Leader })
+	switch {
+	case err != nil:
+		return wire.Booked{}, err
+	case got.Outcome == nil || got.Outcome.Booked == nil:
+		return wire.Booked{}, fmt.Errorf("%w: the leader gave no state of the booking", ErrUnavailable)
+	}
+	return *got.Outcome.Booked, nil
+}
+
 // Await returns the state of a booking once it is not running any more, or when
 // ctx ends.
 func (r *Replica) Await(ctx context.Context, b wire.Booking) (wire.Booked, error) {
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -36,6 +36,7 @@
 	kindRenew   = "renew"
 	kindPush    = "lease"
 	kindAwait   = "await"
+	kindLookup  = "lookup"
 	kindVoters  = "voters"
 	kindBooking = "booking"
 )
--- a/internal/replica/serve.go
+++ b/internal/replica/serve.go
@@ -17,7 +17,7 @@
 // handlers returns what this node answers to others and to itself.
 func (r *Replica) handlers() map[string]peer.Handler {
 	return map[string]peer.Handler{
-		kindPropose: r.onPropose, kindRenew: r.onRenew, kindAwait: r.onAwait, kindBooking: r.onBooking, kindVoters: r.onVoters,
+		kindPropose: r.onPropose, kindRenew: r.onRenew, kindAwait: r.onAwait, kindBooking: r.onBooking, kindLookup: r.onLookup, kindVoters: r.onVoters,
 	}
 }
 
@@ -116,6 +116,22 @@
 	return reply, err
 }
 
+func (r *Replica) onLookup(_ context.Context, _ string, body []byte) (any, error) {
+	var request wire.Booking
+	if err := wire.Unmarshal(body, &request); err != nil {
+		return nil, err
+	}
+	if r.voter == nil {
+		return wire.Proposed{Elsewhere: true, Leader: r.Leader()}, nil
+	}
+	var booked wire.Booked
+	err := r.voter.readable(func(l *leadership) { booked = l.v.machine.Lookup(request) })
+	if elsewhere(err) {
+		return wire.Proposed{Elsewhere: true, Leader: r.Leader()}, nil
+	}
+	return wire.Proposed{Outcome: &wire.Outcome{Booked: &booked}}, err
+}
+
 // await registers a question with the leadership and waits for its answer.
 func (r *Replica) await(ctx context.Context, register func(*leadership, chan any)) (any, error) {
 	answer := make(chan any, 1)
--- a/pkg/state/booking.go
+++ b/pkg/state/booking.go
@@ -79,6 +79,25 @@
 	return u
 }
 
+// Lookup returns what begin would return, without recording an intent. A key that
+// is free is abandoned.
+func (m *Machine) Lookup(b wire.Booking) wire.Booked {
+	key := keyOf(b)
+	in := m.intents[key]
+	switch {
+	case in == nil:
+		if until, ok := m.tombstones[tombOf(key)]; ok && until > m.now {
+			return wire.Booked{State: StateExpired}
+		}
+		return wire.Booked{State: StateAbandoned}
+	case in.State != StateRunning && in.Expires <= m.now:
+		return wire.Booked{State: StateExpired}
+	case in.Hash != b.Hash:
+		return wire.Booked{State: StateMismatch}
+	}
+	return booked(in)
+}
+
 // begin records the intent to send a request. Only an outcome that is fresh
 // permits its proposer to send.
 func (m *Machine) begin(b wire.Booking) wire.Booked {
