Use the retry budget of pkg/admission

internal/caller had a second implementation of the same rule: a tenth of the successes of the last 10 s, at least 3. It is removed. TestBudget now compares every decision of the kept budget with a reference count for two classes, so it finds retries that are refused too early and budgets that are mixed up as well as retries that are too many; the former test bounded only the latter.

--- a/internal/caller/repeat.go
+++ b/internal/caller/repeat.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/jaystage/jaystage/internal/event"
+	"github.com/jaystage/jaystage/pkg/admission"
 	"github.com/jaystage/jaystage/pkg/verdict"
 )
 
@@ -17,13 +18,8 @@
 	// firstBackoff doubles with each attempt without a new token.
 	firstBackoff = 20 * time.Millisecond
 	maxBackoff   = time.Second
-
-	// A class's retries are limited to retryShare of its successes of the last
-	// retryWindow, and are always at least minRetries.
-	retryShare  = 0.1
-	minRetries  = 3
-	retryWindow = 10 * time.Second
-	retryPoll   = 20 * time.Millisecond
+	// retryPoll is how often a call looks whether its class may retry again.
+	retryPoll = 20 * time.Millisecond
 )
 
 // step is what follows a failed attempt.
@@ -113,25 +109,16 @@
 // budgets holds the retry budget of each service's classes.
 type budgets struct {
 	mu      sync.Mutex
-	classes map[[2]string]*budget
-}
-
-// budget counts successes and retries per second of the window.
-type budget struct {
-	seconds [int(retryWindow / time.Second)]struct {
-		second    int64
-		successes int
-		retries   int
-	}
+	classes map[[2]string]*admission.Budget
 }
 
-func (b *budgets) of(c *call) *budget {
+func (b *budgets) of(c *call) *admission.Budget {
 	if b.classes == nil {
-		b.classes = make(map[[2]string]*budget)
+		b.classes = make(map[[2]string]*admission.Budget)
 	}
 	key := [2]string{c.service.Name, c.class.Name}
 	if b.classes[key] == nil {
-		b.classes[key] = &budget{}
+		b.classes[key] = &admission.Budget{}
 	}
 	return b.classes[key]
 }
@@ -139,38 +126,12 @@
 func (b *budgets) success(now time.Time, c *call) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.of(c).add(now, 1, 0)
+	b.of(c).Success(now)
 }
 
 // spend takes one retry from the budget of the call's class.
 func (b *budgets) spend(now time.Time, c *call) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	class := b.of(c)
-	if !class.allows(now) {
-		return false
-	}
-	class.add(now, 0, 1)
-	return true
-}
-
-func (b *budget) add(now time.Time, successes, retries int) {
-	second := now.Unix()
-	s := &b.seconds[second%int64(len(b.seconds))]
-	if s.second != second {
-		s.second, s.successes, s.retries = second, 0, 0
-	}
-	s.successes += successes
-	s.retries += retries
-}
-
-func (b *budget) allows(now time.Time) bool {
-	successes, retries := 0, 0
-	for _, s := range b.seconds {
-		if now.Unix()-s.second < int64(len(b.seconds)) {
-			successes += s.successes
-			retries += s.retries
-		}
-	}
-	return float64(retries) < max(minRetries, retryShare*float64(successes))
+	return b.of(c).Spend(now)
 }
--- a/internal/caller/retry_test.go
+++ b/internal/caller/retry_test.go
@@ -206,37 +206,43 @@
 // Retries must stay within their share of the successes of the last 10 s.
 func TestBudget(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		var b budget
-		now := time.Unix(1000, 0)
+		var b budgets
+		start := time.Unix(1000, 0)
+		now := start
 		type entry struct {
-			at      time.Time
+			second  int
 			success bool
 		}
-		var log []entry
-		for range rapid.IntRange(1, 200).Draw(t, "events") {
-			now = now.Add(time.Duration(rapid.IntRange(0, 1500).Draw(t, "ms")) * time.Millisecond)
-			if rapid.Bool().Draw(t, "success") {
-				b.add(now, 1, 0)
-				log = append(log, entry{now, true})
-				continue
-			}
-			if !b.allows(now) {
+		calls := map[string]*call{"x": {class: config.Class{Name: "x"}}, "y": {class: config.Class{Name: "y"}}}
+		for _, c := range calls {
+			b.success(start, c)
+		}
+		log := map[string][]entry{"x": {{0, true}}, "y": {{0, true}}}
+		for range rapid.IntRange(1, 400).Draw(t, "events") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 1500).Draw(t, "ms")/rapid.SampledFrom([]int{1, 20}).Draw(t, "pace")) * time.Millisecond)
+			second := int(now.Sub(start) / time.Second)
+			name := rapid.SampledFrom([]string{"x", "x", "x", "y"}).Draw(t, "class")
+			if rapid.IntRange(0, 9).Draw(t, "kind") < 7 {
+				b.success(now, calls[name])
+				log[name] = append(log[name], entry{second, true})
 				continue
 			}
-			b.add(now, 0, 1)
-			log = append(log, entry{now, false})
 			successes, retries := 0, 0
-			for _, e := range log {
+			for _, e := range log[name] {
 				switch {
-				case now.Unix()-e.at.Unix() >= 10:
+				case second-e.second >= 10:
 				case e.success:
 					successes++
 				default:
 					retries++
 				}
 			}
-			if float64(retries) > max(minRetries, retryShare*float64(successes)+1) {
-				t.Fatalf("got %d retries after %d successes", retries, successes)
+			got, want := b.spend(now, calls[name]), retries < max(3, successes/10)
+			if got != want {
+				t.Fatalf("retry after %d retries and %d successes of class %s: got %t, want %t", retries, successes, name, got, want)
+			}
+			if got {
+				log[name] = append(log[name], entry{second, false})
 			}
 		}
 	})
