Use the learned limit of upstreams that other nodes own

Cause: a node took its part of an upstream's limit from its own owner only, so that for upstreams of other owners it stayed at the first limit: one request at a time with Start 2 and 3 nodes; and the part of an idle node could not be used, since waiting calls asked for no slots. Found by reading the queue as a newcomer; no test had two nodes. Change: the limit as told with the last grant, demand for waiting calls, capacity that includes granted slots. Conclusion: tests of the request path with one node hide faults of the cell; more of them should run with two.

--- a/internal/caller/queue.go
+++ b/internal/caller/queue.go
@@ -159,6 +159,7 @@
 			list = append(list, e)
 		}
 	}
+	a.Slots.wantSlots(now, list, q.controller.Waiting())
 	q.controller.Capacity(a.Slots.capacity(now, list, service.Start))
 }
 
@@ -213,8 +214,19 @@
 	}
 }
 
+// wantSlots asks for slots of the upstreams for the calls that wait. Owners divide
+// by demand, so that the part of an idle node does not stay unused.
+func (s *Slots) wantSlots(now time.Time, list []upstream.Entry, waiting int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i := range list {
+		s.holder.Queue(list[i].ID, (waiting+i)/len(list))
+	}
+	s.pump(now)
+}
+
 // capacity returns how many requests this node may expect to run at once on the
-// upstreams: its part of their limits, or what it runs already if that is more.
+// upstreams: its part of their limits, or what it was granted if that is more.
 func (s *Slots) capacity(now time.Time, list []upstream.Entry, start int) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -226,13 +238,13 @@
 		if u.isShunned(now, e) {
 			continue
 		}
-		limit := s.owner.Limit(now, e.ID)
+		limit := max(s.owner.Limit(now, e.ID), s.holder.Limit(e.ID))
 		if limit == 0 {
 			if limit = start; limit <= 0 {
 				limit = defaultStart
 			}
 		}
-		sum += max(u.running, (limit+nodes-1)/nodes)
+		sum += max(u.running+s.holder.Free(now, e.ID), (limit+nodes-1)/nodes)
 	}
 	return sum
 }
--- /dev/null
+++ b/internal/caller/slots_test.go
@@ -0,0 +1,87 @@
+package caller
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/jaystage/jaystage/internal/upstream"
+	"github.com/jaystage/jaystage/pkg/routing"
+	"github.com/jaystage/jaystage/pkg/wire"
+)
+
+// pair is two nodes of a cell; messages between them are delivered by settle.
+type pair struct {
+	owner, other *Slots
+	now          time.Time
+	mail         []func()
+	entry        upstream.Entry
+}
+
+// newPair returns two nodes and an upstream that the first owns, with a learned
+// limit of 16.
+func newPair(t *testing.T) *pair {
+	t.Helper()
+	p := &pair{now: time.Now()}
+	view := routing.View{Version: 1, Nodes: []routing.Node{{Name: "n1", Incarnation: 1}, {Name: "n2", Incarnation: 1}}}
+	policy := routing.DefaultPolicy()
+	policy.Lag = 0
+	p.owner, p.other = NewSlots(p.now, view.Nodes[0], policy), NewSlots(p.now, view.Nodes[1], policy)
+	byName := map[string]*Slots{"n1": p.owner, "n2": p.other}
+	for _, s := range byName {
+		s.SendDemand = func(to string, d routing.Demand) {
+			p.mail = append(p.mail, func() { byName[to].TakeDemand(p.now, d) })
+		}
+		s.SendGrant = func(to string, g routing.Grant) {
+			p.mail = append(p.mail, func() { byName[to].TakeGrant(p.now, g) })
+		}
+	}
+	id := "u0"
+	for i := 1; view.Owner(id) != "n1"; i++ {
+		id = "u" + strconv.Itoa(i)
+	}
+	p.entry = upstream.Entry{Announce: wire.Announce{ID: id, Incarnation: 1, Sequence: 1, Ready: true, Limit: 16}}
+	for _, s := range byName {
+		s.Renew(p.now, view, p.now.Add(routing.SessionTTL))
+		s.Announce(p.now, p.entry, 16)
+	}
+	p.settle()
+	return p
+}
+
+// settle lets a second pass in which all messages are delivered.
+func (p *pair) settle() {
+	for range 50 {
+		p.now = p.now.Add(20 * time.Millisecond)
+		for _, s := range []*Slots{p.owner, p.other} {
+			s.Renew(p.now, s.view, p.now.Add(routing.SessionTTL))
+			s.Tick(p.now)
+		}
+		for len(p.mail) > 0 {
+			deliver := p.mail[0]
+			p.mail = p.mail[1:]
+			deliver()
+		}
+		p.entry.Sequence++
+		p.owner.Announce(p.now, p.entry, 16)
+	}
+}
+
+func TestCapacityOfANodeThatDoesNotOwnTheUpstream(t *testing.T) {
+	t.Run("a node must not stay at the first limit of an upstream that another node owns", func(t *testing.T) {
+		p := newPair(t)
+		p.other.wantSlots(p.now, []upstream.Entry{p.entry}, 1)
+		p.settle()
+		if got, want := p.other.capacity(p.now, []upstream.Entry{p.entry}, 2), 8; got < want {
+			t.Errorf("capacity: got %d, want at least its part of the learned limit, %d", got, want)
+		}
+	})
+	t.Run("the share of an idle node must not stay unused", func(t *testing.T) {
+		p := newPair(t)
+		p.other.wantSlots(p.now, []upstream.Entry{p.entry}, 16)
+		p.settle()
+		if got, want := p.other.capacity(p.now, []upstream.Entry{p.entry}, 2), 16; got != want {
+			t.Errorf("capacity with 16 waiting and the other node idle: got %d, want %d", got, want)
+		}
+	})
+}
--- a/pkg/routing/holder.go
+++ b/pkg/routing/holder.go
@@ -257,6 +257,15 @@
 	s.evidence = Evidence{Generation: s.grant.Generation}
 }
 
+// Limit returns the learned limit of an upstream, over all nodes together, as its
+// owner told it with the last grant; zero while it is unknown.
+func (h *Holder) Limit(upstream string) int {
+	if s, ok := h.slots[upstream]; ok {
+		return s.grant.Limit
+	}
+	return 0
+}
+
 // Queue sets how many requests wait for a slot of the upstream.
 func (h *Holder) Queue(upstream string, n int) {
 	s := h.entry(upstream)
