Reduce the buffers of open streams

A heap profile of 200 open streams shows, per stream, about 10 KiB in bufio writers, 8 KiB in bufio readers, 4 KiB in the stream buffer, 4 KiB in the event parser and 2 KiB in outgoing events. The upstream transport's buffers and the stream buffer go from 4 KiB to 1 KiB; parser and outgoing events follow.

The share of goroutine stacks was not measured.

go test ./internal/caller -run xxx -bench Relay -cpu 1 -benchtime 2s two runs each, alternating, in events/s: before 118480 79101, after 113584 78605.

--- a/internal/caller/follow.go
+++ b/internal/caller/follow.go
@@ -14,7 +14,9 @@
 	// writeTimeout is how long a caller may leave its connection unread before its
 	// request ends.
 	writeTimeout = 20 * time.Second
-	streamBuffer = 4 << 10
+	// streamBuffer holds a few events. Each open stream has one, and the buffers of
+	// parsed and written events grow with it.
+	streamBuffer = 1 << 10
 	copyBuffer   = 16 << 10
 	// drainTime is how long a finished stream may take to end its connection's use.
 	drainTime = 100 * time.Millisecond
--- a/internal/upstream/transport.go
+++ b/internal/upstream/transport.go
@@ -22,7 +22,9 @@
 	idleTimeout    = 4 * time.Second
 	maxIdlePerHost = 256
 	maxHeaderBytes = 64 << 10
-	bufferSize     = 4 << 10
+	// bufferSize is small because each open stream holds one buffer to read and one
+	// to write; larger reads and writes of bodies go past them.
+	bufferSize = 1 << 10
 	// ProbeTimeout bounds a health check.
 	ProbeTimeout = time.Second
 )
