Index the upstreams by service and version

Registry.Serving copied and sorted all upstreams for each request. The registry now keeps the names of the upstreams that take requests, in order, by service and version; Apply and Expire keep them up to date.

--- a/internal/upstream/registry.go
+++ b/internal/upstream/registry.go
@@ -32,11 +32,17 @@
 	mu       sync.Mutex
 	interval time.Duration
 	entries  map[string]Entry
+	// serving holds the names of the upstreams that take new requests, in order, by
+	// service and version and, with an empty version, by service.
+	serving map[place][]string
 }
 
+// place is a service and version, or any version if that is empty.
+type place struct{ service, version string }
+
 // NewRegistry returns an empty registry for announcements at the given interval.
 func NewRegistry(interval time.Duration) *Registry {
-	return &Registry{interval: interval, entries: make(map[string]Entry)}
+	return &Registry{interval: interval, entries: make(map[string]Entry), serving: make(map[place][]string)}
 }
 
 // Interval is the time between two announcements of an upstream.
@@ -81,9 +87,46 @@
 		change = Left
 	}
 	r.entries[a.ID] = entry
+	r.index(old, entry)
 	return change
 }
 
+// index replaces an upstream's places in serving. Both entries have the same name,
+// and the zero entry has no place. Most heartbeats change nothing.
+func (r *Registry) index(old, entry Entry) {
+	before, after := old.places(), entry.places()
+	if slices.Equal(before, after) {
+		return
+	}
+	for _, p := range before {
+		list := r.serving[p]
+		if i, ok := slices.BinarySearch(list, old.ID); ok {
+			list = slices.Delete(list, i, i+1)
+		}
+		if r.serving[p] = list; len(list) == 0 {
+			delete(r.serving, p)
+		}
+	}
+	for _, p := range after {
+		list := r.serving[p]
+		if i, ok := slices.BinarySearch(list, entry.ID); !ok {
+			r.serving[p] = slices.Insert(list, i, entry.ID)
+		}
+	}
+}
+
+// places returns the keys of serving under which the upstream is listed.
+func (e Entry) places() []place {
+	if !e.Ready || e.Leaving {
+		return nil
+	}
+	places := make([]place, 0, 2*len(e.Serving))
+	for _, s := range e.Serving {
+		places = append(places, place{s.Service, s.Version}, place{s.Service, ""})
+	}
+	return places
+}
+
 // SetInterval changes the time until an upstream's next announcement.
 func (r *Registry) SetInterval(id string, interval time.Duration) {
 	r.mu.Lock()
@@ -103,6 +146,7 @@
 		if now.Sub(e.Seen) > MissedHeartbeats*e.Interval {
 			gone = append(gone, e)
 			delete(r.entries, id)
+			r.index(e, Entry{})
 		}
 	}
 	sortEntries(gone)
@@ -139,17 +183,16 @@
 }
 
 // Serving returns the upstreams that take new requests for the service in the
-// given version.
+// given version, or in any for an empty one, in the order of their names.
 func (r *Registry) Serving(service, version string) []Entry {
-	return slices.DeleteFunc(r.List(), func(e Entry) bool {
-		return !e.Ready || e.Leaving || !e.serves(service, version)
-	})
-}
-
-func (e Entry) serves(service, version string) bool {
-	return slices.ContainsFunc(e.Serving, func(s wire.Serving) bool {
-		return s.Service == service && (version == "" || s.Version == version)
-	})
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	names := r.serving[place{service, version}]
+	list := make([]Entry, 0, len(names))
+	for _, name := range names {
+		list = append(list, r.entries[name])
+	}
+	return list
 }
 
 func sortEntries(list []Entry) {
