Spread heartbeats to the cell while the owner cannot be reached

Cause: with three processes on loopback and 100 requests/s, a node lost an upstream after the upstream's owner was killed: heartbeats went to the dead owner only, and the upstream expired before it had another one. Ruled out: the announcer, which moved to another node after 500 ms. Change: without a link to the owner, a heartbeat goes to the whole cell.

--- a/internal/cell/announce.go
+++ b/internal/cell/announce.go
@@ -18,13 +18,14 @@
 //
 // A node tells the whole cell of an upstream that joined, changed or leaves, so
 // that this does not depend on the owner. Mere heartbeats go to the owner, which
-// passes the load on.
+// passes the load on; without a link to the owner they go to the whole cell, where
+// the upstream would otherwise expire before it has another owner.
 func (c *Cell) Announce(now time.Time, a wire.Announce) (next string, interval time.Duration) {
 	view, _ := c.State.View(now)
 	owner := c.members(view).Owner(a.ID)
 	news, interval := c.record(now, view, a, heartbeatInterval)
 	switch {
-	case news:
+	case news, owner != c.Self.Name && !c.Links.Connected(owner):
 		c.spread(a, interval, "")
 	case owner == c.Self.Name:
 		c.spreadLoad(a)
--- a/internal/cell/bench_test.go
+++ b/internal/cell/bench_test.go
@@ -29,6 +29,8 @@
 
 func (*sink) Handle(string, peer.Handler) {}
 
+func (*sink) Connected(string) bool { return true }
+
 func (s *sink) Send(_, kind string, message any) error {
 	s.frames++
 	s.bytes += capacity.Frame(kind, false, message)
--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -39,6 +39,8 @@
 type Links interface {
 	Handle(kind string, h peer.Handler)
 	Send(to, kind string, message any) error
+	// Connected tells whether there is a link to the node.
+	Connected(name string) bool
 }
 
 // State is the node's view of the key space and its session lease.
--- a/internal/cell/cell_test.go
+++ b/internal/cell/cell_test.go
@@ -44,6 +44,8 @@
 	return err
 }
 
+func (l links) Connected(name string) bool { return l.net.lost == nil || !l.net.lost(l.self, name) }
+
 type state struct{ view *config.View }
 
 func (s *state) View(time.Time) (*config.View, bool) { return s.view, true }
@@ -140,6 +142,31 @@
 		settle(cells)
 		assertServing(t, cells, alive, 0)
 	})
+	t.Run("an upstream must not expire at the other nodes while its dead owner has no successor", func(t *testing.T) {
+		net, cells := newCells()
+		owner := cells["a"].members(cells["a"].State.(*state).view).Owner("u")
+		var alive []string
+		for _, n := range names {
+			if n != owner {
+				alive = append(alive, n)
+			}
+		}
+		cells[owner].Announce(cells[owner].Now(), announcement(1))
+		settle(cells)
+		net.lost = func(from, to string) bool { return from == owner || to == owner }
+		for beat := range uint64(6) {
+			now := time.Unix(101+int64(beat), 0)
+			for _, n := range alive {
+				cells[n].Now = func() time.Time { return now }
+			}
+			cells[alive[0]].Announce(now, announcement(2+beat))
+			settle(cells)
+			for _, n := range alive {
+				cells[n].Registry.Expire(now)
+			}
+		}
+		assertServing(t, cells, alive, 1)
+	})
 	t.Run("the reply sends the upstream to its owner", func(t *testing.T) {
 		_, cells := newCells()
 		owner := cells["a"].members(cells["a"].State.(*state).view).Owner("u")
