--- a/internal/caller/retry_test.go
+++ b/internal/caller/retry_test.go
@@ -82,7 +82,7 @@
 		}
 		_, _ = io.Copy(io.Discard, resp.Body)
 	}
-	resp, err := f.try("/s/booking/bookings", `{"kimono":7}`, http.Header{"Idempotency-Key": {"k1"}})
+	resp, err := f.try("/s/booking/bookings", `{"item":7}`, http.Header{"Idempotency-Key": {"k1"}})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/pkg/cmd/demo/demo.go
+++ b/pkg/cmd/demo/demo.go
@@ -140,7 +140,7 @@
   curl -N http://%[1]s/v1/chat/completions -H 'Authorization: Bearer %[3]s' -H 'Content-Type: application/json' -d '{"model":"chat","stream":true,"max_tokens":8,"messages":[{"role":"user","content":"hello"}]}'
 
 Book once:
-  curl -i http://%[1]s/s/booking/bookings -H 'Authorization: Bearer %[3]s' -H 'Idempotency-Key: k1' -d '{"kimono":7}'
+  curl -i http://%[1]s/s/booking/bookings -H 'Authorization: Bearer %[3]s' -H 'Idempotency-Key: k1' -d '{"item":7}'
 
 Press Ctrl-C to stop.
 `, address, n.OperatorsAddress(), token)
