--- a/internal/upstream/registry.go
+++ b/internal/upstream/registry.go
@@ -19,11 +19,11 @@
 type Entry struct {
 	wire.Announce
 	// Seen is when the announcement arrived.
-	Seen time.Time
+	Seen time.Time `json:"seen"`
 	// Joined is when the present incarnation was first seen.
-	Joined time.Time
+	Joined time.Time `json:"joined"`
 	// Interval is the time until the next announcement.
-	Interval time.Duration
+	Interval time.Duration `json:"interval"`
 }
 
 // Registry holds the upstreams that announced themselves. It is safe for
--- a/pkg/cmd/upstream/list/list.go
+++ b/pkg/cmd/upstream/list/list.go
@@ -7,6 +7,7 @@
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
+	"github.com/jaystage/jaystage/internal/config"
 	"github.com/jaystage/jaystage/internal/upstream"
 	"github.com/jaystage/jaystage/pkg/cmd/factory"
 )
@@ -14,6 +15,7 @@
 // Client is the part of the operators' client that the command uses.
 type Client interface {
 	Upstreams(ctx context.Context) ([]upstream.Entry, error)
+	Config(ctx context.Context) (config.View, error)
 }
 
 // Options holds what the command uses.
@@ -44,9 +46,13 @@
 	if opts.Target.JSON {
 		return opts.Streams.PrintJSON(list)
 	}
+	view, err := opts.Client(opts.Target).Config(ctx)
+	if err != nil {
+		return err
+	}
 	rows := make([][]string, 0, len(list))
 	for _, e := range list {
-		rows = append(rows, []string{e.ID, e.Domain, e.Address, serves(e), status(e), strconv.FormatUint(e.Load.Running, 10)})
+		rows = append(rows, []string{e.ID, e.Domain, e.Address, serves(e), status(e, view), strconv.FormatUint(e.Load.Running, 10)})
 	}
 	return opts.Streams.PrintTable([]string{"UPSTREAM", "DOMAIN", "ADDRESS", "SERVES", "STATE", "RUNNING"}, rows)
 }
@@ -62,12 +68,18 @@
 	return text
 }
 
-func status(e upstream.Entry) string {
+func status(e upstream.Entry, view config.View) string {
+	_, domain := view.DrainedDomains[e.Domain]
+	_, drained := view.DrainedUpstreams[e.ID]
 	switch {
 	case e.Leaving:
 		return "leaving"
 	case !e.Ready:
 		return "starting"
+	case drained:
+		return "drained"
+	case domain:
+		return "domain drained"
 	default:
 		return "ready"
 	}
