Do not deny an earlier run of a booking whose key was not looked up

Cause: found while following a booking through the code: a node without a lease, in its shutdown or without the replicated state answered not-run to a request with an idempotency key, although another node may have run the key before; a caller could then book again under another key. Ruled out: the queue's refusals, which look the key up first. Change: such a refusal says may-have-run when the request carries a key. Result: the new test fails without it and passes now.

--- a/internal/caller/admit.go
+++ b/internal/caller/admit.go
@@ -126,7 +126,7 @@
 	}
 	name := mux.Vars(r)["service"]
 	service, ok := view.Services[name]
-	path := strings.TrimPrefix(r.URL.EscapedPath(), "/s/"+name)
+	path := strings.TrimPrefix(r.URL.EscapedPath(), servicePrefix+name)
 	route, routed := service.Route(r.Method, path)
 	if !ok || !routed || service.Kind != config.KindPlain {
 		return nil, &verdict.Error{
--- a/internal/caller/api.go
+++ b/internal/caller/api.go
@@ -20,6 +20,9 @@
 // MaxBodyBytes bounds the body of a request.
 const MaxBodyBytes = 8 << 20
 
+// servicePrefix begins the paths of plain services.
+const servicePrefix = "/s/"
+
 // Viewer gives the present view of the configuration; false once the node's
 // session lease has run out.
 type Viewer interface {
@@ -83,7 +86,7 @@
 	r.HandleFunc("/v1/models", a.models).Methods(http.MethodGet)
 	r.HandleFunc("/v1/chat/completions", a.completion).Methods(http.MethodPost)
 	r.HandleFunc("/v1/completions", a.completion).Methods(http.MethodPost)
-	r.PathPrefix("/s/{service}/").HandlerFunc(a.plain)
+	r.PathPrefix(servicePrefix + "{service}/").HandlerFunc(a.plain)
 	r.NotFoundHandler = http.HandlerFunc(notFound)
 	r.MethodNotAllowedHandler = http.HandlerFunc(notFound)
 	return a.closing(r)
@@ -116,7 +119,7 @@
 func (a *API) serve(w http.ResponseWriter, r *http.Request, admit func(http.ResponseWriter, *http.Request, time.Time) (*call, error)) {
 	end, err := a.drain.enter()
 	if err != nil {
-		a.refuse(w, nil, err)
+		a.refuse(w, r, nil, err)
 		return
 	}
 	defer end()
@@ -125,7 +128,7 @@
 		err = a.run(r.Context(), w, c)
 	}
 	if err != nil {
-		a.refuse(w, c, err)
+		a.refuse(w, r, c, err)
 	}
 }
 
--- a/internal/caller/finish.go
+++ b/internal/caller/finish.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/jaystage/jaystage/internal/event"
@@ -197,9 +198,9 @@
 }
 
 // refuse tells the caller why the call has no answer, or no whole answer.
-func (a *API) refuse(w http.ResponseWriter, c *call, err error) {
+func (a *API) refuse(w http.ResponseWriter, r *http.Request, c *call, err error) {
 	e := verdict.From(err)
-	if c != nil && c.mayHaveRun && e.Verdict == verdict.NotRun {
+	if e.Verdict == verdict.NotRun && (c != nil && c.mayHaveRun || keyUnknown(r, e)) {
 		raised := *e
 		raised.Verdict = verdict.MayHaveRun
 		e = &raised
@@ -221,6 +222,21 @@
 	panic(http.ErrAbortHandler)
 }
 
+// keyUnknown tells whether a refusal leaves open what became of the request's
+// idempotency key: a caller that sends a booking again after a lost answer, and
+// hears from a node without contact that it was not run, would book it again under
+// another key.
+func keyUnknown(r *http.Request, e *verdict.Error) bool {
+	if r.Header.Get(KeyHeader) == "" || !strings.HasPrefix(r.URL.Path, servicePrefix) {
+		return false
+	}
+	switch e.Code {
+	case verdict.CodeLeaseExpired, verdict.CodeShuttingDown, verdict.CodeStateUnavailable:
+		return true
+	}
+	return false
+}
+
 // String returns the form used in logs and metrics.
 func (k kind) String() string {
 	return [...]string{"broken", "refused", "failing", "silent", "crossed", "moved", "gone", "late", "shutdown", "invalid"}[k]
--- /dev/null
+++ b/internal/caller/key_test.go
@@ -0,0 +1,41 @@
+package caller
+
+import (
+	"context"
+	"net/http"
+	"testing"
+)
+
+// A booking that is sent again after a lost answer must not hear that it was not run
+// from a node that cannot know.
+func TestRefusalDoesNotDenyAnEarlierRun(t *testing.T) {
+	f := newFixture(t, nil)
+	post := func(t *testing.T, key string) *http.Response {
+		t.Helper()
+		header := http.Header{}
+		if key != "" {
+			header.Set(KeyHeader, key)
+		}
+		resp, err := f.try("/s/booking/bookings", `{}`, header)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = resp.Body.Close() })
+		return resp
+	}
+	f.noLease.Store(true)
+	t.Run("without a lease a key's state is unknown", func(t *testing.T) {
+		checkProblem(t, post(t, "k1"), "configuration-lease-expired", "may-have-run")
+	})
+	t.Run("a request without a key was not run", func(t *testing.T) {
+		checkProblem(t, post(t, ""), "configuration-lease-expired", "not-run")
+	})
+	f.noLease.Store(false)
+	f.api.Unready.Store(true)
+	limit, cancel := context.WithCancel(context.Background())
+	cancel()
+	f.api.Drain(limit)
+	t.Run("a node that shuts down looks up no key", func(t *testing.T) {
+		checkProblem(t, post(t, "k1"), "shutting-down", "may-have-run")
+	})
+}
