Let limits of client accounts rise and exceed 256

Cause: the request path announced an account's limit as that of an upstream with a learned limit: a raised limit never took effect, and limits above 256 were cut; a library for fixed limits (Owner.Quota, Accounts) stood unused beside it. Found while looking for logic that stands twice. Change: the request path uses the library; an announced limit is bounded by itself only.

--- a/internal/caller/queue.go
+++ b/internal/caller/queue.go
@@ -100,7 +100,7 @@
 	}
 	a.queues.mu.Lock()
 	if a.queues.quota == nil {
-		a.queues.quota = &quota{slots: a.Slots}
+		a.queues.quota = newQuota(a.Slots)
 	}
 	q := a.queues.of(view, c.service)
 	a.size(now, view, q, c.service)
--- a/internal/caller/quota.go
+++ b/internal/caller/quota.go
@@ -5,68 +5,61 @@
 
 	"github.com/jaystage/jaystage/internal/config"
 	"github.com/jaystage/jaystage/pkg/routing"
-	"github.com/jaystage/jaystage/pkg/wire"
 )
 
-// accountPrefix begins the names under which the concurrency limits of client
-// accounts are granted like the limits of upstreams. No upstream has such a name
-// because names of upstreams hold no slash.
-const accountPrefix = "account/"
-
-// quota limits the requests that an account runs over all nodes together. It
-// implements admission.Quota.
+// quota limits the requests that an account runs over all nodes together. The
+// limits are granted like those of upstreams, under names that no upstream has:
+// they hold a slash. It implements admission.Quota.
 type quota struct {
-	slots *Slots
-	// tickets holds the used places by account; it is guarded by slots.mu.
-	tickets map[string][]routing.Ticket
+	slots    *Slots
+	accounts *routing.Accounts // guarded by slots.mu
+}
+
+func newQuota(slots *Slots) *quota {
+	return &quota{slots: slots, accounts: routing.NewAccounts(slots.holder)}
 }
 
 // Take implements admission.Quota.
 func (q *quota) Take(now time.Time, account string) bool {
-	s := q.slots
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	id := accountPrefix + account
-	ticket, ok := s.holder.Take(now, id, 0)
-	if !ok {
-		s.pump(now)
-		if ticket, ok = s.holder.Take(now, id, 0); !ok {
-			return false
-		}
-	}
-	if q.tickets == nil {
-		q.tickets = make(map[string][]routing.Ticket)
+	q.slots.mu.Lock()
+	defer q.slots.mu.Unlock()
+	if q.accounts.Take(now, account) {
+		return true
 	}
-	q.tickets[account] = append(q.tickets[account], ticket)
-	return true
+	q.slots.pump(now) // the owner may be this node
+	return q.accounts.Take(now, account)
 }
 
 // Return implements admission.Quota.
 func (q *quota) Return(account string) {
-	s := q.slots
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	list := q.tickets[account]
-	if len(list) == 0 {
-		return
-	}
-	last := len(list) - 1
-	q.tickets[account] = list[:last]
-	s.holder.Return(list[last], false)
+	q.slots.mu.Lock()
+	defer q.slots.mu.Unlock()
+	q.accounts.Return(account)
 }
 
-// accounts announces the concurrency limits of the accounts to the owner in this
-// node, which grants those that it owns.
+// accounts confirms the concurrency limits of the client accounts that this node
+// owns.
 func (s *Slots) accounts(now time.Time, view *config.View) {
+	longest := longestRequest(view)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for name, a := range view.Accounts {
-		if a.Concurrency <= 0 {
-			continue
+		if id := routing.AccountPrefix + name; a.Concurrency > 0 && s.owner.Owns(id) {
+			s.deal(s.owner.Quota(now, id, a.Concurrency, longest))
+		}
+	}
+}
+
+// longestRequest is the longest time that any class allows a request.
+func longestRequest(view *config.View) time.Duration {
+	longest := time.Duration(0)
+	for _, service := range view.Services {
+		for _, c := range service.Classes {
+			if c.Complete <= 0 {
+				return noDeadline
+			}
+			longest = max(longest, c.Complete.Std())
 		}
-		_, grants := s.owner.Heartbeat(now, wire.Announce{
-			ID: accountPrefix + name, Incarnation: 1, Sequence: uint64(now.UnixNano()), Ready: true, Limit: uint64(a.Concurrency),
-		}, a.Concurrency)
-		s.deal(grants)
 	}
+	return longest
 }
--- a/pkg/routing/record.go
+++ b/pkg/routing/record.go
@@ -189,7 +189,7 @@
 	restarted := r.seen.IsZero() || a.Incarnation != r.announce.Incarnation
 	ceiling := policy.Max
 	if a.Limit > 0 {
-		ceiling = min(int(a.Limit), policy.Max)
+		ceiling = int(a.Limit)
 	}
 	wasReady := r.announce.Ready
 	r.announce = a
