--- a/pkg/state/snapshot.go
+++ b/pkg/state/snapshot.go
@@ -61,6 +61,9 @@
 	if image.Format != imageFormat {
 		return fmt.Errorf("the snapshot of the state has format %d; this program reads format %d", image.Format, imageFormat)
 	}
+	if err := whole(image); err != nil {
+		return err
+	}
 	next := New()
 	next.hooks = m.hooks
 	next.restore(image)
@@ -68,6 +71,24 @@
 	return nil
 }
 
+// whole checks that a snapshot has no result without its content, which a snapshot of
+// this program never has.
+func whole(image wire.Image) error {
+	for _, r := range image.Results {
+		if r.Changed == nil {
+			return fmt.Errorf("the snapshot of the state lacks the result of change %q", r.ID)
+		}
+	}
+	for _, c := range image.Clients {
+		for _, s := range c.Outcomes {
+			if s.Outcome == nil {
+				return fmt.Errorf("the snapshot of the state lacks outcome %d of node %q", s.Seq, c.Node)
+			}
+		}
+	}
+	return nil
+}
+
 func (m *Machine) restore(image wire.Image) {
 	m.now, m.token = image.Time, image.Token
 	m.Space.Version, m.Space.Floor, m.Space.History = image.Version, image.Floor, image.History
