--- a/pkg/state/fuzz_test.go
+++ b/pkg/state/fuzz_test.go
@@ -27,7 +27,8 @@
 // FuzzApply guards against commands of a faulty node that stop every voter.
 func FuzzApply(f *testing.F) {
 	for _, c := range []wire.Command{
-		{}, {Change: &wire.Change{ID: "1", Base: 3, Prefix: []string{"a"}}},
+		{},
+		{Change: &wire.Change{ID: "1", Base: 3, Prefix: []string{"a"}}},
 		{Node: "n", Session: &wire.Session{Node: "n", Incarnation: 1, Up: true, Value: []byte(`{}`)}},
 		{Node: "n", Incarnation: 1, Seq: 1, Booking: &wire.Booking{Account: "a", Service: "s", Key: "k"}},
 	} {
