--- a/pkg/cmd/completion/completion.go
+++ b/pkg/cmd/completion/completion.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"errors"
 	"flag"
 	"fmt"
 	"io"
@@ -29,10 +28,11 @@
 		Name: "completion", ShortUsage: "jaystage completion bash|zsh", ShortHelp: "Print a completion script",
 		LongHelp: "Example:\n  source <(jaystage completion bash)", FlagSet: f.NewFlagSet("completion"),
 		Exec: func(_ context.Context, args []string) error {
-			if len(args) != 1 {
-				return &factory.ExitError{Code: factory.ExitUsage, Err: errors.New("name the shell: jaystage completion bash|zsh")}
+			name, err := factory.Single(args, "name the shell: jaystage completion bash|zsh")
+			if err != nil {
+				return err
 			}
-			opts.Shell = args[0]
+			opts.Shell = name
 			return completionRun(opts)
 		},
 	}
--- a/pkg/cmd/factory/factory.go
+++ b/pkg/cmd/factory/factory.go
@@ -63,6 +63,14 @@
 	}
 }
 
+// Single returns the only argument of a command. usage says what to name and how.
+func Single(args []string, usage string) (string, error) {
+	if len(args) != 1 {
+		return "", &ExitError{Code: ExitUsage, Err: errors.New(usage)}
+	}
+	return args[0], nil
+}
+
 // Streams are a command's input and output.
 type Streams struct {
 	In  io.Reader
--- a/pkg/cmd/fleet/plan/plan.go
+++ b/pkg/cmd/fleet/plan/plan.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"strings"
 	"time"
@@ -32,10 +31,11 @@
 		LongHelp: "The file lists prices, pools with their load, and the VMs that run.\n\nExample:\n  jaystage fleet plan examples/fleet/consortium.toml",
 		FlagSet:  fs, Options: factory.Options(),
 		Exec: func(_ context.Context, args []string) error {
-			if len(args) != 1 {
-				return &factory.ExitError{Code: factory.ExitUsage, Err: errors.New("name one file: jaystage fleet plan FILE")}
+			name, err := factory.Single(args, "name one file: jaystage fleet plan FILE")
+			if err != nil {
+				return err
 			}
-			opts.File = args[0]
+			opts.File = name
 			return planRun(opts)
 		},
 	}
--- a/pkg/cmd/rollout/undo/undo.go
+++ b/pkg/cmd/rollout/undo/undo.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
@@ -34,10 +33,11 @@
 		Name: "undo", ShortUsage: "jaystage rollout undo [flags] SERVICE", ShortHelp: "Take a service's rollout back",
 		LongHelp: "An order that arrives after the rollout has ended is refused.\n\nExample:\n  jaystage rollout undo chat", FlagSet: fs, Options: factory.Options(),
 		Exec: func(ctx context.Context, args []string) error {
-			if len(args) != 1 {
-				return &factory.ExitError{Code: factory.ExitUsage, Err: errors.New("name one service: jaystage rollout undo SERVICE")}
+			name, err := factory.Single(args, "name one service: jaystage rollout undo SERVICE")
+			if err != nil {
+				return err
 			}
-			opts.Service = args[0]
+			opts.Service = name
 			return undoRun(ctx, opts)
 		},
 	}
--- a/pkg/cmd/rollout/view/view.go
+++ b/pkg/cmd/rollout/view/view.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"slices"
 	"time"
@@ -32,10 +31,11 @@
 		LongHelp: "The node that leads the group knows what a running rollout waits for; ask it for\nthe reasons and the forecast.\n\nExample:\n  jaystage rollout view chat",
 		FlagSet:  fs, Options: factory.Options(),
 		Exec: func(ctx context.Context, args []string) error {
-			if len(args) != 1 {
-				return &factory.ExitError{Code: factory.ExitUsage, Err: errors.New("name one service: jaystage rollout view SERVICE")}
+			name, err := factory.Single(args, "name one service: jaystage rollout view SERVICE")
+			if err != nil {
+				return err
 			}
-			opts.Service = args[0]
+			opts.Service = name
 			return viewRun(ctx, opts)
 		},
 	}
--- a/pkg/cmd/service/view/view.go
+++ b/pkg/cmd/service/view/view.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
@@ -27,10 +26,11 @@
 		Name: "view", ShortUsage: "jaystage service view [flags] SERVICE", ShortHelp: "Show a service with its classes and routes",
 		LongHelp: "Example:\n  jaystage service view chat", FlagSet: fs, Options: factory.Options(),
 		Exec: func(ctx context.Context, args []string) error {
-			if len(args) != 1 {
-				return &factory.ExitError{Code: factory.ExitUsage, Err: errors.New("name one service: jaystage service view SERVICE")}
+			name, err := factory.Single(args, "name one service: jaystage service view SERVICE")
+			if err != nil {
+				return err
 			}
-			opts.Name = args[0]
+			opts.Name = name
 			return viewRun(ctx, opts)
 		},
 	}
--- a/pkg/cmd/shared/drain/drain.go
+++ b/pkg/cmd/shared/drain/drain.go
@@ -85,10 +85,11 @@
 		LongHelp: fmt.Sprintf("Example:\n  jaystage %s %s --reason \"rack maintenance\" NAME", kind.Noun, verb),
 		FlagSet:  fs, Options: factory.Options(),
 		Exec: func(ctx context.Context, args []string) error {
-			if len(args) != 1 {
-				return &factory.ExitError{Code: factory.ExitUsage, Err: fmt.Errorf("name one %s: jaystage %s %s [flags] NAME", kind.Label, kind.Noun, verb)}
+			name, err := factory.Single(args, fmt.Sprintf("name one %s: jaystage %s %s [flags] NAME", kind.Label, kind.Noun, verb))
+			if err != nil {
+				return err
 			}
-			opts.Name = args[0]
+			opts.Name = name
 			return Run(ctx, opts)
 		},
 	}
--- a/pkg/cmd/upstream/view/view.go
+++ b/pkg/cmd/upstream/view/view.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"slices"
 
@@ -35,10 +34,11 @@
 		Name: "view", ShortUsage: "jaystage upstream view [flags] UPSTREAM", ShortHelp: "Show what an upstream last announced, as JSON",
 		LongHelp: "Example:\n  jaystage upstream view model-1", FlagSet: fs, Options: factory.Options(),
 		Exec: func(ctx context.Context, args []string) error {
-			if len(args) != 1 {
-				return &factory.ExitError{Code: factory.ExitUsage, Err: errors.New("name one upstream: jaystage upstream view UPSTREAM")}
+			name, err := factory.Single(args, "name one upstream: jaystage upstream view UPSTREAM")
+			if err != nil {
+				return err
 			}
-			opts.Name = args[0]
+			opts.Name = name
 			return viewRun(ctx, opts)
 		},
 	}
--- a/pkg/cmd/voter/voter.go
+++ b/pkg/cmd/voter/voter.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
@@ -52,10 +51,11 @@
 		LongHelp: fmt.Sprintf("Example:\n  jaystage voter %s n2", verb),
 		FlagSet:  fs, Options: factory.Options(),
 		Exec: func(ctx context.Context, args []string) error {
-			if len(args) != 1 {
-				return &factory.ExitError{Code: factory.ExitUsage, Err: errors.New("name one voter: jaystage voter " + verb + " NAME")}
+			name, err := factory.Single(args, "name one voter: jaystage voter "+verb+" NAME")
+			if err != nil {
+				return err
 			}
-			opts.Name = args[0]
+			opts.Name = name
 			return voterRun(ctx, opts)
 		},
 	}
