--- /dev/null
+++ b/internal/bearer/bearer.go
@@ -0,0 +1,48 @@
+// Package bearer checks bearer tokens against stored SHA-256 hashes.
+package bearer
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"net/http"
+	"strings"
+)
+
+const scheme = "Bearer "
+
+// Tokens maps the holder of each token to the SHA-256 of the token, hexadecimal.
+type Tokens map[string]string
+
+// Hash returns the stored form of a token.
+func Hash(token string) string {
+	sum := sha256.Sum256([]byte(token))
+	return hex.EncodeToString(sum[:])
+}
+
+// FromRequest returns the hash of the request's bearer token.
+func FromRequest(r *http.Request) (hash string, ok bool) {
+	value := r.Header.Get("Authorization")
+	if len(value) <= len(scheme) || !strings.EqualFold(value[:len(scheme)], scheme) {
+		return "", false
+	}
+	return Hash(value[len(scheme):]), true
+}
+
+// Holder returns the name of the holder of the request's token. Every stored hash
+// is compared in constant time, so that the time taken tells nothing about them.
+func (t Tokens) Holder(r *http.Request) (name string, ok bool) {
+	hash, ok := FromRequest(r)
+	if !ok {
+		return "", false
+	}
+	found := 0
+	for holder, stored := range t {
+		equal := subtle.ConstantTimeCompare([]byte(hash), []byte(stored))
+		if equal == 1 {
+			name = holder
+		}
+		found |= equal
+	}
+	return name, found == 1
+}
--- /dev/null
+++ b/internal/caller/admit.go
@@ -0,0 +1,163 @@
+package caller
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"github.com/jaystage/jaystage/internal/bearer"
+	"github.com/jaystage/jaystage/internal/config"
+	"github.com/jaystage/jaystage/pkg/verdict"
+)
+
+// ClassHeader names the class of a request; without it, the account's or the
+// service's default class applies.
+const ClassHeader = "X-Class"
+
+const leaseRetryAfter = 2 * time.Second
+
+// call is one admitted request.
+type call struct {
+	id      string
+	start   time.Time
+	account config.Account
+	service config.Service
+	class   config.Class
+	// method, path and header are those towards the upstream.
+	method string
+	path   string
+	header http.Header
+	body   []byte
+	// once is true when the request may run at most once.
+	once bool
+}
+
+// authorize returns the view and the client account of a request.
+func (a *API) authorize(r *http.Request, now time.Time) (*config.View, config.Account, error) {
+	view, ok := a.Viewer.View(now)
+	if !ok {
+		return nil, config.Account{}, &verdict.Error{
+			Verdict: verdict.NotRun, Code: verdict.CodeLeaseExpired, Status: http.StatusServiceUnavailable,
+			RetryAfter: leaseRetryAfter, Detail: "this node has lost contact with the replicated state",
+		}
+	}
+	hash, ok := bearer.FromRequest(r)
+	name, known := view.Tokens[hash]
+	if !ok || !known {
+		return nil, config.Account{}, &verdict.Error{
+			Verdict: verdict.NotRun, Code: verdict.CodeUnauthenticated, Status: http.StatusUnauthorized,
+			Detail: "a bearer token of a client account is required",
+		}
+	}
+	return view, view.Accounts[name], nil
+}
+
+func readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, MaxBodyBytes))
+	if err == nil {
+		return body, nil
+	}
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, &verdict.Error{
+			Verdict: verdict.NotRun, Code: verdict.CodeTooLarge, Status: http.StatusRequestEntityTooLarge,
+			Detail: "the body is larger than " + strconv.Itoa(MaxBodyBytes) + " bytes",
+		}
+	}
+	return nil, &verdict.Error{
+		Verdict: verdict.NotRun, Code: verdict.CodeRequestIncomplete, Status: http.StatusBadRequest,
+		Detail: "the body ended early", Cause: err,
+	}
+}
+
+// newCall returns a call with an id that is unique to this process.
+func (a *API) newCall(now time.Time, account config.Account, service config.Service) *call {
+	return &call{
+		id:    "r" + strconv.FormatInt(now.UnixNano(), 36) + "-" + strconv.FormatUint(a.next.Add(1), 36),
+		start: now, account: account, service: service,
+	}
+}
+
+// admitCompletion reads a request of the OpenAI-compatible API.
+func (a *API) admitCompletion(w http.ResponseWriter, r *http.Request, now time.Time) (*call, error) {
+	view, account, err := a.authorize(r, now)
+	if err != nil {
+		return nil, err
+	}
+	body, err := readBody(w, r)
+	if err != nil {
+		return nil, err
+	}
+	var head struct {
+		Model string `json:"model"`
+	}
+	if err := json.NewDecoder(bytes.NewReader(body)).Decode(&head); err != nil {
+		return nil, &verdict.Error{
+			Verdict: verdict.NotRun, Code: verdict.CodeBadRequest, Status: http.StatusBadRequest,
+			Detail: "the body is not a JSON object: " + err.Error(),
+		}
+	}
+	service, ok := view.Services[view.Models[head.Model]]
+	if !ok {
+		return nil, &verdict.Error{
+			Verdict: verdict.NotRun, Code: verdict.CodeUnknownModel, Status: http.StatusNotFound,
+			Detail: "no service serves the model " + strconv.Quote(head.Model),
+		}
+	}
+	c := a.newCall(now, account, service)
+	c.method, c.path, c.body = http.MethodPost, r.URL.Path, body
+	c.header = http.Header{"Content-Type": {"application/json"}}
+	name := r.Header.Get(ClassHeader)
+	if name == "" {
+		name = account.Class
+	}
+	return c, c.setClass(name)
+}
+
+// admitPlain reads a request to a plain service.
+func (a *API) admitPlain(w http.ResponseWriter, r *http.Request, now time.Time) (*call, error) {
+	view, account, err := a.authorize(r, now)
+	if err != nil {
+		return nil, err
+	}
+	name := mux.Vars(r)["service"]
+	service, ok := view.Services[name]
+	path := strings.TrimPrefix(r.URL.EscapedPath(), "/s/"+name)
+	route, routed := service.Route(r.Method, path)
+	if !ok || !routed || service.Kind != config.KindPlain {
+		return nil, &verdict.Error{
+			Verdict: verdict.NotRun, Code: verdict.CodeUnknownService, Status: http.StatusNotFound,
+			Detail: "no service has a route for " + r.Method + " " + r.URL.Path,
+		}
+	}
+	body, err := readBody(w, r)
+	if err != nil {
+		return nil, err
+	}
+	c := a.newCall(now, account, service)
+	c.method, c.path, c.body, c.once = r.Method, path, body, route.Once
+	if r.URL.RawQuery != "" {
+		c.path += "?" + r.URL.RawQuery
+	}
+	c.header = forwardedHeader(r.Header)
+	return c, c.setClass(route.Class)
+}
+
+func (c *call) setClass(name string) error {
+	class, ok := c.service.Class(name)
+	if !ok {
+		return &verdict.Error{
+			Verdict: verdict.NotRun, Code: verdict.CodeBadRequest, Status: http.StatusBadRequest,
+			Detail: "the service " + c.service.Name + " has no class " + strconv.Quote(name),
+		}
+	}
+	c.class = class
+	return nil
+}
--- /dev/null
+++ b/internal/fake/announcer.go
@@ -0,0 +1,90 @@
+// Package fake holds stand-ins for what jaystage meets outside: model engines, a
+// booking service and the platform. They serve tests, the demo and measurements.
+package fake
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/jaystage/jaystage/pkg/wire"
+)
+
+const (
+	announceTimeout = 2 * time.Second
+	announceRetry   = 500 * time.Millisecond
+)
+
+// Announcer announces one upstream to nodes until its context ends, then says
+// that the upstream leaves.
+type Announcer struct {
+	// Nodes are addresses of the nodes' listeners for upstreams; they are tried in
+	// turn.
+	Nodes []string
+	// Token is the bearer token for announcements.
+	Token string
+	HTTP  *http.Client
+	// State returns the announcement; the announcer sets its sequence.
+	State func() wire.Announce
+}
+
+// Run announces until ctx ends. The returned channel closes after the last
+// announcement.
+func (a *Announcer) Run(ctx context.Context) <-chan struct{} {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		var sequence uint64
+		target := 0
+		for ctx.Err() == nil {
+			sequence++
+			wait := announceRetry
+			if reply, err := a.send(ctx, target, sequence, false); err == nil {
+				wait = time.Duration(reply.Interval) * time.Millisecond
+			} else {
+				target++
+			}
+			select {
+			case <-ctx.Done():
+			case <-time.After(wait):
+			}
+		}
+		last, cancel := context.WithTimeout(context.WithoutCancel(ctx), announceTimeout)
+		defer cancel()
+		_, _ = a.send(last, target, sequence+1, true)
+	}()
+	return done
+}
+
+func (a *Announcer) send(ctx context.Context, target int, sequence uint64, leaving bool) (wire.Announced, error) {
+	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
+	defer cancel()
+	state := a.State()
+	state.Sequence = sequence
+	state.Leaving = state.Leaving || leaving
+	var reply wire.Announced
+	body, err := json.Marshal(state)
+	if err != nil {
+		return reply, eris.Wrap(err, "encode announcement")
+	}
+	url := "http://" + a.Nodes[target%len(a.Nodes)] + "/v1/announce"
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return reply, eris.Wrap(err, "announce")
+	}
+	req.Header.Set("Authorization", "Bearer "+a.Token)
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := a.HTTP.Do(req)
+	if err != nil {
+		return reply, eris.Wrap(err, "announce")
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return reply, eris.Errorf("the node answered %s to the announcement", resp.Status)
+	}
+	return reply, eris.Wrap(json.NewDecoder(resp.Body).Decode(&reply), "decode reply")
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,155 @@
+// Package node puts one node together and runs it.
+package node
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+
+	"github.com/jaystage/jaystage/internal/bearer"
+	"github.com/jaystage/jaystage/internal/caller"
+	"github.com/jaystage/jaystage/internal/event"
+	"github.com/jaystage/jaystage/internal/operator"
+	"github.com/jaystage/jaystage/internal/replica"
+	"github.com/jaystage/jaystage/internal/settings"
+	"github.com/jaystage/jaystage/internal/upstream"
+)
+
+const (
+	announceInterval  = time.Second
+	readHeaderTimeout = 10 * time.Second
+	idleTimeout       = 2 * time.Minute
+	maxHeaderBytes    = 64 << 10
+)
+
+// Node is one running node.
+type Node struct {
+	Settings  settings.Settings
+	Log       logrus.FieldLogger
+	State     *replica.Single
+	Registry  *upstream.Registry
+	Callers   *caller.API
+	listeners []listener
+}
+
+type listener struct {
+	net.Listener
+	server *http.Server
+}
+
+// New opens the node's listeners. Run must be called to serve them.
+func New(s settings.Settings, log logrus.FieldLogger) (*Node, error) {
+	n := &Node{Settings: s, Log: log, State: replica.NewSingle(), Registry: upstream.NewRegistry(announceInterval)}
+	n.Callers = &caller.API{
+		Viewer: n.State, Upstreams: n.Registry, Transport: upstream.NewTransport(), Log: log, Now: time.Now,
+	}
+	announcements := &upstream.Announcements{Registry: n.Registry, Tokens: tokens(s.Security.Upstreams), Log: log, Now: time.Now}
+	operators := &operator.Server{State: n.State, Upstreams: n.Registry, Tokens: tokens(s.Security.Operators), Log: log, Now: time.Now}
+	for _, l := range []struct {
+		key, address string
+		handler      http.Handler
+	}{
+		{"listen.callers", s.Listen.Callers, n.Callers.Handler()},
+		{"listen.upstreams", s.Listen.Upstreams, announcements.Handler()},
+		{"listen.operators", s.Listen.Operators, operators.Handler()},
+	} {
+		if err := n.listen(l.key, l.address, l.handler); err != nil {
+			n.closeListeners()
+			return nil, err
+		}
+	}
+	return n, nil
+}
+
+func (n *Node) listen(key, address string, handler http.Handler) error {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return eris.Wrapf(err, "cannot listen on %s %q; choose a free address", key, address)
+	}
+	n.listeners = append(n.listeners, listener{l, &http.Server{
+		Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+	}})
+	return nil
+}
+
+func (n *Node) closeListeners() {
+	for _, l := range n.listeners {
+		_ = l.Close()
+	}
+}
+
+// CallersAddress returns the address of the callers' listener.
+func (n *Node) CallersAddress() string { return n.listeners[0].Addr().String() }
+
+// UpstreamsAddress returns the address of the listener for announcements.
+func (n *Node) UpstreamsAddress() string { return n.listeners[1].Addr().String() }
+
+// OperatorsAddress returns the address of the operators' listener.
+func (n *Node) OperatorsAddress() string { return n.listeners[2].Addr().String() }
+
+// Run serves until ctx ends, then shuts down gracefully: the node tells the
+// balancer that it is not ready, still serves for the unready time and waits for
+// open requests up to the limit.
+func (n *Node) Run(ctx context.Context) error {
+	ended := make(chan error, len(n.listeners))
+	for _, l := range n.listeners {
+		go func() { ended <- l.server.Serve(l.Listener) }()
+	}
+	expired := n.expire(ctx)
+	event.With(n.Log, event.NodeStarted).WithField("callers", n.CallersAddress()).WithField("node", n.Settings.Node.Name).Info("node started")
+	var failed error
+	select {
+	case <-ctx.Done():
+	case failed = <-ended:
+	}
+	event.With(n.Log, event.NodeStopping).Info("node stops taking requests")
+	n.Callers.Unready.Store(true)
+	if failed == nil {
+		time.Sleep(n.Settings.Shutdown.Unready.Std())
+	}
+	limit, cancel := context.WithTimeout(context.WithoutCancel(ctx), n.Settings.Shutdown.Limit.Std())
+	defer cancel()
+	for _, l := range n.listeners {
+		if err := l.server.Shutdown(limit); err != nil {
+			_ = l.server.Close()
+			failed = errors.Join(failed, eris.Wrap(err, "open requests were cut at the shutdown limit"))
+		}
+	}
+	<-expired
+	event.With(n.Log, event.NodeStopped).Info("node stopped")
+	return failed
+}
+
+// expire removes upstreams that missed their heartbeats, until ctx ends.
+func (n *Node) expire(ctx context.Context) <-chan struct{} {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		ticker := time.NewTicker(announceInterval)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case now := <-ticker.C:
+				for _, e := range n.Registry.Expire(now) {
+					event.With(n.Log, event.UpstreamExpired).WithField("upstream", e.ID).Warn("upstream missed its heartbeats")
+				}
+			}
+		}
+	}()
+	return done
+}
+
+func tokens(list []settings.Token) bearer.Tokens {
+	t := make(bearer.Tokens, len(list))
+	for _, token := range list {
+		t[token.Name] = token.Token
+	}
+	return t
+}
--- /dev/null
+++ b/internal/operator/server.go
@@ -0,0 +1,112 @@
+// Package operator is the operators' HTTP API and its client.
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"expvar"
+	"net/http"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/sirupsen/logrus"
+
+	"github.com/jaystage/jaystage/internal/bearer"
+	"github.com/jaystage/jaystage/internal/config"
+	"github.com/jaystage/jaystage/internal/event"
+	"github.com/jaystage/jaystage/internal/upstream"
+	"github.com/jaystage/jaystage/pkg/wire"
+)
+
+const maxBodyBytes = 4 << 20
+
+// State is the replicated state as operators use it.
+type State interface {
+	Change(ctx context.Context, c wire.Change) (wire.Changed, error)
+	View(now time.Time) (*config.View, bool)
+}
+
+// Upstreams lists the upstreams that a node knows.
+type Upstreams interface {
+	List() []upstream.Entry
+}
+
+// Server is the operators' API of one node.
+type Server struct {
+	State     State
+	Upstreams Upstreams
+	Tokens    bearer.Tokens
+	Log       logrus.FieldLogger
+	Now       func() time.Time
+}
+
+// Handler returns the API's routes. All of them need an operator's token.
+func (s *Server) Handler() http.Handler {
+	r := mux.NewRouter()
+	r.Use(s.authorize)
+	r.HandleFunc("/v1/config", s.showConfig).Methods(http.MethodGet)
+	r.HandleFunc("/v1/changes", s.change).Methods(http.MethodPost)
+	r.HandleFunc("/v1/upstreams", s.listUpstreams).Methods(http.MethodGet)
+	r.Handle("/debug/vars", expvar.Handler()).Methods(http.MethodGet)
+	return r
+}
+
+func (s *Server) authorize(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if _, ok := s.Tokens.Holder(r); !ok {
+			event.With(s.Log, event.OperatorRefused).WithField("remote", r.RemoteAddr).Warn("operator request without a valid token refused")
+			writeError(w, http.StatusUnauthorized, "an operator's bearer token is required")
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (s *Server) showConfig(w http.ResponseWriter, _ *http.Request) {
+	view, _ := s.State.View(s.Now())
+	writeJSON(w, http.StatusOK, view)
+}
+
+func (s *Server) change(w http.ResponseWriter, r *http.Request) {
+	var c wire.Change
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes)).Decode(&c); err != nil {
+		writeError(w, http.StatusBadRequest, "the change is not valid JSON: "+err.Error())
+		return
+	}
+	if c.ID == "" {
+		writeError(w, http.StatusBadRequest, "a change needs an id, so that it can be sent again after a lost answer")
+		return
+	}
+	if holder, ok := s.Tokens.Holder(r); ok && c.Author == "" {
+		c.Author = holder
+	}
+	result, err := s.State.Change(r.Context(), c)
+	if err != nil {
+		writeError(w, http.StatusServiceUnavailable, err.Error())
+		return
+	}
+	status := http.StatusOK
+	if len(result.Conflict) > 0 {
+		status = http.StatusConflict
+	}
+	writeJSON(w, status, result)
+}
+
+func (s *Server) listUpstreams(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, s.Upstreams.List())
+}
+
+// Failure is the body of a refused operator request.
+type Failure struct {
+	Error string `json:"error"`
+}
+
+func writeError(w http.ResponseWriter, status int, text string) {
+	writeJSON(w, status, Failure{Error: text})
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
+}
--- /dev/null
+++ b/internal/upstream/announce.go
@@ -0,0 +1,62 @@
+package upstream
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/sirupsen/logrus"
+
+	"github.com/jaystage/jaystage/internal/bearer"
+	"github.com/jaystage/jaystage/internal/event"
+	"github.com/jaystage/jaystage/pkg/wire"
+)
+
+// MaxAnnounceBytes bounds the body of an announcement.
+const MaxAnnounceBytes = 64 << 10
+
+// Announcements is the HTTP API by which upstreams announce themselves.
+type Announcements struct {
+	Registry *Registry
+	Tokens   bearer.Tokens
+	Log      logrus.FieldLogger
+	Now      func() time.Time
+}
+
+// Handler returns the API's routes.
+func (s *Announcements) Handler() http.Handler {
+	r := mux.NewRouter()
+	r.HandleFunc("/v1/announce", s.announce).Methods(http.MethodPost)
+	return r
+}
+
+func (s *Announcements) announce(w http.ResponseWriter, r *http.Request) {
+	if _, ok := s.Tokens.Holder(r); !ok {
+		event.With(s.Log, event.AnnounceRefused).WithField("remote", r.RemoteAddr).Warn("announcement without a valid token refused")
+		http.Error(w, "a valid bearer token is required", http.StatusUnauthorized)
+		return
+	}
+	var a wire.Announce
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, MaxAnnounceBytes)).Decode(&a); err != nil {
+		http.Error(w, "the announcement is not valid JSON: "+err.Error(), http.StatusBadRequest)
+		return
+	}
+	if a.ID == "" || a.Address == "" || a.Domain == "" || a.VM == "" {
+		http.Error(w, "id, address, domain and vm are required", http.StatusBadRequest)
+		return
+	}
+	s.record(a)
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(wire.Announced{Interval: uint64(s.Registry.Interval().Milliseconds())})
+}
+
+func (s *Announcements) record(a wire.Announce) {
+	fields := logrus.Fields{"upstream": a.ID, "incarnation": a.Incarnation, "domain": a.Domain, "address": a.Address}
+	switch s.Registry.Apply(s.Now(), a) {
+	case Joined:
+		event.With(s.Log, event.UpstreamJoined).WithFields(fields).Info("upstream announced itself")
+	case Left:
+		event.With(s.Log, event.UpstreamLeaving).WithFields(fields).Info("upstream is leaving")
+	}
+}
--- /dev/null
+++ b/internal/upstream/registry.go
@@ -0,0 +1,123 @@
+// Package upstream is the side of a node that faces the upstreams: it takes their
+// announcements, keeps what they said, and carries requests to them.
+package upstream
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/jaystage/jaystage/pkg/wire"
+)
+
+// MissedHeartbeats is the number of announcement intervals after which an
+// upstream that says nothing is taken as gone.
+const MissedHeartbeats = 3
+
+// Entry is what a node knows of one upstream.
+type Entry struct {
+	wire.Announce
+	// Seen is when the announcement arrived.
+	Seen time.Time
+	// Joined is when the present incarnation was first seen.
+	Joined time.Time
+}
+
+// Registry holds the upstreams that announced themselves. It is safe for
+// concurrent use.
+type Registry struct {
+	mu       sync.Mutex
+	interval time.Duration
+	entries  map[string]Entry
+}
+
+// NewRegistry returns an empty registry for announcements at the given interval.
+func NewRegistry(interval time.Duration) *Registry {
+	return &Registry{interval: interval, entries: make(map[string]Entry)}
+}
+
+// Interval is the time between two announcements of an upstream.
+func (r *Registry) Interval() time.Duration { return r.interval }
+
+// Change tells what an announcement changed.
+type Change int
+
+// Changes that an announcement can bring.
+const (
+	// Outdated is an announcement older than what is known; it changes nothing.
+	Outdated Change = iota
+	// Refreshed is a heartbeat of a known incarnation.
+	Refreshed
+	// Joined is the first announcement of an incarnation.
+	Joined
+	// Left is the first announcement that says the upstream is leaving.
+	Left
+)
+
+// Apply records an announcement. One of an older incarnation, or with an older
+// sequence number of the same incarnation, never replaces a newer one.
+func (r *Registry) Apply(now time.Time, a wire.Announce) Change {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	old, known := r.entries[a.ID]
+	if known && (a.Incarnation < old.Incarnation || a.Incarnation == old.Incarnation && a.Sequence <= old.Sequence) {
+		return Outdated
+	}
+	entry := Entry{Announce: a, Seen: now, Joined: now}
+	change := Joined
+	if known && a.Incarnation == old.Incarnation {
+		entry.Joined = old.Joined
+		change = Refreshed
+	}
+	if a.Leaving && (!known || !old.Leaving) {
+		change = Left
+	}
+	r.entries[a.ID] = entry
+	return change
+}
+
+// Expire removes and returns the upstreams that missed their heartbeats.
+func (r *Registry) Expire(now time.Time) []Entry {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var gone []Entry
+	for id, e := range r.entries {
+		if now.Sub(e.Seen) > MissedHeartbeats*r.interval {
+			gone = append(gone, e)
+			delete(r.entries, id)
+		}
+	}
+	sortEntries(gone)
+	return gone
+}
+
+// List returns all upstreams in the order of their names.
+func (r *Registry) List() []Entry {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	list := make([]Entry, 0, len(r.entries))
+	for _, e := range r.entries {
+		list = append(list, e)
+	}
+	sortEntries(list)
+	return list
+}
+
+// Serving returns the upstreams that take new requests for the service in the
+// given version.
+func (r *Registry) Serving(service, version string) []Entry {
+	return slices.DeleteFunc(r.List(), func(e Entry) bool {
+		return !e.Ready || e.Leaving || !e.serves(service, version)
+	})
+}
+
+func (e Entry) serves(service, version string) bool {
+	return slices.ContainsFunc(e.Serving, func(s wire.Serving) bool {
+		return s.Service == service && (version == "" || s.Version == version)
+	})
+}
+
+func sortEntries(list []Entry) {
+	slices.SortFunc(list, func(a, b Entry) int { return cmp.Compare(a.ID, b.ID) })
+}
--- /dev/null
+++ b/pkg/cmd/config/apply/apply.go
@@ -0,0 +1,101 @@
+// Package apply submits a site configuration.
+package apply
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"fmt"
+	"strings"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/jaystage/jaystage/internal/config"
+	"github.com/jaystage/jaystage/pkg/cmd/factory"
+	"github.com/jaystage/jaystage/pkg/wire"
+)
+
+// Client is the part of the operators' client that the command uses.
+type Client interface {
+	Config(ctx context.Context) (config.View, error)
+	Change(ctx context.Context, c wire.Change) (wire.Changed, error)
+}
+
+// Options holds what the command uses.
+type Options struct {
+	Streams factory.Streams
+	Client  func(factory.Target) Client
+	Target  factory.Target
+	// Files are the base file and the overlays.
+	Files []string
+	// ID is the change id; a change sent again under the same id runs once.
+	ID string
+	// Base is the version that the change is based on; negative for the present
+	// one.
+	Base   int64
+	Reason string
+}
+
+// NewCmdApply returns the command "config apply".
+func NewCmdApply(f *factory.Factory) *ffcli.Command {
+	opts := &Options{Streams: f.Streams, Client: func(t factory.Target) Client { return f.Client(t) }}
+	fs := f.NewFlagSet("config apply")
+	opts.Target.Bind(fs)
+	fs.StringVar(&opts.ID, "id", "", "change id, to send a change again after a lost answer; default: a new one")
+	fs.Int64Var(&opts.Base, "base", -1, "version that the files are based on; default: the version now in force")
+	fs.StringVar(&opts.Reason, "reason", "", "why the change is made, kept in the history")
+	return &ffcli.Command{
+		Name: "apply", ShortUsage: "jaystage config apply [flags] BASE [OVERLAY...]", ShortHelp: "Submit a site configuration",
+		LongHelp: "Merges the base file with the overlays, checks the result and submits it.\n\nExample:\n  jaystage config apply --base 41 base.toml lahore.toml",
+		FlagSet:  fs, Options: factory.Options(),
+		Exec: func(ctx context.Context, args []string) error {
+			opts.Files = args
+			return applyRun(ctx, opts)
+		},
+	}
+}
+
+func applyRun(ctx context.Context, opts *Options) error {
+	if len(opts.Files) == 0 {
+		return &factory.ExitError{Code: factory.ExitUsage, Err: errors.New("name the base file, and after it the overlays: jaystage config apply BASE [OVERLAY...]")}
+	}
+	site, err := config.Load(opts.Files[0], opts.Files[1:]...)
+	if err != nil {
+		return &factory.ExitError{Code: factory.ExitInvalid, Err: err}
+	}
+	items, err := config.Items(site)
+	if err != nil {
+		return err
+	}
+	client := opts.Client(opts.Target)
+	if opts.Base < 0 {
+		view, err := client.Config(ctx)
+		if err != nil {
+			return err
+		}
+		opts.Base = int64(view.Version)
+	}
+	if opts.ID == "" {
+		opts.ID = rand.Text()
+	}
+	result, err := client.Change(ctx, wire.Change{ID: opts.ID, Base: uint64(opts.Base), Reason: opts.Reason, Prefix: config.SitePrefixes(), Items: items})
+	if err != nil {
+		return fmt.Errorf("%w (send it again with --id %s)", err, opts.ID)
+	}
+	return report(opts, result)
+}
+
+func report(opts *Options, result wire.Changed) error {
+	if len(result.Conflict) > 0 {
+		var b strings.Builder
+		for _, item := range result.Conflict {
+			fmt.Fprintf(&b, "\n  version %d: %s = %s", item.Version, item.Key, item.Value)
+		}
+		return &factory.ExitError{Code: factory.ExitConflict, Err: fmt.Errorf("another change came first; look at it and apply yours again with --base %d:%s", result.Version, b.String())}
+	}
+	if opts.Target.JSON {
+		return opts.Streams.PrintJSON(result)
+	}
+	_, err := fmt.Fprintf(opts.Streams.Out, "accepted as version %d\n", result.Version)
+	return err
+}
--- /dev/null
+++ b/pkg/cmd/demo/demo.go
@@ -0,0 +1,143 @@
+// Package demo runs a whole system in one process, with stand-in upstreams.
+package demo
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+	"github.com/sirupsen/logrus"
+
+	"github.com/jaystage/jaystage/internal/bearer"
+	"github.com/jaystage/jaystage/internal/config"
+	"github.com/jaystage/jaystage/internal/fake"
+	"github.com/jaystage/jaystage/internal/node"
+	"github.com/jaystage/jaystage/internal/settings"
+	"github.com/jaystage/jaystage/pkg/cmd/factory"
+	"github.com/jaystage/jaystage/pkg/wire"
+)
+
+const (
+	token             = "demo"
+	readHeaderTimeout = 10 * time.Second
+	tokenInterval     = 30 * time.Millisecond
+)
+
+// Options holds what the command uses.
+type Options struct {
+	Streams factory.Streams
+	HTTP    *http.Client
+	Listen  string
+}
+
+// NewCmdDemo returns the command "demo".
+func NewCmdDemo(f *factory.Factory) *ffcli.Command {
+	opts := &Options{Streams: f.Streams, HTTP: f.HTTP}
+	fs := f.NewFlagSet("demo")
+	fs.StringVar(&opts.Listen, "listen", "127.0.0.1:7001", "host:port for callers")
+	return &ffcli.Command{
+		Name: "demo", ShortUsage: "jaystage demo [flags]", ShortHelp: "Run a node with stand-in upstreams in one process",
+		LongHelp: "Runs until interrupted, on loopback only.\n\nExample:\n  jaystage demo --listen 127.0.0.1:8080",
+		FlagSet:  fs, Options: factory.Options(),
+		Exec: func(ctx context.Context, _ []string) error { return demoRun(ctx, opts) },
+	}
+}
+
+func demoRun(ctx context.Context, opts *Options) error {
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	log := logrus.New()
+	log.SetOutput(opts.Streams.Err)
+	log.SetLevel(logrus.WarnLevel)
+	hash := bearer.Hash(token)
+	n, err := node.New(settings.Settings{
+		Node:     settings.Node{Name: "demo", Domain: "local"},
+		Listen:   settings.Listen{Callers: opts.Listen, Upstreams: "127.0.0.1:0", Operators: "127.0.0.1:0"},
+		Security: settings.Security{Upstreams: []settings.Token{{Name: "demo", Token: hash}}, Operators: []settings.Token{{Name: "demo", Token: hash}}},
+		Shutdown: settings.Shutdown{Limit: config.Duration(10 * time.Second)},
+	}, log)
+	if err != nil {
+		return err
+	}
+	items, err := config.Items(site())
+	if err != nil {
+		return err
+	}
+	if _, err := n.State.Change(ctx, wire.Change{ID: "demo", Items: items}); err != nil {
+		return err
+	}
+	for _, u := range []struct {
+		id, service, version string
+		handler              http.Handler
+	}{
+		{"model-1", "chat", "v1", (&fake.Model{Version: "v1", Between: tokenInterval}).Handler()},
+		{"model-2", "chat", "v2", (&fake.Model{Version: "v2", Between: tokenInterval}).Handler()},
+		{"booking-1", "booking", "v1", (&fake.Booking{}).Handler()},
+	} {
+		if err := startUpstream(ctx, opts, n.UpstreamsAddress(), u.id, u.service, u.version, u.handler); err != nil {
+			return err
+		}
+	}
+	printUsage(opts, n)
+	return n.Run(ctx)
+}
+
+func startUpstream(ctx context.Context, opts *Options, announce, id, service, version string, handler http.Handler) error {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}
+	go func() { _ = server.Serve(l) }()
+	announcer := &fake.Announcer{Nodes: []string{announce}, Token: token, HTTP: opts.HTTP, State: func() wire.Announce {
+		return wire.Announce{
+			ID: id, Incarnation: 1, Address: l.Addr().String(), VM: "vm-" + id, Domain: "local", Ready: true,
+			Serving: []wire.Serving{{Service: service, Version: version}},
+		}
+	}}
+	announcer.Run(ctx)
+	return nil
+}
+
+func printUsage(opts *Options, n *node.Node) {
+	address := n.CallersAddress()
+	_, _ = fmt.Fprintf(opts.Streams.Out, `callers:   http://%[1]s
+operators: http://%[2]s
+
+Ask the model:
+  curl -N http://%[1]s/v1/chat/completions -H 'Authorization: Bearer %[3]s' -H 'Content-Type: application/json' -d '{"model":"chat","stream":true,"max_tokens":8,"messages":[{"role":"user","content":"hello"}]}'
+
+Book once:
+  curl -i http://%[1]s/s/booking/bookings -H 'Authorization: Bearer %[3]s' -H 'Idempotency-Key: k1' -d '{"kimono":7}'
+
+Press Ctrl-C to stop.
+`, address, n.OperatorsAddress(), token)
+}
+
+func site() config.Site {
+	seconds := func(s float64) config.Duration { return config.Duration(s * float64(time.Second)) }
+	return config.Site{
+		Name:     "demo",
+		Accounts: []config.Account{{Name: "demo", Token: bearer.Hash(token), Weight: 1}},
+		Domains:  []config.Domain{{Name: "local", Region: "local"}},
+		Services: []config.Service{
+			{
+				Name: "chat", Kind: config.KindModel, Version: "v1", Models: []string{"chat"}, Start: 4,
+				Classes: []config.Class{{Name: "chat", Priority: 1, First: seconds(1.1), Between: seconds(0.051), Complete: seconds(60), Progress: seconds(2)}},
+			},
+			{
+				Name: "booking", Kind: config.KindPlain, Version: "v1", Start: 4, Status: "/bookings/{key}",
+				Classes: []config.Class{{Name: "booking", Priority: 0, First: seconds(2), Complete: seconds(10), Progress: seconds(5)}},
+				Routes: []config.Route{
+					{Path: "/bookings", Methods: []string{"POST"}, Class: "booking", Once: true},
+					{Path: "/", Class: "booking"},
+				},
+			},
+		},
+	}
+}
--- /dev/null
+++ b/pkg/cmd/node/node.go
@@ -0,0 +1,69 @@
+// Package node runs one node of the serving system.
+package node
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"os/signal"
+	"syscall"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+	"github.com/sirupsen/logrus"
+
+	"github.com/jaystage/jaystage/internal/node"
+	"github.com/jaystage/jaystage/internal/settings"
+	"github.com/jaystage/jaystage/pkg/cmd/factory"
+)
+
+// Options holds what the command uses.
+type Options struct {
+	Streams  factory.Streams
+	Settings string
+}
+
+// NewCmdNode returns the command "node".
+func NewCmdNode(f *factory.Factory) *ffcli.Command {
+	opts := &Options{Streams: f.Streams}
+	fs := f.NewFlagSet("node")
+	fs.StringVar(&opts.Settings, "settings", "", "TOML file with the node's settings")
+	return &ffcli.Command{
+		Name: "node", ShortUsage: "jaystage node --settings FILE", ShortHelp: "Run a node",
+		LongHelp: "Runs one node until it is interrupted, then shuts down gracefully.\n\nExample:\n  jaystage node --settings /etc/jaystage/node.toml",
+		FlagSet:  fs, Options: factory.Options(),
+		Exec: func(ctx context.Context, _ []string) error { return nodeRun(ctx, opts) },
+	}
+}
+
+func nodeRun(ctx context.Context, opts *Options) error {
+	if opts.Settings == "" {
+		return &factory.ExitError{Code: factory.ExitUsage, Err: errors.Join(errors.New("--settings is required; write a settings file as docs/operators.md shows"), flag.ErrHelp)}
+	}
+	s, err := settings.Load(opts.Settings)
+	if err != nil {
+		return &factory.ExitError{Code: factory.ExitInvalid, Err: err}
+	}
+	log := NewLogger(opts.Streams, s.Node.Log)
+	n, err := node.New(s, log)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	if err := n.Run(ctx); err != nil {
+		return fmt.Errorf("node %s: %w", s.Node.Name, err)
+	}
+	return nil
+}
+
+// NewLogger returns a logger that writes to the error stream, as JSON when the
+// format says so.
+func NewLogger(streams factory.Streams, format string) *logrus.Logger {
+	log := logrus.New()
+	log.SetOutput(streams.Err)
+	if format == "json" {
+		log.SetFormatter(&logrus.JSONFormatter{})
+	}
+	return log
+}
--- /dev/null
+++ b/pkg/cmd/root/root.go
@@ -0,0 +1,55 @@
+// Package root builds the command tree and runs it.
+package root
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/jaystage/jaystage/pkg/cmd/config/apply"
+	"github.com/jaystage/jaystage/pkg/cmd/config/show"
+	"github.com/jaystage/jaystage/pkg/cmd/demo"
+	"github.com/jaystage/jaystage/pkg/cmd/factory"
+	fakeupstream "github.com/jaystage/jaystage/pkg/cmd/fake/upstream"
+	"github.com/jaystage/jaystage/pkg/cmd/node"
+	"github.com/jaystage/jaystage/pkg/cmd/upstream/list"
+	"github.com/jaystage/jaystage/pkg/cmd/version"
+)
+
+// NewCmdRoot returns the command tree.
+func NewCmdRoot(f *factory.Factory) *ffcli.Command {
+	return group(f, "jaystage", "", "Serve models and bookings on reclaimable VMs",
+		node.NewCmdNode(f),
+		demo.NewCmdDemo(f),
+		group(f, "config", "jaystage ", "Manage the site configuration", apply.NewCmdApply(f), show.NewCmdShow(f)),
+		group(f, "upstream", "jaystage ", "Manage upstreams", list.NewCmdList(f)),
+		group(f, "fake", "jaystage ", "Run stand-ins", fakeupstream.NewCmdUpstream(f)),
+		version.NewCmdVersion(f),
+	)
+}
+
+// group returns a command that only holds subcommands.
+func group(f *factory.Factory, name, parent, help string, subcommands ...*ffcli.Command) *ffcli.Command {
+	return &ffcli.Command{
+		Name: name, ShortUsage: parent + name + " <command> [flags]", ShortHelp: help,
+		FlagSet: f.NewFlagSet(name), Subcommands: subcommands,
+		Exec: func(_ context.Context, args []string) error {
+			if len(args) > 0 {
+				return &factory.ExitError{Code: factory.ExitUsage, Err: fmt.Errorf("unknown command %q; see %s%s --help", args[0], parent, name)}
+			}
+			return flag.ErrHelp
+		},
+	}
+}
+
+// Main runs the command line and returns the exit code.
+func Main(ctx context.Context, f *factory.Factory, args []string) int {
+	err := NewCmdRoot(f).ParseAndRun(ctx, args)
+	if err != nil && !errors.Is(err, flag.ErrHelp) {
+		_, _ = fmt.Fprintln(f.Streams.Err, "jaystage:", err)
+	}
+	return factory.ExitCode(err)
+}
