--- a/internal/config/view.go
+++ b/internal/config/view.go
@@ -62,19 +62,19 @@
 
 // View is an immutable reading of the key space. Holders must not change it.
 type View struct {
-	Version  uint64
-	Site     string
-	Accounts map[string]Account
+	Version  uint64             `json:"version"`
+	Site     string             `json:"site"`
+	Accounts map[string]Account `json:"accounts"`
 	// Tokens maps the SHA-256 of a bearer token, hexadecimal, to its account.
-	Tokens   map[string]string
-	Domains  map[string]Domain
-	Services map[string]Service
+	Tokens   map[string]string  `json:"-"`
+	Domains  map[string]Domain  `json:"domains"`
+	Services map[string]Service `json:"services"`
 	// Models maps each model name to its service.
-	Models           map[string]string
-	DrainedDomains   map[string]Drain
-	DrainedUpstreams map[string]Drain
-	Shares           map[string]Share
-	Nodes            map[string]Node
+	Models           map[string]string `json:"models"`
+	DrainedDomains   map[string]Drain  `json:"drained_domains"`
+	DrainedUpstreams map[string]Drain  `json:"drained_upstreams"`
+	Shares           map[string]Share  `json:"shares"`
+	Nodes            map[string]Node   `json:"nodes"`
 }
 
 // Items turns a site configuration into entries of the key space.
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -10,18 +10,15 @@
 // Events of a node. 1xxx node, 2xxx callers, 3xxx upstreams, 4xxx replicated
 // state, 5xxx links between nodes, 6xxx rollouts, 7xxx fleet, 8xxx operators.
 const (
-	NodeStarted      ID = 1001
-	NodeStopping     ID = 1002
-	NodeStopped      ID = 1003
-	RequestRefused   ID = 2001
-	RequestFailed    ID = 2002
-	RequestContinued ID = 2003
-	UpstreamJoined   ID = 3001
-	UpstreamLeaving  ID = 3002
-	UpstreamExpired  ID = 3003
-	AnnounceRefused  ID = 3004
-	ConfigApplied    ID = 4001
-	OperatorRefused  ID = 8001
+	NodeStarted     ID = 1001
+	NodeStopping    ID = 1002
+	NodeStopped     ID = 1003
+	RequestRefused  ID = 2001
+	UpstreamJoined  ID = 3001
+	UpstreamLeaving ID = 3002
+	UpstreamExpired ID = 3003
+	AnnounceRefused ID = 3004
+	OperatorRefused ID = 8001
 )
 
 // Field is the log field that holds an event's number.
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -5,7 +5,9 @@
 	"context"
 	"encoding/json"
 	"expvar"
+	"fmt"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/gorilla/mux"
@@ -77,8 +79,10 @@
 		writeError(w, http.StatusBadRequest, "a change needs an id, so that it can be sent again after a lost answer")
 		return
 	}
-	if holder, ok := s.Tokens.Holder(r); ok && c.Author == "" {
-		c.Author = holder
+	c.Author, _ = s.Tokens.Holder(r)
+	if err := stampDrains(c); err != nil {
+		writeError(w, http.StatusBadRequest, err.Error())
+		return
 	}
 	result, err := s.State.Change(r.Context(), c)
 	if err != nil {
@@ -92,6 +96,27 @@
 	writeJSON(w, status, result)
 }
 
+// stampDrains writes the author into the drains that a change sets, so that a
+// drain shows who set it. An operator cannot name another author.
+func stampDrains(c wire.Change) error {
+	for i, item := range c.Items {
+		if item.Deleted || !strings.HasPrefix(item.Key, config.PrefixDrainDomain) && !strings.HasPrefix(item.Key, config.PrefixDrainUpstream) {
+			continue
+		}
+		var d config.Drain
+		if err := json.Unmarshal(item.Value, &d); err != nil {
+			return fmt.Errorf("%s is not a drain: %w", item.Key, err)
+		}
+		d.Author = c.Author
+		value, err := json.Marshal(d)
+		if err != nil {
+			return err
+		}
+		c.Items[i].Value = value
+	}
+	return nil
+}
+
 func (s *Server) listUpstreams(w http.ResponseWriter, _ *http.Request) {
 	writeJSON(w, http.StatusOK, s.Upstreams.List())
 }
--- /dev/null
+++ b/internal/settings/check.go
@@ -0,0 +1,129 @@
+package settings
+
+import (
+	"encoding/hex"
+	"fmt"
+	"net"
+	"os"
+	"slices"
+	"strconv"
+)
+
+// report takes one problem at a key.
+type report func(key, format string, args ...any)
+
+const (
+	minPeerKeyLength = 16
+	tokenHashBytes   = 32
+)
+
+// check reports every value that cannot work.
+func (s Settings) check(report report) {
+	s.Node.check(report)
+	for key, address := range map[string]string{
+		"listen.callers": s.Listen.Callers, "listen.upstreams": s.Listen.Upstreams,
+		"listen.operators": s.Listen.Operators, "listen.peers": s.Listen.Peers,
+	} {
+		if address != "" || key != "listen.peers" {
+			checkAddress(key, address, report)
+		}
+	}
+	s.checkPeers(report)
+	s.Security.check(len(s.Peers) > 1, s.Listen.Peers, report)
+	if s.Shutdown.Unready < 0 {
+		report("shutdown.unready", "must not be negative")
+	}
+	if s.Shutdown.Limit <= 0 {
+		report("shutdown.limit", "must be above 0")
+	}
+}
+
+func (n Node) check(report report) {
+	if n.Name == "" {
+		report("node.name", "is missing; each node needs a name of its own")
+	}
+	if n.Domain == "" {
+		report("node.domain", "is missing; name the failure domain of the node's VM")
+	}
+	if n.Voter && n.Data == "" {
+		report("node.data", "is missing; a voter needs a data folder")
+	}
+	if n.Log != "" && n.Log != "text" && n.Log != "json" {
+		report("node.log", "%q is unknown; use \"text\" or \"json\"", n.Log)
+	}
+}
+
+func (s Settings) checkPeers(report report) {
+	for _, p := range s.Peers {
+		checkAddress(fmt.Sprintf("peer[%s].address", p.Name), p.Address, report)
+	}
+	voters := 0
+	for _, p := range s.Peers {
+		if p.Voter {
+			voters++
+		}
+	}
+	if len(s.Peers) > 0 && voters == 0 {
+		report("peer", "none has voter = true; name the first voters, the same on every node")
+	}
+	self := slices.IndexFunc(s.Peers, func(p Peer) bool { return p.Name == s.Node.Name })
+	if len(s.Peers) > 1 && s.Listen.Peers == "" {
+		report("listen.peers", "is missing; a node with peers needs an address for them")
+	}
+	if self >= 0 && s.Peers[self].Voter && !s.Node.Voter {
+		report("node.voter", "is false, but the list of peers names this node as a voter")
+	}
+}
+
+func (s Security) check(linked bool, peers string, report report) {
+	if linked && len(s.PeerKey) < minPeerKeyLength {
+		report("security.peer_key", "must have at least %d characters; all nodes share it", minPeerKeyLength)
+	}
+	if s.Plaintext && !loopback(peers) {
+		report("security.plaintext", "is only allowed when listen.peers is a loopback address")
+	}
+	if linked && !s.Plaintext && (s.Cert == "" || s.Key == "" || s.CA == "") {
+		report("security.cert", "cert, key and ca are needed for links between nodes; on loopback, plaintext = true does without")
+	}
+	for name, path := range map[string]string{"cert": s.Cert, "key": s.Key, "ca": s.CA} {
+		if path == "" {
+			continue
+		}
+		if _, err := os.Stat(path); err != nil {
+			report("security."+name, "cannot be read: %v", err)
+		}
+	}
+	checkTokens("security.upstream", s.Upstreams, report)
+	checkTokens("security.operator", s.Operators, report)
+}
+
+func checkTokens(key string, tokens []Token, report report) {
+	if len(tokens) == 0 {
+		report(key, "is missing; without a token nobody can use the listener")
+	}
+	for _, t := range tokens {
+		if sum, err := hex.DecodeString(t.Token); err != nil || len(sum) != tokenHashBytes {
+			report(fmt.Sprintf("%s[%s].token", key, t.Name), "must be the SHA-256 of the bearer token, 64 hexadecimal digits: printf %%s TOKEN | sha256sum")
+		}
+	}
+}
+
+func checkAddress(key, address string, report report) {
+	_, port, err := net.SplitHostPort(address)
+	if err != nil {
+		report(key, "%q is not host:port", address)
+		return
+	}
+	if n, err := strconv.Atoi(port); err != nil || n < 0 || n > 65535 {
+		report(key, "%q is not a port; use a number from 1 to 65535", port)
+	}
+}
+
+func loopback(address string) bool {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return false
+	}
+	ip := net.ParseIP(host)
+	return ip != nil && ip.IsLoopback()
+}
--- /dev/null
+++ b/internal/tomlfile/lines.go
@@ -0,0 +1,57 @@
+package tomlfile
+
+import (
+	"fmt"
+
+	"github.com/pelletier/go-toml/v2/unstable"
+)
+
+// lineIndex maps the path of each key in a file to its line. Elements of arrays
+// are numbered within the file, such as service[0].class[1].first.
+func lineIndex(data []byte) map[string]int {
+	lines := make(map[string]int)
+	counts := make(map[string]int)
+	var p unstable.Parser
+	p.Reset(data)
+	table := ""
+	for p.NextExpression() {
+		e := p.Expression()
+		path, line := "", 0
+		keys := e.Key()
+		for keys.Next() {
+			key := keys.Node()
+			line = p.Shape(key.Raw).Start.Line
+			path = joinKey(path, string(key.Data))
+			if e.Kind != unstable.KeyValue && !keys.IsLast() {
+				path = lastElement(counts, path)
+			}
+		}
+		switch e.Kind {
+		case unstable.Table:
+			table = lastElement(counts, path)
+			lines[table] = line
+		case unstable.ArrayTable:
+			counts[path]++
+			table = lastElement(counts, path)
+			lines[table] = line
+		case unstable.KeyValue:
+			lines[joinKey(table, path)] = line
+		}
+	}
+	return lines
+}
+
+// lastElement turns the path of an array of tables into that of its last element.
+func lastElement(counts map[string]int, path string) string {
+	if n := counts[path]; n > 0 {
+		return fmt.Sprintf("%s[%d]", path, n-1)
+	}
+	return path
+}
+
+func joinKey(table, key string) string {
+	if table == "" {
+		return key
+	}
+	return table + "." + key
+}
--- /dev/null
+++ b/pkg/cmd/domain/drain/drain.go
@@ -0,0 +1,14 @@
+// Package drain stops new work to a failure domain.
+package drain
+
+import (
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/jaystage/jaystage/pkg/cmd/factory"
+	"github.com/jaystage/jaystage/pkg/cmd/shared/drain"
+)
+
+// NewCmdDrain returns the command "domain drain".
+func NewCmdDrain(f *factory.Factory) *ffcli.Command {
+	return drain.NewCmd(f, drain.Domain, false)
+}
--- a/pkg/cmd/factory/factory.go
+++ b/pkg/cmd/factory/factory.go
@@ -6,9 +6,12 @@
 	"encoding/json"
 	"errors"
 	"flag"
+	"fmt"
 	"io"
 	"net/http"
 	"os"
+	"strings"
+	"text/tabwriter"
 	"time"
 
 	"github.com/peterbourgon/ff/v3"
@@ -118,3 +121,12 @@
 	enc.SetIndent("", "  ")
 	return enc.Encode(v)
 }
+
+// PrintTable writes aligned columns under a header.
+func (s Streams) PrintTable(header []string, rows [][]string) error {
+	w := tabwriter.NewWriter(s.Out, 0, 0, 2, ' ', 0)
+	for _, row := range append([][]string{header}, rows...) {
+		_, _ = fmt.Fprintln(w, strings.Join(row, "\t"))
+	}
+	return w.Flush()
+}
--- a/pkg/cmd/node/node.go
+++ b/pkg/cmd/node/node.go
@@ -4,7 +4,6 @@
 import (
 	"context"
 	"errors"
-	"flag"
 	"fmt"
 	"os/signal"
 	"syscall"
@@ -23,22 +22,22 @@
 	Settings string
 }
 
-// NewCmdNode returns the command "node".
-func NewCmdNode(f *factory.Factory) *ffcli.Command {
+// NewCmdNode returns the command "node" with its subcommands.
+func NewCmdNode(f *factory.Factory, subcommands ...*ffcli.Command) *ffcli.Command {
 	opts := &Options{Streams: f.Streams}
 	fs := f.NewFlagSet("node")
 	fs.StringVar(&opts.Settings, "settings", "", "TOML file with the node's settings")
 	return &ffcli.Command{
 		Name: "node", ShortUsage: "jaystage node --settings FILE", ShortHelp: "Run a node",
 		LongHelp: "Runs one node until it is interrupted, then shuts down gracefully.\n\nExample:\n  jaystage node --settings /etc/jaystage/node.toml",
-		FlagSet:  fs, Options: factory.Options(),
+		FlagSet:  fs, Options: factory.Options(), Subcommands: subcommands,
 		Exec: func(ctx context.Context, _ []string) error { return nodeRun(ctx, opts) },
 	}
 }
 
 func nodeRun(ctx context.Context, opts *Options) error {
 	if opts.Settings == "" {
-		return &factory.ExitError{Code: factory.ExitUsage, Err: errors.Join(errors.New("--settings is required; write a settings file as docs/operators.md shows"), flag.ErrHelp)}
+		return &factory.ExitError{Code: factory.ExitUsage, Err: errors.New("--settings is required; write a settings file as docs/operators.md shows")}
 	}
 	s, err := settings.Load(opts.Settings)
 	if err != nil {
--- a/pkg/cmd/root/root.go
+++ b/pkg/cmd/root/root.go
@@ -9,24 +9,40 @@
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
+	"github.com/jaystage/jaystage/pkg/cmd/completion"
 	"github.com/jaystage/jaystage/pkg/cmd/config/apply"
+	"github.com/jaystage/jaystage/pkg/cmd/config/check"
 	"github.com/jaystage/jaystage/pkg/cmd/config/show"
 	"github.com/jaystage/jaystage/pkg/cmd/demo"
+	domaindrain "github.com/jaystage/jaystage/pkg/cmd/domain/drain"
+	domainlist "github.com/jaystage/jaystage/pkg/cmd/domain/list"
+	domainresume "github.com/jaystage/jaystage/pkg/cmd/domain/resume"
 	"github.com/jaystage/jaystage/pkg/cmd/factory"
 	fakeupstream "github.com/jaystage/jaystage/pkg/cmd/fake/upstream"
 	"github.com/jaystage/jaystage/pkg/cmd/node"
-	"github.com/jaystage/jaystage/pkg/cmd/upstream/list"
+	nodelist "github.com/jaystage/jaystage/pkg/cmd/node/list"
+	servicelist "github.com/jaystage/jaystage/pkg/cmd/service/list"
+	serviceview "github.com/jaystage/jaystage/pkg/cmd/service/view"
+	upstreamdrain "github.com/jaystage/jaystage/pkg/cmd/upstream/drain"
+	upstreamlist "github.com/jaystage/jaystage/pkg/cmd/upstream/list"
+	upstreamresume "github.com/jaystage/jaystage/pkg/cmd/upstream/resume"
+	upstreamview "github.com/jaystage/jaystage/pkg/cmd/upstream/view"
 	"github.com/jaystage/jaystage/pkg/cmd/version"
 )
 
 // NewCmdRoot returns the command tree.
 func NewCmdRoot(f *factory.Factory) *ffcli.Command {
 	return group(f, "jaystage", "", "Serve models and bookings on reclaimable VMs",
-		node.NewCmdNode(f),
+		node.NewCmdNode(f, nodelist.NewCmdList(f)),
 		demo.NewCmdDemo(f),
-		group(f, "config", "jaystage ", "Manage the site configuration", apply.NewCmdApply(f), show.NewCmdShow(f)),
-		group(f, "upstream", "jaystage ", "Manage upstreams", list.NewCmdList(f)),
+		group(f, "config", "jaystage ", "Manage the site configuration", check.NewCmdCheck(f), apply.NewCmdApply(f), show.NewCmdShow(f)),
+		group(f, "service", "jaystage ", "Look at services", servicelist.NewCmdList(f), serviceview.NewCmdView(f)),
+		group(f, "upstream", "jaystage ", "Manage upstreams",
+			upstreamlist.NewCmdList(f), upstreamview.NewCmdView(f), upstreamdrain.NewCmdDrain(f), upstreamresume.NewCmdResume(f)),
+		group(f, "domain", "jaystage ", "Manage failure domains",
+			domainlist.NewCmdList(f), domaindrain.NewCmdDrain(f), domainresume.NewCmdResume(f)),
 		group(f, "fake", "jaystage ", "Run stand-ins", fakeupstream.NewCmdUpstream(f)),
+		completion.NewCmdCompletion(f, func() *ffcli.Command { return NewCmdRoot(f) }),
 		version.NewCmdVersion(f),
 	)
 }
--- /dev/null
+++ b/pkg/cmd/shared/drain/drain.go
@@ -0,0 +1,129 @@
+// Package drain is what the commands that drain and resume failure domains and
+// upstreams share.
+package drain
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/jaystage/jaystage/internal/config"
+	"github.com/jaystage/jaystage/pkg/cmd/factory"
+	"github.com/jaystage/jaystage/pkg/wire"
+)
+
+// Client is the part of the operators' client that the commands use.
+type Client interface {
+	Config(ctx context.Context) (config.View, error)
+	Change(ctx context.Context, c wire.Change) (wire.Changed, error)
+}
+
+// Kind is what is drained.
+type Kind struct {
+	// Noun names the kind on the command line, such as domain.
+	Noun string
+	// Label names the kind in messages, such as failure domain.
+	Label string
+	// Prefix is the prefix of the drains' keys.
+	Prefix string
+	// Drains picks the kind's drains from a view.
+	Drains func(config.View) map[string]config.Drain
+	// Known tells whether the view knows the name; nil when any name is taken.
+	Known func(config.View, string) bool
+}
+
+// Domain is the kind of failure domains.
+var Domain = Kind{
+	Noun: "domain", Label: "failure domain", Prefix: config.PrefixDrainDomain,
+	Drains: func(v config.View) map[string]config.Drain { return v.DrainedDomains },
+	Known:  func(v config.View, name string) bool { _, ok := v.Domains[name]; return ok },
+}
+
+// Upstream is the kind of upstreams. They announce themselves, so that an
+// upstream can be drained before it is known.
+var Upstream = Kind{
+	Noun: "upstream", Label: "upstream", Prefix: config.PrefixDrainUpstream,
+	Drains: func(v config.View) map[string]config.Drain { return v.DrainedUpstreams },
+}
+
+// Options holds what the commands use.
+type Options struct {
+	Streams factory.Streams
+	Client  func(factory.Target) Client
+	Target  factory.Target
+	Now     func() time.Time
+	Kind    Kind
+	// Resume is true to take the drain back.
+	Resume bool
+	Name   string
+	Reason string
+	ID     string
+}
+
+// NewCmd returns the command that drains or resumes the kind.
+func NewCmd(f *factory.Factory, kind Kind, resume bool) *ffcli.Command {
+	opts := &Options{Streams: f.Streams, Client: func(t factory.Target) Client { return f.Client(t) }, Now: time.Now, Kind: kind, Resume: resume}
+	verb, help := "drain", "Stop new work to the "+kind.Label
+	if resume {
+		verb, help = "resume", "Let new work return to the "+kind.Label
+	}
+	fs := f.NewFlagSet(kind.Noun + " " + verb)
+	opts.Target.Bind(fs)
+	fs.StringVar(&opts.ID, "id", "", "change id, to send a change again after a lost answer; default: a new one")
+	fs.StringVar(&opts.Reason, "reason", "", "why, shown with the drain and kept in the history")
+	return &ffcli.Command{
+		Name: verb, ShortUsage: fmt.Sprintf("jaystage %s %s [flags] NAME", kind.Noun, verb), ShortHelp: help,
+		LongHelp: fmt.Sprintf("Example:\n  jaystage %s %s --reason \"rack maintenance\" NAME", kind.Noun, verb),
+		FlagSet:  fs, Options: factory.Options(),
+		Exec: func(ctx context.Context, args []string) error {
+			if len(args) != 1 {
+				return &factory.ExitError{Code: factory.ExitUsage, Err: fmt.Errorf("name one %s: jaystage %s %s [flags] NAME", kind.Label, kind.Noun, verb)}
+			}
+			opts.Name = args[0]
+			return Run(ctx, opts)
+		},
+	}
+}
+
+// Run submits the change.
+func Run(ctx context.Context, opts *Options) error {
+	client := opts.Client(opts.Target)
+	view, err := client.Config(ctx)
+	if err != nil {
+		return err
+	}
+	if opts.Kind.Known != nil && !opts.Kind.Known(view, opts.Name) {
+		return fmt.Errorf("the configuration has no %s %q; see jaystage %s list", opts.Kind.Label, opts.Name, opts.Kind.Noun)
+	}
+	_, drained := opts.Kind.Drains(view)[opts.Name]
+	if drained != opts.Resume {
+		_, err := fmt.Fprintf(opts.Streams.Out, "%s %s already is as asked\n", opts.Kind.Label, opts.Name)
+		return err
+	}
+	item := wire.Item{Key: opts.Kind.Prefix + opts.Name, Deleted: opts.Resume}
+	if !opts.Resume {
+		item.Value, err = json.Marshal(config.Drain{Reason: opts.Reason, Since: opts.Now().UnixMilli()})
+		if err != nil {
+			return err
+		}
+	}
+	if opts.ID == "" {
+		opts.ID = rand.Text()
+	}
+	result, err := client.Change(ctx, wire.Change{ID: opts.ID, Base: view.Version, Reason: opts.Reason, Items: []wire.Item{item}})
+	if err != nil {
+		return fmt.Errorf("%w (send it again with --id %s)", err, opts.ID)
+	}
+	if len(result.Conflict) > 0 {
+		return &factory.ExitError{Code: factory.ExitConflict, Err: fmt.Errorf("another operator changed the %s %s at version %d; look at it and try again", opts.Kind.Label, opts.Name, result.Version)}
+	}
+	if opts.Target.JSON {
+		return opts.Streams.PrintJSON(result)
+	}
+	_, err = fmt.Fprintf(opts.Streams.Out, "accepted as version %d\n", result.Version)
+	return err
+}
--- a/pkg/cmd/upstream/list/list.go
+++ b/pkg/cmd/upstream/list/list.go
@@ -3,8 +3,7 @@
 
 import (
 	"context"
-	"fmt"
-	"text/tabwriter"
+	"strconv"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
@@ -45,12 +44,11 @@
 	if opts.Target.JSON {
 		return opts.Streams.PrintJSON(list)
 	}
-	w := tabwriter.NewWriter(opts.Streams.Out, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(w, "UPSTREAM\tDOMAIN\tADDRESS\tSERVES\tSTATE\tRUNNING")
+	rows := make([][]string, 0, len(list))
 	for _, e := range list {
-		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%d\n", e.ID, e.Domain, e.Address, serves(e), status(e), e.Load.Running)
+		rows = append(rows, []string{e.ID, e.Domain, e.Address, serves(e), status(e), strconv.FormatUint(e.Load.Running, 10)})
 	}
-	return w.Flush()
+	return opts.Streams.PrintTable([]string{"UPSTREAM", "DOMAIN", "ADDRESS", "SERVES", "STATE", "RUNNING"}, rows)
 }
 
 func serves(e upstream.Entry) string {
