--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -22,6 +22,7 @@
 
 const (
 	announceInterval  = time.Second
+	keptEvents        = 1000
 	readHeaderTimeout = 10 * time.Second
 	idleTimeout       = 2 * time.Minute
 	maxHeaderBytes    = 64 << 10
@@ -43,13 +44,15 @@
 }
 
 // New opens the node's listeners. Run must be called to serve them.
-func New(s settings.Settings, log logrus.FieldLogger) (*Node, error) {
+func New(s settings.Settings, log *logrus.Logger) (*Node, error) {
+	events := event.NewRing(keptEvents)
+	log.AddHook(events)
 	n := &Node{Settings: s, Log: log, State: replica.NewSingle(), Registry: upstream.NewRegistry(announceInterval)}
 	n.Callers = &caller.API{
 		Viewer: n.State, Upstreams: n.Registry, Transport: upstream.NewTransport(), Log: log, Now: time.Now,
 	}
 	announcements := &upstream.Announcements{Registry: n.Registry, Tokens: tokens(s.Security.Upstreams), Log: log, Now: time.Now}
-	operators := &operator.Server{State: n.State, Upstreams: n.Registry, Tokens: tokens(s.Security.Operators), Log: log, Now: time.Now}
+	operators := &operator.Server{State: n.State, Upstreams: n.Registry, Events: events, Tokens: tokens(s.Security.Operators), Log: log, Now: time.Now}
 	for _, l := range []struct {
 		key, address string
 		handler      http.Handler
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -7,10 +7,12 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 
 	"github.com/rotisserie/eris"
 
 	"github.com/jaystage/jaystage/internal/config"
+	"github.com/jaystage/jaystage/internal/event"
 	"github.com/jaystage/jaystage/internal/upstream"
 	"github.com/jaystage/jaystage/pkg/wire"
 )
@@ -45,6 +47,13 @@
 	return list, err
 }
 
+// Events lists the node's kept events after the given sequence number.
+func (c *Client) Events(ctx context.Context, since uint64) ([]event.Record, error) {
+	var list []event.Record
+	_, err := c.call(ctx, http.MethodGet, "/v1/events?since="+strconv.FormatUint(since, 10), nil, &list)
+	return list, err
+}
+
 // call sends one request and decodes the answer into out. A conflict is decoded
 // like a success.
 func (c *Client) call(ctx context.Context, method, path string, in, out any) (status int, err error) {
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -7,6 +7,7 @@
 	"expvar"
 	"fmt"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -37,6 +38,7 @@
 type Server struct {
 	State     State
 	Upstreams Upstreams
+	Events    *event.Ring
 	Tokens    bearer.Tokens
 	Log       logrus.FieldLogger
 	Now       func() time.Time
@@ -49,6 +51,7 @@
 	r.HandleFunc("/v1/config", s.showConfig).Methods(http.MethodGet)
 	r.HandleFunc("/v1/changes", s.change).Methods(http.MethodPost)
 	r.HandleFunc("/v1/upstreams", s.listUpstreams).Methods(http.MethodGet)
+	r.HandleFunc("/v1/events", s.listEvents).Methods(http.MethodGet)
 	r.Handle("/debug/vars", expvar.Handler()).Methods(http.MethodGet)
 	return r
 }
@@ -121,6 +124,19 @@
 	writeJSON(w, http.StatusOK, s.Upstreams.List())
 }
 
+func (s *Server) listEvents(w http.ResponseWriter, r *http.Request) {
+	since := uint64(0)
+	if text := r.URL.Query().Get("since"); text != "" {
+		n, err := strconv.ParseUint(text, 10, 64)
+		if err != nil {
+			writeError(w, http.StatusBadRequest, "since must be the sequence number of an event")
+			return
+		}
+		since = n
+	}
+	writeJSON(w, http.StatusOK, s.Events.Since(since))
+}
+
 // Failure is the body of a refused operator request.
 type Failure struct {
 	Error string `json:"error"`
--- a/pkg/cmd/root/root.go
+++ b/pkg/cmd/root/root.go
@@ -17,6 +17,8 @@
 	domaindrain "github.com/jaystage/jaystage/pkg/cmd/domain/drain"
 	domainlist "github.com/jaystage/jaystage/pkg/cmd/domain/list"
 	domainresume "github.com/jaystage/jaystage/pkg/cmd/domain/resume"
+	eventlist "github.com/jaystage/jaystage/pkg/cmd/event/list"
+	"github.com/jaystage/jaystage/pkg/cmd/event/watch"
 	"github.com/jaystage/jaystage/pkg/cmd/factory"
 	fakeupstream "github.com/jaystage/jaystage/pkg/cmd/fake/upstream"
 	"github.com/jaystage/jaystage/pkg/cmd/node"
@@ -41,6 +43,7 @@
 			upstreamlist.NewCmdList(f), upstreamview.NewCmdView(f), upstreamdrain.NewCmdDrain(f), upstreamresume.NewCmdResume(f)),
 		group(f, "domain", "jaystage ", "Manage failure domains",
 			domainlist.NewCmdList(f), domaindrain.NewCmdDrain(f), domainresume.NewCmdResume(f)),
+		group(f, "event", "jaystage ", "Read a node's events", eventlist.NewCmdList(f), watch.NewCmdWatch(f)),
 		group(f, "fake", "jaystage ", "Run stand-ins", fakeupstream.NewCmdUpstream(f)),
 		completion.NewCmdCompletion(f, func() *ffcli.Command { return NewCmdRoot(f) }),
 		version.NewCmdVersion(f),
