--- a/internal/caller/admit.go
+++ b/internal/caller/admit.go
@@ -106,6 +106,7 @@
 	}
 	c := a.newCall(now, account, service)
 	c.method, c.path, c.body, c.route = http.MethodPost, r.URL.Path, body, r.URL.Path
+	c.session = r.Header.Get(SessionHeader)
 	c.transcript = stream.NewTranscript(req, "chatcmpl-"+c.id)
 	c.fingerprint = routing.NewFingerprint(account.Name, service.Name, body)
 	c.blocks = routing.Blocks(req.Model, req.PromptText(), prefixBytes)
--- a/internal/caller/api.go
+++ b/internal/caller/api.go
@@ -41,11 +41,13 @@
 	Upstreams Upstreams
 	Transport *upstream.Transport
 	Bookings  Bookings
-	Log       logrus.FieldLogger
-	Now       func() time.Time
-	Metrics   *Metrics
-	Suspects  *Suspects
-	Slots     *Slots
+	// Versions divides calls between the versions of a rollout.
+	Versions Versions
+	Log      logrus.FieldLogger
+	Now      func() time.Time
+	Metrics  *Metrics
+	Suspects *Suspects
+	Slots    *Slots
 	// Unready is true once the node shuts down: the balancer is told so, and
 	// answers close their connection.
 	Unready atomic.Bool
--- a/internal/caller/call.go
+++ b/internal/caller/call.go
@@ -33,6 +33,8 @@
 	path   string
 	header http.Header
 	body   []byte
+	// session is the caller's name of the session; empty for none.
+	session string
 	// once is true when the request may run at most once.
 	once bool
 	// transcript follows a completion; nil for a plain service.
@@ -85,6 +87,15 @@
 	return false
 }
 
+// estimate is the number of tokens that the call may take at most, 1 for a plain
+// service.
+func (c *call) estimate() float64 {
+	if c.transcript == nil {
+		return 1
+	}
+	return float64(c.transcript.Request.Prompt + c.transcript.Request.MaxTokens)
+}
+
 // Causes that end a call or an attempt from outside.
 var (
 	errDeadline = errors.New("the deadline of the request's class has passed")
@@ -125,8 +136,9 @@
 	begun   time.Time
 	// uncached is the estimated number of prompt tokens to compute.
 	uncached int
-	// tokenSeen is true after the first token.
-	tokenSeen bool
+	// tokenSeen is true after the first token, which came at firstToken.
+	tokenSeen  bool
+	firstToken time.Time
 	// before is the number of tokens that earlier attempts delivered.
 	before int
 	// delivered is the number of tokens of this attempt.
--- a/internal/caller/choose.go
+++ b/internal/caller/choose.go
@@ -83,7 +83,7 @@
 	if view == nil {
 		return nil, true
 	}
-	c.version = a.shares.version(view, c)
+	c.version = a.shares.version(view, c, a.Versions)
 	list := a.candidates(view, c, now)
 	if len(list) == 0 {
 		return nil, false
--- a/internal/caller/finish.go
+++ b/internal/caller/finish.go
@@ -62,6 +62,7 @@
 		c.trial = false
 		a.paced(at, now)
 		a.Metrics.answered(c, at, now)
+		a.reportEnd(now, at, nil)
 		return nil
 	}
 	f := a.classify(ctx, c, at, err)
@@ -74,6 +75,7 @@
 	}
 	c.avoid(at.target.ID)
 	a.Metrics.failed(c, at, f.kind)
+	a.reportEnd(now, at, f)
 	cold := a.diagnose(ctx, c, f)
 	a.Slots.put(a.Now(), at, cold)
 	return f
--- a/internal/caller/follow.go
+++ b/internal/caller/follow.go
@@ -97,6 +97,7 @@
 			at.delivered.Add(int64(tokens))
 			a.Metrics.token(c, now)
 			if !at.tokenSeen {
+				at.firstToken = now
 				took, target := now.Sub(at.begun), c.class.First.Std()
 				a.Slots.first(at, target > 0 && took > target, took)
 			}
--- a/internal/caller/shares.go
+++ b/internal/caller/shares.go
@@ -7,8 +7,9 @@
 	"github.com/jaystage/jaystage/internal/config"
 )
 
-// shares divides a service's new calls between the versions of its rollout. The
-// part of the new version is exact over any run of calls, not only on average.
+// shares divides a service's new calls between the versions of its rollout. Without
+// permits of a leader, the part of the new version is exact over any run of calls
+// of this node, not only on average.
 type shares struct {
 	mu     sync.Mutex
 	counts map[string]float64
@@ -16,7 +17,7 @@
 
 // version returns the version for the call's next attempt. A call stays on its
 // version unless that version has been judged bad.
-func (s *shares) version(view *config.View, c *call) string {
+func (s *shares) version(view *config.View, c *call, versions Versions) string {
 	share, running := view.Shares[c.service.Name]
 	if !running {
 		if c.attempts > 0 || c.version != "" {
@@ -30,6 +31,12 @@
 	if c.version == share.From || c.version == share.To {
 		return c.version
 	}
+	if versions != nil {
+		if versions.Admit(c.service.Name, share, c.estimate(), c.session) {
+			return share.To
+		}
+		return share.From
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.counts == nil {
--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -165,4 +165,7 @@
 	if r.Undo < 0 {
 		report(key+".undo", "must not be negative")
 	}
+	if r.Soak < 0 {
+		report(key+".soak", "must not be negative")
+	}
 }
--- a/internal/config/site.go
+++ b/internal/config/site.go
@@ -109,4 +109,6 @@
 	Canary float64 `toml:"canary" json:"canary"`
 	// Undo is the time reserved before the deadline for taking the rollout back.
 	Undo Duration `toml:"undo" json:"undo"`
+	// Soak is the shortest duration of a step; zero for one minute.
+	Soak Duration `toml:"soak" json:"soak"`
 }
--- a/internal/config/view.go
+++ b/internal/config/view.go
@@ -6,6 +6,7 @@
 	"maps"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/jaystage/jaystage/pkg/wire"
 )
@@ -53,17 +54,29 @@
 	Cell     string `json:"cell"`
 }
 
-// Share is the traffic rule of a running rollout, as nodes apply it.
+// Share is the traffic rule of a rollout, as nodes apply it. The entry in the key
+// space is a rollout.Rollout, of which these fields are a part.
 type Share struct {
+	ID string `json:"id"`
 	// From and To are the versions; To gets Fraction of the traffic.
 	From string `json:"from"`
 	To   string `json:"to"`
 	// Fraction is in [0, 1] and holds over all nodes together.
-	Fraction float64 `json:"fraction"`
+	Fraction float64 `json:"share"`
 	// Bad is true once To has been judged bad; it then gets no new work at all.
 	Bad bool `json:"bad"`
+	// Step is the step to which nodes count outcomes.
+	Step  int    `json:"step"`
+	Phase string `json:"phase"`
+	Rules struct {
+		// Warmup is the time after its start in which an upstream counts as cold.
+		Warmup time.Duration `json:"warmup"`
+	} `json:"rules"`
 }
 
+// Ended tells whether the rollout has ended.
+func (s Share) Ended() bool { return s.Phase == "done" || s.Phase == "undone" }
+
 // View is an immutable reading of the key space. Holders must not change it.
 type View struct {
 	Version  uint64             `json:"version"`
@@ -77,8 +90,12 @@
 	Models           map[string]string `json:"models"`
 	DrainedDomains   map[string]Drain  `json:"drained_domains"`
 	DrainedUpstreams map[string]Drain  `json:"drained_upstreams"`
-	Shares           map[string]Share  `json:"shares"`
-	Nodes            map[string]Node   `json:"nodes"`
+	// Shares holds the rollouts that have not ended, and those that ended with a bad
+	// version.
+	Shares map[string]Share `json:"shares"`
+	// Rollouts holds the last rollout of each service, a rollout.Rollout.
+	Rollouts map[string]json.RawMessage `json:"rollouts"`
+	Nodes    map[string]Node            `json:"nodes"`
 }
 
 // Items turns a site configuration into entries of the key space.
@@ -116,7 +133,7 @@
 		Version: version, Accounts: make(map[string]Account), Tokens: make(map[string]string),
 		Domains: make(map[string]Domain), Services: make(map[string]Service), Models: make(map[string]string),
 		DrainedDomains: make(map[string]Drain), DrainedUpstreams: make(map[string]Drain),
-		Shares: make(map[string]Share), Nodes: make(map[string]Node),
+		Shares: make(map[string]Share), Rollouts: make(map[string]json.RawMessage), Nodes: make(map[string]Node),
 	}
 	for _, key := range slices.Sorted(maps.Keys(items)) {
 		item := items[key]
@@ -154,7 +171,12 @@
 		_, err := readInto(v.DrainedUpstreams, item, PrefixDrainUpstream)
 		return err
 	case strings.HasPrefix(item.Key, PrefixRollout):
-		_, err := readInto(v.Shares, item, PrefixRollout)
+		share, err := readInto(v.Shares, item, PrefixRollout)
+		service := strings.TrimPrefix(item.Key, PrefixRollout)
+		if share.Ended() && !share.Bad {
+			delete(v.Shares, service)
+		}
+		v.Rollouts[service] = item.Value
 		return err
 	case strings.HasPrefix(item.Key, PrefixNode):
 		_, err := readInto(v.Nodes, item, PrefixNode)
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -44,6 +44,8 @@
 	LinkRefused      ID = 5003
 	LinkFailed       ID = 5004
 	UpdateDropped    ID = 5005
+	RolloutChanged   ID = 6001
+	RolloutStalled   ID = 6002
 	OperatorRefused  ID = 8001
 )
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -18,6 +18,7 @@
 	"github.com/jaystage/jaystage/internal/operator"
 	"github.com/jaystage/jaystage/internal/peer"
 	"github.com/jaystage/jaystage/internal/replica"
+	"github.com/jaystage/jaystage/internal/rollouts"
 	"github.com/jaystage/jaystage/internal/settings"
 	"github.com/jaystage/jaystage/internal/upstream"
 	"github.com/jaystage/jaystage/pkg/routing"
@@ -42,6 +43,7 @@
 	Registry  *upstream.Registry
 	Callers   *caller.API
 	Cell      *cell.Cell
+	Rollouts  *rollouts.Controller
 	listeners []listener // callers, upstreams, operators
 	peers     *listener  // nil when the node has no listener for other nodes
 	process   uint64     // start number of this process
@@ -64,7 +66,7 @@
 	}
 	n.openCell()
 	announcements := &upstream.Announcements{Take: n.Cell.Announce, Tokens: tokens(s.Security.Upstreams), Log: log, Now: time.Now}
-	operators := &operator.Server{State: n.State, Upstreams: n.Registry, Events: events, Tokens: tokens(s.Security.Operators), Log: log, Now: time.Now}
+	operators := &operator.Server{State: n.State, Upstreams: n.Registry, Rollouts: n.Rollouts, Events: events, Tokens: tokens(s.Security.Operators), Log: log, Now: time.Now}
 	for i, handler := range []http.Handler{n.Callers.Handler(), announcements.Handler(), operators.Handler()} {
 		n.listeners[i].server.Handler = handler
 	}
@@ -83,6 +85,12 @@
 	n.Callers.Suspects.Spread, n.Callers.Suspects.SpreadClear = n.Cell.Spread, n.Cell.SpreadClear
 	n.Cell.Slots, n.Cell.Suspects = n.Callers.Slots, n.Callers.Suspects
 	n.Cell.Open()
+	n.Rollouts = &rollouts.Controller{
+		Node: self.Name, Tally: rollouts.NewTally(self.Name, n.process), State: n.State, Links: n.Links,
+		Upstreams: n.Registry, Log: n.Log, Now: time.Now,
+	}
+	n.Callers.Versions = n.Rollouts.Tally
+	n.Rollouts.Open()
 }
 
 func (n *Node) listen(key, address string) error {
@@ -125,7 +133,7 @@
 	}
 	expired := n.expire(ctx)
 	cellCtx, stopCell := context.WithCancel(context.WithoutCancel(ctx))
-	cellEnded := n.Cell.Run(cellCtx)
+	cellEnded, rolloutsEnded := n.Cell.Run(cellCtx), n.Rollouts.Run(cellCtx)
 	watch, stopWatch := context.WithCancel(context.WithoutCancel(ctx))
 	watched := n.Callers.Watch(watch)
 	event.With(n.Log, event.NodeStarted).WithField("callers", n.CallersAddress()).WithField("node", n.Settings.Node.Name).Info("node started")
@@ -145,6 +153,7 @@
 	<-expired
 	stopCell()
 	<-cellEnded
+	<-rolloutsEnded
 	failed = errors.Join(failed, stopState(), <-stateEnded)
 	event.With(n.Log, event.NodeStopped).Info("node stopped")
 	return failed
--- /dev/null
+++ b/internal/operator/rollouts.go
@@ -0,0 +1,66 @@
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+
+	"github.com/gorilla/mux"
+
+	"github.com/jaystage/jaystage/internal/rollouts"
+	"github.com/jaystage/jaystage/pkg/rollout"
+)
+
+// Rollouts starts, lists and takes back rollouts.
+type Rollouts interface {
+	Start(ctx context.Context, o rollouts.Order) (rollout.Rollout, error)
+	Undo(ctx context.Context, service, author string) (rollout.Rollout, error)
+	List() ([]rollouts.Standing, error)
+}
+
+func (s *Server) rolloutRoutes(r *mux.Router) {
+	r.HandleFunc("/v1/rollouts", s.listRollouts).Methods(http.MethodGet)
+	r.HandleFunc("/v1/rollouts", s.startRollout).Methods(http.MethodPost)
+	r.HandleFunc("/v1/rollouts/{service}/undo", s.undoRollout).Methods(http.MethodPost)
+}
+
+func (s *Server) listRollouts(w http.ResponseWriter, _ *http.Request) {
+	list, err := s.Rollouts.List()
+	writeRollout(w, list, err)
+}
+
+func (s *Server) startRollout(w http.ResponseWriter, r *http.Request) {
+	var o rollouts.Order
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes)).Decode(&o); err != nil {
+		writeError(w, http.StatusBadRequest, "the order is not valid JSON: "+err.Error())
+		return
+	}
+	if o.ID == "" || o.Service == "" || o.To == "" || o.By.IsZero() {
+		writeError(w, http.StatusBadRequest, "id, service, to and by are required")
+		return
+	}
+	started, err := s.Rollouts.Start(r.Context(), o)
+	writeRollout(w, started, err)
+}
+
+func (s *Server) undoRollout(w http.ResponseWriter, r *http.Request) {
+	holder, _ := s.Tokens.Holder(r)
+	undone, err := s.Rollouts.Undo(r.Context(), mux.Vars(r)["service"], holder)
+	writeRollout(w, undone, err)
+}
+
+func writeRollout(w http.ResponseWriter, v any, err error) {
+	switch {
+	case err == nil:
+		writeJSON(w, http.StatusOK, v)
+	case errors.Is(err, rollouts.ErrUnknown):
+		writeError(w, http.StatusNotFound, err.Error())
+	case errors.Is(err, rollout.ErrRules):
+		writeError(w, http.StatusBadRequest, err.Error())
+	case errors.Is(err, rollouts.ErrConflict), errors.Is(err, rollout.ErrRunning), errors.Is(err, rollout.ErrBadVersion), errors.Is(err, rollout.ErrEnded):
+		writeError(w, http.StatusConflict, err.Error())
+	default:
+		writeError(w, http.StatusServiceUnavailable, err.Error())
+	}
+}
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -38,6 +38,7 @@
 type Server struct {
 	State     State
 	Upstreams Upstreams
+	Rollouts  Rollouts
 	Events    *event.Ring
 	Tokens    bearer.Tokens
 	Log       logrus.FieldLogger
@@ -51,6 +52,7 @@
 	r.HandleFunc("/v1/config", s.showConfig).Methods(http.MethodGet)
 	r.HandleFunc("/v1/changes", s.change).Methods(http.MethodPost)
 	r.HandleFunc("/v1/upstreams", s.listUpstreams).Methods(http.MethodGet)
+	s.rolloutRoutes(r)
 	r.HandleFunc("/v1/events", s.listEvents).Methods(http.MethodGet)
 	r.Handle("/debug/vars", expvar.Handler()).Methods(http.MethodGet)
 	return r
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -92,6 +92,7 @@
 	config  Config
 	voter   *voter // nil unless the node is a voter
 	leader  atomic.Pointer[string]
+	leading atomic.Uint64 // term that this node leads; zero when it does not
 	view    *viewer
 	session *session
 	later   background
@@ -208,6 +209,14 @@
 	}
 }
 
+// Leading tells whether this node leads the group, and in which term. A leader that
+// was cut off may not know yet that it leads no more; what it proposes then is not
+// committed.
+func (r *Replica) Leading() (term uint64, ok bool) {
+	term = r.leading.Load()
+	return term, term > 0
+}
+
 // Leader returns the name of the present leader as far as this node knows.
 func (r *Replica) Leader() string { return *r.leader.Load() }
 
--- a/internal/replica/voter.go
+++ b/internal/replica/voter.go
@@ -334,6 +334,11 @@
 	old := v.status
 	v.status = v.node.Status()
 	leads := v.status.Role == raft.Leader
+	if leads {
+		v.r.leading.Store(v.status.Term)
+	} else {
+		v.r.leading.Store(0)
+	}
 	if old.Leader != v.status.Leader {
 		v.r.learnLeader(v.status.Leader)
 	}
--- a/pkg/cmd/factory/factory.go
+++ b/pkg/cmd/factory/factory.go
@@ -50,11 +50,14 @@
 // ExitCode returns the exit code for a command's error.
 func ExitCode(err error) int {
 	var coded *ExitError
+	var status *operator.StatusError
 	switch {
 	case err == nil, errors.Is(err, flag.ErrHelp):
 		return ExitOK
 	case errors.As(err, &coded):
 		return coded.Code
+	case errors.As(err, &status) && status.Status == http.StatusConflict:
+		return ExitConflict
 	default:
 		return ExitFailed
 	}
--- /dev/null
+++ b/pkg/cmd/rollout/undo/undo.go
@@ -0,0 +1,56 @@
+// Package undo takes a rollout back.
+package undo
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/jaystage/jaystage/pkg/cmd/factory"
+	"github.com/jaystage/jaystage/pkg/rollout"
+)
+
+// Client is the part of the operators' client that the command uses.
+type Client interface {
+	UndoRollout(ctx context.Context, service string) (rollout.Rollout, error)
+}
+
+// Options holds what the command uses.
+type Options struct {
+	Streams factory.Streams
+	Client  func(factory.Target) Client
+	Target  factory.Target
+	Service string
+}
+
+// NewCmdUndo returns the command "rollout undo".
+func NewCmdUndo(f *factory.Factory) *ffcli.Command {
+	opts := &Options{Streams: f.Streams, Client: func(t factory.Target) Client { return f.Client(t) }}
+	fs := f.NewFlagSet("rollout undo")
+	opts.Target.Bind(fs)
+	return &ffcli.Command{
+		Name: "undo", ShortUsage: "jaystage rollout undo [flags] SERVICE", ShortHelp: "Take a service's rollout back",
+		LongHelp: "An order that arrives after the rollout has ended is refused.\n\nExample:\n  jaystage rollout undo chat", FlagSet: fs, Options: factory.Options(),
+		Exec: func(ctx context.Context, args []string) error {
+			if len(args) != 1 {
+				return &factory.ExitError{Code: factory.ExitUsage, Err: errors.New("name one service: jaystage rollout undo SERVICE")}
+			}
+			opts.Service = args[0]
+			return undoRun(ctx, opts)
+		},
+	}
+}
+
+func undoRun(ctx context.Context, opts *Options) error {
+	r, err := opts.Client(opts.Target).UndoRollout(ctx, opts.Service)
+	if err != nil {
+		return err
+	}
+	if opts.Target.JSON {
+		return opts.Streams.PrintJSON(r)
+	}
+	_, err = fmt.Fprintf(opts.Streams.Out, "rollout of %s to %s is being undone; new work goes to %s\n", r.Service, r.To, r.From)
+	return err
+}
--- a/pkg/cmd/root/root.go
+++ b/pkg/cmd/root/root.go
@@ -23,6 +23,10 @@
 	fakeupstream "github.com/jaystage/jaystage/pkg/cmd/fake/upstream"
 	"github.com/jaystage/jaystage/pkg/cmd/node"
 	nodelist "github.com/jaystage/jaystage/pkg/cmd/node/list"
+	rolloutlist "github.com/jaystage/jaystage/pkg/cmd/rollout/list"
+	"github.com/jaystage/jaystage/pkg/cmd/rollout/start"
+	"github.com/jaystage/jaystage/pkg/cmd/rollout/undo"
+	rolloutview "github.com/jaystage/jaystage/pkg/cmd/rollout/view"
 	servicelist "github.com/jaystage/jaystage/pkg/cmd/service/list"
 	serviceview "github.com/jaystage/jaystage/pkg/cmd/service/view"
 	upstreamdrain "github.com/jaystage/jaystage/pkg/cmd/upstream/drain"
@@ -43,6 +47,8 @@
 			upstreamlist.NewCmdList(f), upstreamview.NewCmdView(f), upstreamdrain.NewCmdDrain(f), upstreamresume.NewCmdResume(f)),
 		group(f, "domain", "jaystage ", "Manage failure domains",
 			domainlist.NewCmdList(f), domaindrain.NewCmdDrain(f), domainresume.NewCmdResume(f)),
+		group(f, "rollout", "jaystage ", "Move traffic between versions",
+			start.NewCmdStart(f), rolloutview.NewCmdView(f), rolloutlist.NewCmdList(f), undo.NewCmdUndo(f)),
 		group(f, "event", "jaystage ", "Read a node's events", eventlist.NewCmdList(f), watch.NewCmdWatch(f)),
 		group(f, "fake", "jaystage ", "Run stand-ins", fakeupstream.NewCmdUpstream(f)),
 		completion.NewCmdCompletion(f, func() *ffcli.Command { return NewCmdRoot(f) }),
--- a/pkg/wire/doc.go
+++ b/pkg/wire/doc.go
@@ -8,4 +8,5 @@
 //go:generate go tool go-jsonschema --only-models --min-sized-ints --tags json --capitalization ID --capitalization VM -p wire -t -o upstream.go schema/upstream.json
 //go:generate go tool go-jsonschema --only-models --min-sized-ints --tags json --capitalization ID --capitalization VM -p wire -t -o state.go schema/state.json
 //go:generate go tool go-jsonschema --only-models --min-sized-ints --tags json --capitalization ID --capitalization VM -p wire -t -o cell.go schema/cell.json
+//go:generate go tool go-jsonschema --only-models --min-sized-ints --tags json --capitalization ID --capitalization VM -p wire -t -o rollout.go schema/rollout.json
 //go:generate go tool go-jsonschema --only-models --min-sized-ints --tags json --capitalization ID --capitalization VM -p wire -t -o raft.go schema/raft.json
