--- /dev/null
+++ b/internal/load/load.go
@@ -0,0 +1,138 @@
+// Package load sends a fixed sequence of requests to a node in this process and to
+// simple balancers in front of the same stand-in upstreams, and compares what the
+// callers get.
+package load
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"time"
+)
+
+// Bounds of a run.
+const (
+	MaxRate     = 500
+	MaxDuration = time.Minute
+)
+
+// Event is what happens in the middle of a run.
+type Event string
+
+// Events.
+const (
+	Calm Event = "calm"
+	// Reclaim takes one failure domain away after a notice of NoticeTime.
+	Reclaim Event = "reclaim"
+	// Cold makes one upstream cold.
+	Cold Event = "cold"
+)
+
+// NoticeTime is the time between a reclaim notice and the end of the VMs.
+const NoticeTime = 2 * time.Second
+
+// Options describe a run.
+type Options struct {
+	// Deployment is consortium or federwerk.
+	Deployment string
+	// Rate is requests a second, at most MaxRate; Duration at most MaxDuration.
+	Rate     int
+	Duration time.Duration
+	Seed     uint64
+	Events   []Event
+	// Balancers lists the names of the balancers to run, in order; see Balancers.
+	Balancers []string
+}
+
+// Balancers names the balancers: the node and the baselines.
+func Balancers() []string { return []string{"jaystage", "round-robin", "least-outstanding"} }
+
+// request is one planned request.
+type request struct {
+	at     time.Duration
+	class  string
+	prompt string
+	tokens int
+}
+
+// kindOf is one class of a deployment's mix.
+type kindOf struct {
+	class          string
+	weight         float64
+	prompt, tokens int // means
+	first          time.Duration
+}
+
+// mix returns the classes of model requests of a deployment.
+func mix(deployment string) ([]kindOf, error) {
+	switch deployment {
+	case "consortium":
+		return []kindOf{
+			{"chat", 0.5, 400, 24, 1100 * time.Millisecond},
+			{"consultation", 0.2, 1600, 48, 5 * time.Second},
+			{"tag", 0.3, 120, 4, 800 * time.Millisecond},
+		}, nil
+	case "federwerk":
+		return []kindOf{
+			{"chat", 0.4, 400, 24, 1100 * time.Millisecond},
+			{"plan", 0.25, 8000, 48, 5 * time.Second},
+			{"tag", 0.35, 120, 4, 800 * time.Millisecond},
+		}, nil
+	}
+	return nil, fmt.Errorf("--deployment %q is unknown; use consortium or federwerk", deployment)
+}
+
+// arrivals plans an open-loop sequence: its times do not depend on the answers.
+// Equal options give equal sequences.
+func arrivals(o Options, kinds []kindOf) []request {
+	rng := rand.New(rand.NewPCG(o.Seed, 1))
+	var list []request
+	for at := 0.0; ; {
+		at += rng.ExpFloat64() / float64(o.Rate)
+		due := time.Duration(at * float64(time.Second))
+		if due >= o.Duration {
+			return list
+		}
+		k := pick(rng, kinds)
+		// A few conversations return, so that prefixes can be cached.
+		conversation := rng.IntN(40)
+		prompt := fmt.Sprintf("%s conversation %d ", k.class, conversation)
+		for want := k.prompt/2 + rng.IntN(k.prompt); len(prompt) < want; {
+			prompt += fmt.Sprintf("turn %d of %d; ", len(prompt), conversation)
+		}
+		list = append(list, request{at: due, class: k.class, prompt: prompt, tokens: max(1, k.tokens/2+rng.IntN(k.tokens))})
+	}
+}
+
+func pick(rng *rand.Rand, kinds []kindOf) kindOf {
+	x := rng.Float64()
+	for _, k := range kinds {
+		if x -= k.weight; x < 0 {
+			return k
+		}
+	}
+	return kinds[len(kinds)-1]
+}
+
+// Run runs every balancer under every event, one after the other.
+func Run(ctx context.Context, o Options) ([]Result, error) {
+	kinds, err := mix(o.Deployment)
+	if err != nil {
+		return nil, err
+	}
+	if o.Rate < 1 || o.Rate > MaxRate || o.Duration <= 0 || o.Duration > MaxDuration {
+		return nil, fmt.Errorf("--rate must be 1 to %d and --duration up to %v", MaxRate, MaxDuration)
+	}
+	plan := arrivals(o, kinds)
+	var results []Result
+	for _, event := range o.Events {
+		for _, name := range o.Balancers {
+			result, err := runOne(ctx, o, kinds, plan, event, name)
+			if err != nil {
+				return results, err
+			}
+			results = append(results, result)
+		}
+	}
+	return results, ctx.Err()
+}
--- /dev/null
+++ b/internal/load/load_test.go
@@ -0,0 +1,36 @@
+package load
+
+import (
+	"context"
+	"reflect"
+	"testing"
+	"time"
+)
+
+// Two runs can be compared only if they send the same requests.
+func TestArrivalsAreFixed(t *testing.T) {
+	for _, deployment := range []string{"consortium", "federwerk"} {
+		kinds, err := mix(deployment)
+		if err != nil {
+			t.Fatal(err)
+		}
+		o := Options{Rate: 50, Duration: 2 * time.Second, Seed: 7}
+		first, second := arrivals(o, kinds), arrivals(o, kinds)
+		if len(first) == 0 || !reflect.DeepEqual(first, second) {
+			t.Errorf("%s: got %d and %d requests, want equal sequences", deployment, len(first), len(second))
+		}
+	}
+}
+
+// The node must lose no request when a failure domain is reclaimed.
+func TestReclaimLosesNothing(t *testing.T) {
+	results, err := Run(context.Background(), Options{
+		Deployment: "consortium", Rate: 8, Duration: 4 * time.Second, Seed: 1, Events: []Event{Reclaim}, Balancers: []string{"jaystage"},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := results[0]; got.Lost != 0 || got.Answered == 0 {
+		t.Errorf("got %+v, want no lost requests", got)
+	}
+}
--- /dev/null
+++ b/pkg/cmd/load/run/run.go
@@ -0,0 +1,76 @@
+// Package run compares the node with simple balancers under load.
+package run
+
+import (
+	"context"
+	"fmt"
+	"os/signal"
+	"strings"
+	"syscall"
+	"text/tabwriter"
+	"time"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/jaystage/jaystage/internal/load"
+	"github.com/jaystage/jaystage/pkg/cmd/factory"
+)
+
+const (
+	defaultRate     = 20
+	defaultDuration = 10 * time.Second
+)
+
+// Options holds what the command uses.
+type Options struct {
+	Streams   factory.Streams
+	Load      load.Options
+	Events    string
+	Balancers string
+	JSON      bool
+}
+
+// NewCmdRun returns the command "load run".
+func NewCmdRun(f *factory.Factory) *ffcli.Command {
+	opts := &Options{Streams: f.Streams}
+	fs := f.NewFlagSet("load run")
+	fs.StringVar(&opts.Load.Deployment, "deployment", "consortium", "consortium or federwerk")
+	fs.IntVar(&opts.Load.Rate, "rate", defaultRate, "requests a second")
+	fs.DurationVar(&opts.Load.Duration, "duration", defaultDuration, "length of each run")
+	fs.Uint64Var(&opts.Load.Seed, "seed", 1, "seed of the arrivals")
+	fs.StringVar(&opts.Events, "events", "calm,reclaim,cold", "what happens in the middle of a run, separated by commas")
+	fs.StringVar(&opts.Balancers, "balancers", strings.Join(load.Balancers(), ","), "balancers, separated by commas")
+	fs.BoolVar(&opts.JSON, "json", false, "print JSON")
+	return &ffcli.Command{
+		Name: "run", ShortUsage: "jaystage load run [flags]", ShortHelp: "Compare the node with simple balancers under load",
+		LongHelp: "Runs a node and stand-in upstreams in this process, on loopback only.\n\nExample:\n  jaystage load run --deployment federwerk --events reclaim",
+		FlagSet:  fs, Options: factory.Options(),
+		Exec: func(ctx context.Context, _ []string) error { return runRun(ctx, opts) },
+	}
+}
+
+func runRun(ctx context.Context, opts *Options) error {
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	for event := range strings.SplitSeq(opts.Events, ",") {
+		switch e := load.Event(event); e {
+		case load.Calm, load.Reclaim, load.Cold:
+			opts.Load.Events = append(opts.Load.Events, e)
+		default:
+			return &factory.ExitError{Code: factory.ExitUsage, Err: fmt.Errorf("--events: %q is unknown; use calm, reclaim or cold", event)}
+		}
+	}
+	opts.Load.Balancers = strings.Split(opts.Balancers, ",")
+	results, err := load.Run(ctx, opts.Load)
+	if opts.JSON && err == nil {
+		return opts.Streams.PrintJSON(results)
+	}
+	table := tabwriter.NewWriter(opts.Streams.Out, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(table, "EVENT\tBALANCER\tSENT\tANSWERED\tLATE\tREFUSED\tLOST\tFIRST P50 MS\tFIRST P95 MS\tCOST\tRECOMPUTED")
+	for _, r := range results {
+		_, _ = fmt.Fprintf(table, "%s\t%s\t%d\t%d\t%d\t%d\t%d\t%.0f\t%.0f\t%.3f\t%d\n",
+			r.Event, r.Balancer, r.Sent, r.Answered, r.Late, r.Refused, r.Lost, r.FirstP50, r.FirstP95, r.Cost, r.Recomputed)
+	}
+	_ = table.Flush()
+	return err
+}
--- a/pkg/cmd/root/root.go
+++ b/pkg/cmd/root/root.go
@@ -21,6 +21,7 @@
 	"github.com/jaystage/jaystage/pkg/cmd/event/watch"
 	"github.com/jaystage/jaystage/pkg/cmd/factory"
 	fakeupstream "github.com/jaystage/jaystage/pkg/cmd/fake/upstream"
+	loadrun "github.com/jaystage/jaystage/pkg/cmd/load/run"
 	"github.com/jaystage/jaystage/pkg/cmd/node"
 	nodelist "github.com/jaystage/jaystage/pkg/cmd/node/list"
 	servicelist "github.com/jaystage/jaystage/pkg/cmd/service/list"
@@ -44,6 +45,7 @@
 		group(f, "domain", "jaystage ", "Manage failure domains",
 			domainlist.NewCmdList(f), domaindrain.NewCmdDrain(f), domainresume.NewCmdResume(f)),
 		group(f, "event", "jaystage ", "Read a node's events", eventlist.NewCmdList(f), watch.NewCmdWatch(f)),
+		group(f, "load", "jaystage ", "Measure under load", loadrun.NewCmdRun(f)),
 		group(f, "fake", "jaystage ", "Run stand-ins", fakeupstream.NewCmdUpstream(f)),
 		completion.NewCmdCompletion(f, func() *ffcli.Command { return NewCmdRoot(f) }),
 		version.NewCmdVersion(f),
