--- /dev/null
+++ b/internal/capacity/model.go
@@ -0,0 +1,115 @@
+package capacity
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// Row is what one mechanism costs one VM.
+type Row struct {
+	Mechanism string `json:"mechanism"`
+	// Sum shows the arithmetic behind the rate.
+	Sum string `json:"sum"`
+	// State is in bytes.
+	State float64 `json:"state"`
+	// Messages, In and Out are per second; In and Out are bytes on the wire.
+	Messages float64 `json:"messages"`
+	In       float64 `json:"in"`
+	Out      float64 `json:"out"`
+	// Core is a share of one core.
+	Core   float64  `json:"core"`
+	Slopes []string `json:"slopes"`
+}
+
+// Role is a part that a VM plays.
+type Role struct {
+	Name string `json:"name"`
+	Rows []Row  `json:"rows"`
+	// Budget is nil for roles on VMs that are set aside for control, and for the
+	// data path.
+	Budget *Budget `json:"budget,omitempty"`
+}
+
+// Total sums the rows of a role.
+func (r Role) Total() Row {
+	total := Row{Mechanism: "sum"}
+	for _, row := range r.Rows {
+		total.State += row.State
+		total.Messages += row.Messages
+		total.In += row.In
+		total.Out += row.Out
+		total.Core += row.Core
+	}
+	return total
+}
+
+// model works out costs at one size.
+type model struct {
+	Size
+	slopes  Slopes
+	missing []string
+}
+
+// at returns the fitted cost at a size of n steps.
+func (m *model) at(name string, n float64) float64 {
+	return m.find(name, func(per, base float64) float64 { return max(0, base) + n*per })
+}
+
+// per returns the fitted cost of one step.
+func (m *model) per(name string) float64 {
+	return m.find(name, func(per, _ float64) float64 { return per })
+}
+
+// core returns the cost of one step a second as a share of a core.
+func (m *model) core(name string) float64 { return m.per(name) / 1e9 }
+
+func (m *model) find(name string, f func(per, base float64) float64) float64 {
+	for _, s := range m.slopes.Slopes {
+		if s.Name == name {
+			return f(s.Fit())
+		}
+	}
+	if !slices.Contains(m.missing, name) {
+		m.missing = append(m.missing, name)
+	}
+	return 0
+}
+
+func (m *model) err() error {
+	if len(m.missing) == 0 {
+		return nil
+	}
+	return fmt.Errorf("these slopes have not been measured: %s; add them to the file", strings.Join(m.missing, ", "))
+}
+
+// asks adds requests a second to a row, and their replies; the requesting side also
+// sends a packet that acknowledges the reply.
+func (r Row) asks(rate, reply, request float64) Row {
+	r.Messages += 2 * rate
+	r.In += rate * (reply + TLSBytes + PacketBytes)
+	r.Out += rate * (request + TLSBytes + 2*PacketBytes)
+	return r
+}
+
+// answers is the other side of asks.
+func (r Row) answers(rate, request, reply float64) Row {
+	r.Messages += 2 * rate
+	r.In += rate * (request + TLSBytes + 2*PacketBytes)
+	r.Out += rate * (reply + TLSBytes + PacketBytes)
+	return r
+}
+
+// send adds one-way messages a second in each direction, each with an
+// acknowledgement. The two ends of a frame share its processor time equally.
+func (m *model) send(r Row, in, inBytes, out, outBytes float64) Row {
+	r.Messages += in + out
+	r.In += in*(inBytes+TLSBytes+PacketBytes) + out*PacketBytes
+	r.Out += out*(outBytes+TLSBytes+PacketBytes) + in*PacketBytes
+	r.Core += (in + out) * m.core("frame.cpu") / 2
+	r.Slopes = append(r.Slopes, "frame.cpu")
+	return r
+}
+
+// envelope is what a frame of a kind adds to the body of a message.
+func envelope(kind string) float64 { return float64(Frame(kind, false, struct{}{}) - 1) }
--- a/internal/peer/bench_test.go
+++ b/internal/peer/bench_test.go
@@ -6,12 +6,29 @@
 	"io"
 	"net/http/httptest"
 	"testing"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"github.com/jaystage/jaystage/internal/capacity"
+	"github.com/jaystage/jaystage/pkg/wire"
 )
 
+// Guards against capacity tables that count other bytes than links send.
+func TestCapacityCountsTheFramesOfLinks(t *testing.T) {
+	const mask = 4
+	for payload, header := range map[int]int{0: 2, 90: 2, 120: 4, 1000: 4, 70_000: 10} {
+		message := make([]byte, payload)
+		frame, err := encodeFrame(wire.Envelope{Kind: "m"}, message)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got, want := capacity.Frame("m", false, message), len(frame)+header+mask; got != want {
+			t.Errorf("frame of %d bytes: got %d, want %d", payload, got, want)
+		}
+	}
+}
+
 // BenchmarkFrame measures n one-way messages of 200 bytes over loopback, one frame
 // each; cpu-ns holds the time of both ends, the kernel's included.
 func BenchmarkFrame(b *testing.B) {
@@ -37,6 +54,7 @@
 			defer server.CloseClientConnections()
 			message := make([]byte, 200)
 			for from.Send("b", "m", message) != nil {
+				time.Sleep(time.Millisecond)
 			}
 			<-got
 			cpu := capacity.CPU()
--- a/pkg/cmd/root/root.go
+++ b/pkg/cmd/root/root.go
@@ -9,6 +9,7 @@
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
+	"github.com/jaystage/jaystage/pkg/cmd/capacity/table"
 	"github.com/jaystage/jaystage/pkg/cmd/completion"
 	"github.com/jaystage/jaystage/pkg/cmd/config/apply"
 	"github.com/jaystage/jaystage/pkg/cmd/config/check"
@@ -50,6 +51,7 @@
 		group(f, "rollout", "jaystage ", "Move traffic between versions",
 			start.NewCmdStart(f), rolloutview.NewCmdView(f), rolloutlist.NewCmdList(f), undo.NewCmdUndo(f)),
 		group(f, "event", "jaystage ", "Read a node's events", eventlist.NewCmdList(f), watch.NewCmdWatch(f)),
+		group(f, "capacity", "jaystage ", "Work out what each role needs", table.NewCmdTable(f)),
 		group(f, "fake", "jaystage ", "Run stand-ins", fakeupstream.NewCmdUpstream(f)),
 		completion.NewCmdCompletion(f, func() *ffcli.Command { return NewCmdRoot(f) }),
 		version.NewCmdVersion(f),
