--- /dev/null
+++ b/pkg/cmd/fleet/plan/inputs.go
@@ -0,0 +1,149 @@
+package plan
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/jaystage/jaystage/internal/config"
+	"github.com/jaystage/jaystage/internal/tomlfile"
+	"github.com/jaystage/jaystage/pkg/fleet"
+)
+
+// sampleInterval is the time between two readings of a pool's load in a file.
+const sampleInterval = time.Minute
+
+// file is the content of an inputs file.
+type file struct {
+	Rules  rules    `toml:"rules"`
+	Prices []price  `toml:"price"`
+	Pools  []pool   `toml:"pool"`
+	VMs    []vm     `toml:"vm"`
+	Drains []string `toml:"drained"`
+}
+
+type rules struct {
+	Headroom  float64         `toml:"headroom"`
+	Margin    float64         `toml:"margin"`
+	OnDemand  float64         `toml:"on_demand"`
+	Hold      config.Duration `toml:"hold"`
+	MinAge    config.Duration `toml:"min_age"`
+	StoreRate float64         `toml:"store_rate"`
+}
+
+type price struct {
+	Class       string `toml:"class"`
+	Domain      string `toml:"domain"`
+	Reclaimable bool   `toml:"reclaimable"`
+	// Hour is the price of an hour, Reclaims the expected reclaims in it.
+	Hour     float64 `toml:"hour"`
+	Reclaims float64 `toml:"reclaims"`
+}
+
+type pool struct {
+	Name    string `toml:"name"`
+	Service string `toml:"service"`
+	Version string `toml:"version"`
+	// Load holds readings a minute apart, the oldest first.
+	Load []float64 `toml:"load"`
+	// Capacity is the load that a VM of each class carries.
+	Capacity  []capacity      `toml:"capacity"`
+	ColdStart config.Duration `toml:"cold_start"`
+	Weights   float64         `toml:"weights"`
+}
+
+type capacity struct {
+	Class string  `toml:"class"`
+	Load  float64 `toml:"load"`
+}
+
+type vm struct {
+	Name        string  `toml:"name"`
+	Pool        string  `toml:"pool"`
+	Class       string  `toml:"class"`
+	Domain      string  `toml:"domain"`
+	Reclaimable bool    `toml:"reclaimable"`
+	State       string  `toml:"state"`
+	Hour        float64 `toml:"hour"`
+	// Reclaim is the time until the VM is reclaimed; zero without a notice.
+	Reclaim config.Duration `toml:"reclaim"`
+}
+
+// load reads an inputs file and turns it into the inputs of a plan at a time.
+func load(path string, now time.Time) (fleet.Inputs, error) {
+	var f file
+	d := tomlfile.Load(path)
+	if d.Decode(&f) {
+		f.check(d)
+	}
+	if err := d.Err(); err != nil {
+		return fleet.Inputs{}, err
+	}
+	in := fleet.Inputs{
+		Rules: fleet.Rules{
+			Headroom: f.Rules.Headroom, Margin: f.Rules.Margin, OnDemand: f.Rules.OnDemand,
+			Hold: f.Rules.Hold.Std(), MinAge: f.Rules.MinAge.Std(), StoreRate: f.Rules.StoreRate,
+		},
+		Drained: make(map[string]bool),
+		// The plan only prints its orders; the lease lets it make them.
+		Lease: &fleet.Lease{Token: 1, Expires: now.Add(time.Hour)},
+		Rand:  rand.New(rand.NewPCG(1, 1)),
+	}
+	for _, p := range f.Prices {
+		in.Prices = append(in.Prices, fleet.Price{Offer: fleet.Offer{Class: p.Class, Domain: p.Domain, Reclaimable: p.Reclaimable}, Hour: p.Hour, Reclaims: p.Reclaims})
+	}
+	for _, p := range f.Pools {
+		in.Pools = append(in.Pools, p.pool(now))
+	}
+	for _, v := range f.VMs {
+		in.VMs = append(in.VMs, v.vm(now))
+	}
+	for _, name := range f.Drains {
+		in.Drained[name] = true
+	}
+	return in, nil
+}
+
+func (f file) check(d *tomlfile.Document) {
+	if len(f.Prices) == 0 {
+		d.Report("price", "is missing; list what the platform offers")
+	}
+	if len(f.Pools) == 0 {
+		d.Report("pool", "is missing; list the pools to plan")
+	}
+	for i, p := range f.Prices {
+		if p.Hour <= 0 {
+			d.Report(fmt.Sprintf("price[%d].hour", i), "must be above 0")
+		}
+	}
+	for _, p := range f.Pools {
+		if len(p.Load) == 0 || len(p.Capacity) == 0 {
+			d.Report(fmt.Sprintf("pool[%s]", p.Name), "needs load readings and the capacity of at least one class")
+		}
+	}
+}
+
+func (p pool) pool(now time.Time) fleet.Pool {
+	out := fleet.Pool{
+		Name: p.Name, Service: p.Service, Version: p.Version, Capacity: make(map[string]float64),
+		ColdStart: p.ColdStart.Std(), Weights: p.Weights,
+	}
+	for i, l := range p.Load {
+		out.Samples = append(out.Samples, fleet.Sample{Time: now.Add(-time.Duration(len(p.Load)-1-i) * sampleInterval), Load: l})
+	}
+	for _, c := range p.Capacity {
+		out.Capacity[c.Class] = c.Load
+	}
+	return out
+}
+
+func (v vm) vm(now time.Time) fleet.VM {
+	out := fleet.VM{
+		ID: v.Name, Pool: v.Pool, Offer: fleet.Offer{Class: v.Class, Domain: v.Domain, Reclaimable: v.Reclaimable},
+		State: fleet.State(v.State), Since: now.Add(-time.Hour), Hour: v.Hour,
+	}
+	if v.Reclaim > 0 {
+		out.Reclaim = now.Add(v.Reclaim.Std())
+	}
+	return out
+}
--- /dev/null
+++ b/pkg/cmd/fleet/plan/plan.go
@@ -0,0 +1,70 @@
+// Package plan prints the decision about the fleet for given inputs.
+package plan
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/jaystage/jaystage/pkg/cmd/factory"
+	"github.com/jaystage/jaystage/pkg/fleet"
+)
+
+// Options holds what the command uses.
+type Options struct {
+	Streams factory.Streams
+	Now     func() time.Time
+	JSON    bool
+	File    string
+}
+
+// NewCmdPlan returns the command "fleet plan".
+func NewCmdPlan(f *factory.Factory) *ffcli.Command {
+	opts := &Options{Streams: f.Streams, Now: time.Now}
+	fs := f.NewFlagSet("fleet plan")
+	fs.BoolVar(&opts.JSON, "json", false, "print the whole decision as JSON")
+	return &ffcli.Command{
+		Name: "plan", ShortUsage: "jaystage fleet plan [--json] FILE", ShortHelp: "Print the decision about the fleet for given inputs, without acting",
+		LongHelp: "The file lists prices, pools with their load, and the VMs that run.\n\nExample:\n  jaystage fleet plan examples/fleet/consortium.toml",
+		FlagSet:  fs, Options: factory.Options(),
+		Exec: func(_ context.Context, args []string) error {
+			if len(args) != 1 {
+				return &factory.ExitError{Code: factory.ExitUsage, Err: errors.New("name one file: jaystage fleet plan FILE")}
+			}
+			opts.File = args[0]
+			return planRun(opts)
+		},
+	}
+}
+
+func planRun(opts *Options) error {
+	now := opts.Now()
+	in, err := load(opts.File, now)
+	if err != nil {
+		return &factory.ExitError{Code: factory.ExitInvalid, Err: err}
+	}
+	d := fleet.Plan(now, in)
+	if opts.JSON {
+		return opts.Streams.PrintJSON(d)
+	}
+	rows := make([][]string, 0, len(d.Pools))
+	for _, p := range d.Pools {
+		rows = append(rows, []string{
+			p.Pool, fmt.Sprintf("%.0f", p.Load), fmt.Sprintf("%.0f", p.Forecast), fmt.Sprintf("%.0f", p.Need), fmt.Sprintf("%.0f", p.Surviving),
+			fmt.Sprintf("%.2f", p.Chosen), fmt.Sprintf("%.2f", p.Other), p.Placement, strings.Join(p.Waiting, "; "),
+		})
+	}
+	if err := opts.Streams.PrintTable([]string{"POOL", "LOAD", "FORECAST", "NEED", "SURVIVING", "COST/H", "NEXT BEST", "PLACEMENT", "WAITING"}, rows); err != nil {
+		return err
+	}
+	for _, o := range d.Orders {
+		if _, err := fmt.Fprintf(opts.Streams.Out, "%s %s %s %s %s: %s\n", o.Action, o.Pool, o.Offer.Class, o.Offer.Domain, o.VM, o.Why); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/pkg/cmd/root/root.go
+++ b/pkg/cmd/root/root.go
@@ -22,6 +22,7 @@
 	"github.com/jaystage/jaystage/pkg/cmd/event/watch"
 	"github.com/jaystage/jaystage/pkg/cmd/factory"
 	fakeupstream "github.com/jaystage/jaystage/pkg/cmd/fake/upstream"
+	fleetplan "github.com/jaystage/jaystage/pkg/cmd/fleet/plan"
 	loadrun "github.com/jaystage/jaystage/pkg/cmd/load/run"
 	"github.com/jaystage/jaystage/pkg/cmd/node"
 	nodelist "github.com/jaystage/jaystage/pkg/cmd/node/list"
@@ -52,6 +53,7 @@
 			domainlist.NewCmdList(f), domaindrain.NewCmdDrain(f), domainresume.NewCmdResume(f)),
 		group(f, "rollout", "jaystage ", "Move traffic between versions",
 			start.NewCmdStart(f), rolloutview.NewCmdView(f), rolloutlist.NewCmdList(f), undo.NewCmdUndo(f)),
+		group(f, "fleet", "jaystage ", "Plan the fleet", fleetplan.NewCmdPlan(f)),
 		group(f, "voter", "jaystage ", "Change the voters of the replicated state", voter.NewCmdAdd(f), voter.NewCmdPromote(f), voter.NewCmdRemove(f)),
 		group(f, "event", "jaystage ", "Read a node's events", eventlist.NewCmdList(f), watch.NewCmdWatch(f)),
 		group(f, "load", "jaystage ", "Measure under load", loadrun.NewCmdRun(f)),
