--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -50,6 +50,13 @@
 	return list, err
 }
 
+// History lists the kept changes of the configuration after a version.
+func (c *Client) History(ctx context.Context, since uint64) ([]wire.Record, error) {
+	var records []wire.Record
+	err := c.call(ctx, http.MethodGet, "/v1/history?since="+strconv.FormatUint(since, 10), nil, &records)
+	return records, err
+}
+
 // InForce waits for a while until a version is in force everywhere.
 func (c *Client) InForce(ctx context.Context, version uint64) (InForce, error) {
 	var got InForce
--- a/internal/operator/force.go
+++ b/internal/operator/force.go
@@ -16,6 +16,25 @@
 	Force   bool   `json:"force"`
 }
 
+// history lists the kept changes of the configuration after a version.
+func (s *Server) history(w http.ResponseWriter, r *http.Request) {
+	since := uint64(0)
+	if text := r.URL.Query().Get("since"); text != "" {
+		n, err := strconv.ParseUint(text, 10, 64)
+		if err != nil {
+			writeError(w, http.StatusBadRequest, "since must be a version of the configuration")
+			return
+		}
+		since = n
+	}
+	records, err := s.State.History(r.Context(), since)
+	if err != nil {
+		writeError(w, http.StatusServiceUnavailable, err.Error())
+		return
+	}
+	writeJSON(w, http.StatusOK, records)
+}
+
 // inForce waits up to forceWait for a version to be in force everywhere.
 func (s *Server) inForce(w http.ResponseWriter, r *http.Request) {
 	version, err := strconv.ParseUint(r.URL.Query().Get("version"), 10, 64)
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -30,6 +30,8 @@
 	View(now time.Time) (*config.View, bool)
 	// WaitInForce returns once every node with a session has the version in force.
 	WaitInForce(ctx context.Context, version uint64) error
+	// History returns the kept changes after a version.
+	History(ctx context.Context, version uint64) ([]wire.Record, error)
 	// Voters changes the membership of the consensus group by one step.
 	Voters(ctx context.Context, v wire.Voters) error
 }
@@ -62,6 +64,7 @@
 	r.HandleFunc("/v1/upstreams", s.listUpstreams).Methods(http.MethodGet)
 	s.rolloutRoutes(r)
 	r.HandleFunc("/v1/events", s.listEvents).Methods(http.MethodGet)
+	r.HandleFunc("/v1/history", s.history).Methods(http.MethodGet)
 	r.HandleFunc("/v1/in-force", s.inForce).Methods(http.MethodGet)
 	r.HandleFunc("/debug/vars", s.vars).Methods(http.MethodGet)
 	return r
--- a/internal/operator/server_test.go
+++ b/internal/operator/server_test.go
@@ -30,6 +30,10 @@
 	view, err := config.NewView(s.space.Version, s.space.Items)
 	return view, err == nil
 }
+
+func (s store) History(context.Context, uint64) ([]wire.Record, error) {
+	return s.space.History, nil
+}
 func (s store) WaitInForce(context.Context, uint64) error { return nil }
 func (s store) Voters(context.Context, wire.Voters) error { return errors.New("no such voter") }
 
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -38,6 +38,7 @@
 	kindAwait   = "await"
 	kindVoters  = "voters"
 	kindBooking = "booking"
+	kindHistory = "history"
 )
 
 // Errors of the replicated state.
--- a/pkg/cmd/root/root.go
+++ b/pkg/cmd/root/root.go
@@ -13,6 +13,7 @@
 	"github.com/jaystage/jaystage/pkg/cmd/completion"
 	"github.com/jaystage/jaystage/pkg/cmd/config/apply"
 	"github.com/jaystage/jaystage/pkg/cmd/config/check"
+	"github.com/jaystage/jaystage/pkg/cmd/config/history"
 	"github.com/jaystage/jaystage/pkg/cmd/config/show"
 	"github.com/jaystage/jaystage/pkg/cmd/demo"
 	domaindrain "github.com/jaystage/jaystage/pkg/cmd/domain/drain"
@@ -45,7 +46,7 @@
 	return group(f, "jaystage", "", "Serve models and bookings on reclaimable VMs",
 		node.NewCmdNode(f, nodelist.NewCmdList(f)),
 		demo.NewCmdDemo(f),
-		group(f, "config", "jaystage ", "Manage the site configuration", check.NewCmdCheck(f), apply.NewCmdApply(f), show.NewCmdShow(f)),
+		group(f, "config", "jaystage ", "Manage the site configuration", check.NewCmdCheck(f), apply.NewCmdApply(f), show.NewCmdShow(f), history.NewCmdHistory(f)),
 		group(f, "service", "jaystage ", "Look at services", servicelist.NewCmdList(f), serviceview.NewCmdView(f)),
 		group(f, "upstream", "jaystage ", "Manage upstreams",
 			upstreamlist.NewCmdList(f), upstreamview.NewCmdView(f), upstreamdrain.NewCmdDrain(f), upstreamresume.NewCmdResume(f)),
--- a/pkg/wire/state.go
+++ b/pkg/wire/state.go
@@ -377,6 +377,18 @@
 	Repeated bool `json:"repeated,omitempty,omitzero"`
 }
 
+// Past is the reply to a question for the latest changes.
+type Past struct {
+	// True when the asked node does not lead the group.
+	Elsewhere bool `json:"elsewhere,omitempty,omitzero"`
+
+	// Leader as far as the asked node knows.
+	Leader string `json:"leader,omitempty,omitzero"`
+
+	// Latest changes, the oldest first.
+	Records []Record `json:"records,omitempty,omitzero"`
+}
+
 // Proposed answers a command that was sent to the leader.
 type Proposed struct {
 	// True when the receiver does not lead and has done nothing.
@@ -389,6 +401,12 @@
 	Outcome *Outcome `json:"outcome,omitempty,omitzero"`
 }
 
+// Question asks for the changes after a version.
+type Question struct {
+	// Version of the key space.
+	Version uint64 `json:"version"`
+}
+
 // Record describes one accepted change of the key space.
 type Record struct {
 	// Who asked for the change.
@@ -485,9 +503,15 @@
 	// Outcome corresponds to the JSON schema field "outcome".
 	Outcome *Outcome `json:"outcome,omitempty,omitzero"`
 
+	// Past corresponds to the JSON schema field "past".
+	Past *Past `json:"past,omitempty,omitzero"`
+
 	// Proposed corresponds to the JSON schema field "proposed".
 	Proposed *Proposed `json:"proposed,omitempty,omitzero"`
 
+	// Question corresponds to the JSON schema field "question".
+	Question *Question `json:"question,omitempty,omitzero"`
+
 	// Renew corresponds to the JSON schema field "renew".
 	Renew *Renew `json:"renew,omitempty,omitzero"`
 
