Let voters join by themselves and measure leases on the boot clock

Cause: the users' VMs know only three seeds, are replaced at other addresses and may be suspended; the product knew a fixed list of voters, measured leases on the steady and wall clocks, and had one lease length. Change: Replica.Join adds and promotes a voter from its own folder's incarnation, a newcomer takes the place of a silent voter; package boottime; Config.Lease, Sole and JoinOnly; links on a private network without TLS. Conclusion: the group can be founded from seeds.

--- /dev/null
+++ b/internal/boottime/boottime_test.go
@@ -0,0 +1,23 @@
+package boottime
+
+import (
+	"testing"
+	"time"
+)
+
+// Guards against a lease that outlives a suspension: only the boot-time clock
+// counts it.
+func TestAgeCountsASuspension(t *testing.T) {
+	start := Take()
+	later := Moment{Steady: start.Steady.Add(time.Second), Boot: start.Boot + time.Minute}
+	if got, want := start.Age(later), time.Minute; got != want {
+		t.Errorf("got age %v, want %v", got, want)
+	}
+}
+
+func TestClockDoesNotGoBack(t *testing.T) {
+	first := Now()
+	if second := Now(); second.Before(first) {
+		t.Errorf("got %v after %v", second, first)
+	}
+}
--- a/internal/config/view.go
+++ b/internal/config/view.go
@@ -52,6 +52,8 @@
 	Announce string `json:"announce"`
 	Domain   string `json:"domain"`
 	Cell     string `json:"cell"`
+	// Voter is true when the node holds a replica of the replicated state.
+	Voter bool `json:"voter,omitempty"`
 }
 
 // Share is the traffic rule of a rollout, as nodes apply it. The entry in the key
--- a/internal/peer/dial.go
+++ b/internal/peer/dial.go
@@ -104,7 +104,7 @@
 	}
 	target := url.URL{Scheme: "wss", Host: address, Path: Path}
 	if l.config.TLS == nil {
-		if !loopback(address) {
+		if !l.config.Private && !loopback(address) {
 			return errors.New("plain text is allowed on loopback only; set security.cert, key and ca")
 		}
 		target.Scheme = "ws"
--- a/internal/peer/links.go
+++ b/internal/peer/links.go
@@ -68,6 +68,9 @@
 	// Address returns the host and port of a node's listener for peers.
 	Address func(name string) (string, bool)
 	Log     logrus.FieldLogger
+	// Private allows plain text to any address, because only the nodes' own VMs share
+	// the network. Without it plain text is allowed on loopback only.
+	Private bool
 	// Version overrides the protocol version; only tests set it.
 	Version uint16
 }
--- /dev/null
+++ b/internal/replica/join_test.go
@@ -0,0 +1,80 @@
+package replica
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/jaystage/jaystage/pkg/raft"
+)
+
+// join runs the automatic join of a voter until the test ends.
+func (c *cluster) join(name string) {
+	c.t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); c.node(name).Join(ctx) }()
+	c.t.Cleanup(func() { cancel(); <-done })
+}
+
+// voters lists the voters as a node's own log has them.
+func (m *member) voters() []string {
+	answer := make(chan []string, 1)
+	m.voter.inbox <- request{run: func() {
+		var list []string
+		for _, member := range m.voter.status.Members {
+			if !member.Learner {
+				list = append(list, member.Name)
+			}
+		}
+		answer <- list
+	}}
+	return <-answer
+}
+
+// Guards against a group that stays smaller than the VMs with a disk: a voter that
+// knows only the seeds has to become a full member by itself.
+func TestVoterJoinsByItself(t *testing.T) {
+	c := newCluster(t, "a", "b", "c")
+	c.joiners = []string{"d", "e"}
+	c.start("a", "b", "c", "d", "e")
+	c.join("d")
+	c.join("e")
+	eventually(t, "five voters", func() bool { return len(c.node("a").voters()) == 5 })
+	c.ready("a", "d", "e")
+}
+
+// Guards against a quorum that grows with each replacement: the place of a voter
+// that is gone for good goes to its successor.
+func TestNewcomerTakesThePlaceOfASilentVoter(t *testing.T) {
+	c := newCluster(t, "a", "b", "c")
+	c.joiners = []string{"d"}
+	c.start("a", "b", "c")
+	c.ready("a", "b", "c")
+	c.kill("c")
+	time.Sleep(replaceAfter + raftSettle)
+	c.start("d")
+	c.join("d")
+	eventually(t, "d is a voter and c is not", func() bool {
+		got := c.node("a").voters()
+		return len(got) == 3 && contains(got, "d") && !contains(got, "c")
+	})
+}
+
+// raftSettle covers an election after the kill.
+const raftSettle = 2 * time.Second
+
+// Guards against a second group: an empty folder that must only join never forms one.
+func TestEmptyFolderThatMustJoinFormsNoGroup(t *testing.T) {
+	c := newCluster(t, "a")
+	c.joiners = []string{"a"}
+	c.start("a")
+	c.join("a")
+	time.Sleep(time.Second)
+	answer := make(chan raft.Status, 1)
+	m := c.node("a")
+	m.voter.inbox <- request{run: func() { answer <- m.voter.status }}
+	if got := (<-answer).Group; got != "" {
+		t.Errorf("got group %q, want none", got)
+	}
+}
--- a/internal/replica/leader.go
+++ b/internal/replica/leader.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"time"
 
+	"github.com/jaystage/jaystage/internal/boottime"
 	"github.com/jaystage/jaystage/internal/event"
 	"github.com/jaystage/jaystage/pkg/state"
 	"github.com/jaystage/jaystage/pkg/wire"
@@ -24,7 +25,9 @@
 	// starting holds the sessions whose start is proposed but not yet applied.
 	starting map[string]uint64
 	// seen holds what each live session did last.
-	seen    map[string]*seen
+	seen map[string]*seen
+	// alive holds when each voter last answered this leader.
+	alive   map[string]time.Time
 	awaited []awaited
 }
 
@@ -46,7 +49,7 @@
 }
 
 func newLeadership(v *voter) *leadership {
-	return &leadership{v: v, term: v.status.Term, first: true, seen: make(map[string]*seen), starting: make(map[string]uint64)}
+	return &leadership{v: v, term: v.status.Term, first: true, seen: make(map[string]*seen), alive: make(map[string]time.Time), starting: make(map[string]uint64)}
 }
 
 // session returns what is known of a live session. One that is seen for the first
@@ -54,9 +57,9 @@
 func (l *leadership) session(name string, incarnation uint64) *seen {
 	s := l.seen[name]
 	if s == nil || s.incarnation != incarnation {
-		s = &seen{incarnation: incarnation, replied: time.Now()}
+		s = &seen{incarnation: incarnation, replied: boottime.Now()}
 		if l.first && l.v.r.config.hooks.noWait {
-			s.replied = s.replied.Add(-sessionTTL)
+			s.replied = s.replied.Add(-l.v.r.config.sessionTTL())
 		}
 		l.seen[name] = s
 	}
@@ -74,10 +77,11 @@
 		return
 	}
 	l.scan = now
+	v.noteAlive(now)
 	live := v.machine.Sessions()
 	for _, name := range sortedKeys(live) {
 		s := l.session(name, live[name])
-		if now.Sub(s.replied) < sessionTTL || now.Sub(s.endedAt) < endRepeat {
+		if now.Sub(s.replied) < v.r.config.sessionTTL() || now.Sub(s.endedAt) < endRepeat {
 			continue
 		}
 		s.refused, s.endedAt = true, now
@@ -119,7 +123,7 @@
 	if s.refused || l.starting[r.Node] > r.Incarnation {
 		return wire.Grant{Ended: true}
 	}
-	s.replied = time.Now()
+	s.replied = boottime.Now()
 	s.version = max(s.version, r.Version)
 	if r.Version == m.Space.Version {
 		return wire.Grant{}
@@ -162,7 +166,7 @@
 
 // awaitForce answers once a version is in force everywhere.
 func (l *leadership) awaitForce(version uint64, answer chan any) {
-	l.awaited = append(l.awaited, awaited{time.Now().Add(awaitLimit), func() (any, bool) {
+	l.awaited = append(l.awaited, awaited{boottime.Now().Add(awaitLimit), func() (any, bool) {
 		missing := l.missing(version)
 		force := len(missing) == 0 && l.v.machine.Space.Version >= version
 		return wire.Awaited{Force: force, Missing: missing}, force
@@ -171,7 +175,7 @@
 
 // awaitBooking answers once a booking is not running any more.
 func (l *leadership) awaitBooking(b wire.Booking, answer chan any) {
-	l.awaited = append(l.awaited, awaited{time.Now().Add(awaitLimit), func() (any, bool) {
+	l.awaited = append(l.awaited, awaited{boottime.Now().Add(awaitLimit), func() (any, bool) {
 		booked := wire.Booked{State: state.StateAbandoned}
 		if in, ok := l.v.machine.Booking(b.Account, b.Service, b.Key); ok {
 			booked = wire.Booked{State: in.State, Attempt: in.Attempt, Node: in.Node, Incarnation: in.Incarnation, Answer: in.Answer}
@@ -215,10 +219,10 @@
 	name, next := c.Session.Node, c.Session.Incarnation
 	incarnation, live := v.machine.Session(name)
 	switch {
-	case live && incarnation < next:
+	case live && incarnation < next && !v.r.config.Sole:
 		v.lead.session(name, incarnation).refused = true
 		return errEarlier
-	case v.lead.starting[name] != 0 && v.lead.starting[name] != next:
+	case v.lead.starting[name] != 0 && !v.r.config.Sole && v.lead.starting[name] != next:
 		return errEarlier
 	}
 	v.lead.starting[name] = next
--- a/internal/replica/membership.go
+++ b/internal/replica/membership.go
@@ -66,6 +66,11 @@
 	if incarnation == 0 {
 		return fmt.Errorf("voter %s has not asked to join and is no member; start it with its settings first", w.Name)
 	}
+	if w.Verb == VerbAdd && w.Incarnation != 0 {
+		if err := v.makeRoom(ctx, w.Name); err != nil {
+			return err
+		}
+	}
 	_, err := v.propose(ctx, request{
 		change: &raft.Change{Kind: changeKinds[w.Verb], Member: raft.Member{Name: w.Name, Incarnation: incarnation}},
 		answer: make(chan result, 1),
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -15,6 +15,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/jaystage/jaystage/internal/boottime"
 	"github.com/jaystage/jaystage/internal/config"
 	"github.com/jaystage/jaystage/internal/event"
 	"github.com/jaystage/jaystage/internal/peer"
@@ -25,8 +26,9 @@
 // 5% on the rate difference of two clocks.
 const (
 	renewInterval = 500 * time.Millisecond
-	leaseTTL      = 2 * time.Second
-	sessionTTL    = leaseTTL + leaseTTL/20
+	leaseTTL      = 2 * time.Second // default of Config.Lease
+	// driftShare is the part of a lease that covers the rate difference.
+	driftShare = 20
 )
 
 // Kinds of messages between nodes.
@@ -76,9 +78,22 @@
 	Log    logrus.FieldLogger
 	// Election is the shortest election timeout; zero selects the default.
 	Election time.Duration
+	// Lease is how long a session lease lasts after its renewal was sent; zero selects
+	// the default. All nodes of a group must use the same value.
+	Lease time.Duration
+	// Sole is true when the platform never runs two processes of a node at a time. The
+	// session of a restarted process then starts without waiting for the lease of the
+	// process before it.
+	Sole bool
+	// JoinOnly is true when a voter with an empty folder must not form a group but
+	// joins the one that the seeds belong to.
+	JoinOnly bool
 	hooks    hooks
 }
 
+// sessionTTL is how long the leader waits before it treats a session as ended.
+func (c Config) sessionTTL() time.Duration { return c.Lease + c.Lease/driftShare }
+
 // hooks turn single rules off or stop at a point. Only tests and measurements set
 // them.
 type hooks struct {
@@ -105,10 +120,14 @@
 
 // Open prepares the replica; a voter recovers its folder. Run must follow.
 func Open(c Config) (*Replica, error) {
+	c.Entry.Voter = c.Voter
 	if c.Election == 0 {
 		c.Election = defaultElection
 	}
-	r := &Replica{config: c, view: newViewer(c.hooks), later: background{ended: make(chan struct{})}}
+	if c.Lease == 0 {
+		c.Lease = leaseTTL
+	}
+	r := &Replica{config: c, view: newViewer(c.hooks, c.Lease), later: background{ended: make(chan struct{})}}
 	r.session = newSession(r)
 	none := ""
 	r.leader.Store(&none)
@@ -164,16 +183,20 @@
 
 // View returns the view that is in force on this node, and whether the node's
 // session lease is valid: without it the node must admit nothing.
-func (r *Replica) View(now time.Time) (*config.View, bool) { return r.view.get(now) }
+//
+// The check of the lease needs the boot-time clock beside the given steady time.
+func (r *Replica) View(now time.Time) (*config.View, bool) {
+	return r.view.get(boottime.Moment{Steady: now, Boot: boottime.Since()})
+}
 
 // Lease returns the end of the node's session lease on the monotonic clock, or the
 // zero time when the node has none.
 func (r *Replica) Lease() time.Time {
-	sent := r.view.lease.Load().sent
+	sent := r.view.lease.Load().sent.Steady
 	if sent.IsZero() {
 		return time.Time{}
 	}
-	return sent.Add(leaseTTL)
+	return sent.Add(r.config.Lease)
 }
 
 // Change runs one change of the key space. A change that is sent again under its
--- a/internal/replica/serve.go
+++ b/internal/replica/serve.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/jaystage/jaystage/internal/boottime"
 	"github.com/jaystage/jaystage/internal/event"
 	"github.com/jaystage/jaystage/internal/peer"
 	"github.com/jaystage/jaystage/pkg/raft"
@@ -170,8 +171,8 @@
 }
 
 // logLease reports a lease that was lost or gained since the last call.
-func (r *Replica) logLease(now time.Time) {
-	_, valid := r.view.get(now)
+func (r *Replica) logLease() {
+	_, valid := r.view.get(boottime.Take())
 	if r.view.logged.Swap(valid) == valid {
 		return
 	}
--- a/internal/replica/session.go
+++ b/internal/replica/session.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/jaystage/jaystage/internal/boottime"
 	"github.com/jaystage/jaystage/internal/event"
 	"github.com/jaystage/jaystage/pkg/state"
 	"github.com/jaystage/jaystage/pkg/wire"
@@ -59,7 +60,7 @@
 		pause := renewInterval
 		if err != nil {
 			pause = startPause
-			s.r.logLease(time.Now())
+			s.r.logLease()
 		}
 		select {
 		case <-ctx.Done():
@@ -95,7 +96,7 @@
 	if err != nil {
 		return err
 	}
-	limit, cancel := context.WithTimeout(ctx, sessionTTL)
+	limit, cancel := context.WithTimeout(ctx, s.r.config.sessionTTL())
 	defer cancel()
 	o, err := s.r.submit(limit, wire.Command{Session: &wire.Session{Node: entry.Name, Incarnation: incarnation, Up: true, Value: value}})
 	if err != nil {
@@ -120,7 +121,7 @@
 // sent, because the leader counts from the moment it answered.
 func (s *session) renew(ctx context.Context) error {
 	incarnation, version := s.present(), s.r.view.version()
-	limit, cancel := context.WithTimeout(ctx, leaseTTL)
+	limit, cancel := context.WithTimeout(ctx, s.r.config.Lease)
 	defer cancel()
 	request := wire.Renew{Node: s.r.config.Entry.Name, Incarnation: incarnation, Version: version}
 	grant, sent, err := ask(limit, s.r, kindRenew, func() any { return request }, func(g wire.Grant) (bool, string) { return g.Elsewhere, g.Leader })
@@ -137,13 +138,13 @@
 		return errors.New("the session has ended")
 	}
 	if s.r.config.hooks.leaseReceipt {
-		sent = time.Now()
+		sent = boottime.Take()
 	}
 	if err := s.r.view.extend(sent, grant.Delta); err != nil {
 		event.With(s.r.config.Log, event.ViewFailed).WithError(err).Error("configuration cannot be read, lease is not extended")
 		return err
 	}
-	s.r.logLease(time.Now())
+	s.r.logLease()
 	if s.r.view.version() != version {
 		s.wakeUp() // tells the leader that the new version is in force here
 	}
--- a/internal/replica/view.go
+++ b/internal/replica/view.go
@@ -10,6 +10,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/jaystage/jaystage/internal/boottime"
 	"github.com/jaystage/jaystage/internal/config"
 	"github.com/jaystage/jaystage/internal/event"
 	"github.com/jaystage/jaystage/pkg/wire"
@@ -24,9 +25,10 @@
 // viewer holds a node's copy of the key space and its lease.
 type viewer struct {
 	hooks  hooks
+	ttl    time.Duration // of a lease
 	lease  atomic.Pointer[lease]
-	tick   atomic.Pointer[time.Time] // last time the process was seen running
-	logged atomic.Bool               // the lease was valid when last logged
+	tick   atomic.Pointer[boottime.Moment] // last time the process was seen running
+	logged atomic.Bool                     // the lease was valid when last logged
 
 	mu    sync.Mutex
 	items map[string]wire.Item
@@ -36,30 +38,30 @@
 type lease struct {
 	view *config.View
 	// sent is when the renewal was sent; the zero time for no lease.
-	sent time.Time
+	sent boottime.Moment
 }
 
-func newViewer(h hooks) *viewer {
-	v := &viewer{hooks: h, items: make(map[string]wire.Item)}
+func newViewer(h hooks, ttl time.Duration) *viewer {
+	v := &viewer{hooks: h, ttl: ttl, items: make(map[string]wire.Item)}
 	view, _ := config.NewView(0, nil)
 	v.lease.Store(&lease{view: view})
-	now := time.Now()
+	now := boottime.Take()
 	v.tick.Store(&now)
 	return v
 }
 
-// get checks the lease on the monotonic clock and on the wall clock: the monotonic
+// get checks the lease on the monotonic and on the boot-time clock: the monotonic
 // clock stands still while the VM is suspended. A process that has not run lately
 // has to renew first.
-func (v *viewer) get(now time.Time) (*config.View, bool) {
+func (v *viewer) get(now boottime.Moment) (*config.View, bool) {
 	l := v.lease.Load()
 	if v.hooks.ignoreExpiry {
-		return l.view, !l.sent.IsZero()
+		return l.view, !l.sent.Steady.IsZero()
 	}
-	if l.sent.IsZero() || now.Sub(l.sent) >= leaseTTL || now.Round(0).Sub(l.sent.Round(0)) >= leaseTTL {
+	if l.sent.Steady.IsZero() || l.sent.Age(now) >= v.ttl {
 		return l.view, false
 	}
-	return l.view, now.Sub(*v.tick.Load()) < watchInterval+pauseLimit
+	return l.view, v.tick.Load().Age(now) < watchInterval+pauseLimit
 }
 
 func (v *viewer) version() uint64 { return v.lease.Load().view.Version }
@@ -73,7 +75,7 @@
 
 // extend brings the copy up to date and extends the lease to the renewal that was
 // sent at the given time. A copy that cannot be read extends nothing.
-func (v *viewer) extend(sent time.Time, d *wire.Delta) error {
+func (v *viewer) extend(sent boottime.Moment, d *wire.Delta) error {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	old := v.lease.Load()
@@ -85,7 +87,7 @@
 		}
 		view = next
 	}
-	if sent.Before(old.sent) {
+	if sent.Steady.Before(old.sent.Steady) {
 		sent = old.sent
 	}
 	v.lease.Store(&lease{view: view, sent: sent})
@@ -143,9 +145,8 @@
 			return nil
 		case <-ticker.C:
 		}
-		now := time.Now()
-		last := *v.tick.Load()
-		late := max(now.Sub(last), now.Round(0).Sub(last.Round(0))) - watchInterval
+		now := boottime.Take()
+		late := v.tick.Load().Age(now) - watchInterval
 		if late > pauseLimit {
 			v.void()
 			event.With(log, event.PauseNoticed).WithField("late", late.String()).Warn("process was paused, lease is checked again")
--- a/internal/replica/voter.go
+++ b/internal/replica/voter.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/jaystage/jaystage/internal/boottime"
 	"github.com/jaystage/jaystage/internal/event"
 	"github.com/jaystage/jaystage/pkg/raft"
 	"github.com/jaystage/jaystage/pkg/state"
@@ -103,7 +104,7 @@
 	}
 	v.node = raft.New(raft.Config{
 		Name: r.config.Entry.Name, Incarnation: id.Incarnation, Group: id.Group, Restarted: id.Group != "",
-		Peers: r.config.Voters, Found: true, NewGroup: newID(), Election: r.config.Election, Seed: rand.Uint64(),
+		Peers: r.config.Voters, Found: !r.config.JoinOnly, NewGroup: newID(), Election: r.config.Election, Seed: rand.Uint64(),
 		State: recovered.State, Snapshot: recovered.Snapshot, Entries: recovered.Entries,
 	})
 	return v, nil
@@ -193,7 +194,7 @@
 
 // step runs one step of the consensus core and does what it asks for.
 func (v *voter) step(in raft.Input) error {
-	now := time.Now()
+	now := boottime.Now()
 	in.Transfer, v.handTo = v.handTo, ""
 	out := v.node.Step(now, in)
 	if out.Fault != nil {
