Add the traffic plan and the placement of requests as libraries

Cause: the platform's routes, quotas and runners have no counterpart in the product: it knew services and models, not routes by host and prefix, weights, revocable keys, token quotas, or cold rates shared by all nodes. Change: pkg/traffic (plan, checks, look-up, token bucket) and pkg/placement (choice by expected delay, session home that all nodes agree on, cold rate, failure record), both without I/O or clock. Result: go test ./pkg/traffic ./pkg/placement passes. Conclusion: the request path can be built on them.

--- /dev/null
+++ b/pkg/placement/placement_test.go
@@ -0,0 +1,139 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+var now = time.Unix(1_000_000, 0)
+
+func fleet(n, slots int) []*Upstream {
+	var list []*Upstream
+	for i := range n {
+		list = append(list, &Upstream{ID: fmt.Sprint("u", i), Slots: slots, Domain: "a"})
+	}
+	return list
+}
+
+func choose(t *testing.T, at time.Time, r Request, l Limits, list []*Upstream) *Upstream {
+	t.Helper()
+	c, ok := Choose(at, r, l, list)
+	if !ok {
+		t.Fatal("no upstream was chosen")
+	}
+	return c.Upstream
+}
+
+// Load pattern: many sessions whose requests reach different nodes. Guards against
+// a session's shared prompt being read again by every upstream.
+func TestNodesAgreeOnTheHomeOfASession(t *testing.T) {
+	for s := range 50 {
+		session := Part{fmt.Sprint("s", s), 4000}
+		var first string
+		for node := range 8 {
+			r := Request{ID: fmt.Sprint(s, node), Prompt: 6000, Parts: []Part{session, {fmt.Sprint("own", s, node), 2000}}}
+			got := choose(t, now, r, Limits{Self: fmt.Sprint(node), Domain: "a"}, fleet(12, 64)).ID
+			if first == "" {
+				first = got
+			}
+			if got != first {
+				t.Errorf("session %d: got %s and %s", s, first, got)
+			}
+		}
+	}
+}
+
+// Load pattern: a hot key. Guards against a home that collects all requests of one
+// session however long its queue is.
+func TestHotSessionSpreadsOnceItsHomeIsBusy(t *testing.T) {
+	list, used := fleet(6, 8), map[string]bool{}
+	for i := range 40 {
+		r := Request{ID: fmt.Sprint(i), Prompt: 6000, Parts: []Part{{"hot", 5000}, {fmt.Sprint("own", i), 1000}}}
+		u := choose(t, now, r, Limits{Domain: "a", Queue: 100}, list)
+		u.Chosen(now, r, Limits{})
+		used[u.ID] = true
+	}
+	if got, want := len(used), 6; got != want {
+		t.Errorf("got %d upstreams in use, want %d", got, want)
+	}
+}
+
+// Load pattern: a cold return under full load. Guards against more requests in a
+// second than a cold upstream bears, over all nodes together.
+func TestColdRateHoldsOverAllNodes(t *testing.T) {
+	for _, c := range []struct {
+		nodes int
+		rate  float64
+	}{{8, 13}, {6, 17}, {59, 13}, {72, 4}, {3, 1}} {
+		var nodes []string
+		for i := range c.nodes {
+			nodes = append(nodes, fmt.Sprint("n", i))
+		}
+		sum := 0
+		cold := now.Add(time.Hour)
+		for _, self := range nodes {
+			u := &Upstream{ID: "u", Slots: 64, Cold: cold}
+			l := Limits{Self: self, Nodes: nodes, ColdRate: c.rate, Queue: 1000}
+			for ms := range 1000 {
+				at := now.Add(time.Duration(ms) * time.Millisecond)
+				if _, ok := Choose(at, Request{}, l, []*Upstream{u}); ok {
+					u.Chosen(at, Request{}, l)
+					sum++
+				}
+			}
+		}
+		if got, want := float64(sum), c.rate*1.5+5; got > want || sum == 0 {
+			t.Errorf("%d nodes, rate %v: got %v requests in a second, want 1 to %v", c.nodes, c.rate, got, want)
+		}
+	}
+}
+
+// Load pattern: an upstream that fails part of its requests while its health check
+// is good.
+func TestFailingUpstreamLosesTraffic(t *testing.T) {
+	list := fleet(4, 64)
+	for range 10 {
+		list[0].Failed(now)
+	}
+	for i := range 40 {
+		if u := choose(t, now, Request{ID: fmt.Sprint(i)}, Limits{Domain: "a", Queue: 10}, list); u == list[0] {
+			t.Fatal("the failing upstream was chosen among idle ones")
+		}
+	}
+	later := now.Add(30 * time.Second)
+	if got := list[0].failureRate(later); got > 0.02 {
+		t.Errorf("got failure rate %v after 30 s, want about 0", got)
+	}
+}
+
+func TestUnreachableUpstreamIsTriedAgainLater(t *testing.T) {
+	u := fleet(1, 1)[0]
+	u.Unreachable(now)
+	u.Unreachable(now) // the same fault, noticed by a second request
+	if !u.Banned(now) || u.Banned(now.Add(firstBan)) {
+		t.Errorf("got banned %v, then %v, want true, then false", u.Banned(now), u.Banned(now.Add(firstBan)))
+	}
+}
+
+func TestUpstreamsThatMustNotBeUsed(t *testing.T) {
+	list := fleet(3, 2)
+	list[0].Leaving = true
+	list[1].Open = 2
+	r := Request{ID: "x", Tried: []string{"u2"}}
+	if c, ok := Choose(now, r, Limits{}, list); ok {
+		t.Errorf("got %s, want none", c.Upstream.ID)
+	}
+}
+
+func TestReportedLoadExpires(t *testing.T) {
+	u := fleet(1, 8)[0]
+	u.Told(now, 5, 1)
+	u.Sent(0)
+	if got, want := u.Load(now), 7; got != want {
+		t.Errorf("got load %d, want %d", got, want)
+	}
+	if got, want := u.Load(now.Add(reportLife)), 1; got != want {
+		t.Errorf("got load %d from an old report, want %d", got, want)
+	}
+}
--- /dev/null
+++ b/pkg/traffic/traffic_test.go
@@ -0,0 +1,113 @@
+package traffic
+
+import (
+	"strings"
+	"testing"
+	"time"
+)
+
+func plan() *Plan {
+	p := &Plan{
+		Version:  3,
+		Services: []Service{{Name: "a"}, {Name: "b"}},
+		Routes: []Route{
+			{Name: "short", Host: "h.example", Prefix: "/x/", Kind: Lookup, Timeout: time.Second, Attempts: 1, Split: []Weight{{"a", 1}}},
+			{Name: "long", Host: "h.example", Prefix: "/x/y/", Kind: Stream, Timeout: time.Second, Attempts: 1, Split: []Weight{{"a", 9}, {"b", 1}}},
+		},
+		Accounts: []Account{{Name: "one", Keys: []string{HashKey("k1")}}},
+	}
+	p.index()
+	return p
+}
+
+func TestLongestPrefixWins(t *testing.T) {
+	p := plan()
+	for _, c := range []struct{ host, path, want string }{
+		{"h.example", "/x/1", "short"},
+		{"H.EXAMPLE:8080", "/x/y/1", "long"},
+		{"h.example", "/x/yy", "short"},
+		{"h.example", "/z/", ""},
+		{"other.example", "/x/1", ""},
+	} {
+		got := ""
+		if r, ok := p.Match(c.host, c.path); ok {
+			got = r.Name
+		}
+		if got != c.want {
+			t.Errorf("%s%s: got route %q, want %q", c.host, c.path, got, c.want)
+		}
+	}
+}
+
+func TestSplitFollowsItsWeights(t *testing.T) {
+	r := plan().Routes[1]
+	for _, c := range []struct {
+		draw float64
+		want string
+	}{{0, "a"}, {0.89, "a"}, {0.91, "b"}, {0.999999999999, "b"}} {
+		if got := r.Pick(c.draw); got != c.want {
+			t.Errorf("draw %v: got %q, want %q", c.draw, got, c.want)
+		}
+	}
+	if got := (Route{Split: []Weight{{"a", 1}, {"b", 0}}}).Pick(1); got != "a" {
+		t.Errorf("a service of weight 0 was picked: %q", got)
+	}
+}
+
+func TestInvalidPlanIsRefused(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		change func(*Plan)
+		want   string
+	}{
+		{"unknown service", func(p *Plan) { p.Routes[0].Split[0].Service = "c" }, "unknown service"},
+		{"same place", func(p *Plan) { p.Routes[1].Prefix = "/x/" }, "share the host and prefix"},
+		{"no weight", func(p *Plan) { p.Routes[0].Split[0].Weight = 0 }, "add up to 0"},
+		{"no timeout", func(p *Plan) { p.Routes[0].Timeout = 0 }, "no timeout"},
+		{"shared key", func(p *Plan) { p.Accounts = append(p.Accounts, Account{Name: "two", Keys: p.Accounts[0].Keys}) }, "share a key"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			p := plan()
+			c.change(p)
+			err := p.Check()
+			if err == nil || !strings.Contains(err.Error(), c.want) {
+				t.Errorf("got %v, want %q", err, c.want)
+			}
+		})
+	}
+	if err := plan().Check(); err != nil {
+		t.Errorf("a valid plan was refused: %v", err)
+	}
+}
+
+func TestKeysAreKeptHashed(t *testing.T) {
+	data, err := Encode(plan())
+	if err != nil {
+		t.Fatal(err)
+	}
+	p, err := Decode(data)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if a, ok := p.Account("k1"); !ok || a.Name != "one" {
+		t.Errorf("got account %v, %v, want one", a, ok)
+	}
+	if _, ok := p.Account(HashKey("k1")); ok {
+		t.Error("the hash of a key was accepted as a key")
+	}
+}
+
+// Guards against a limit that lets more through than rate times window plus burst.
+func TestBucketBoundsAWindow(t *testing.T) {
+	var b Bucket
+	start := time.Unix(1000, 0)
+	spent := 0.0
+	for i := range 8000 {
+		if b.Take(start.Add(time.Duration(i)*time.Millisecond), 100, 50, 1) {
+			spent++
+		}
+	}
+	if got, want := spent, 100*8+50+1.0; got > want {
+		t.Errorf("got %v in 8 s, want at most %v", got, want)
+	}
+}
