Run on the users' platform: gateway, control and the adapter

Cause: the product could not be started on the platform at all: it needs routes by host and prefix, pass-through of requests, a plan as one versioned document and voters that are found by three seeds.

--- a/internal/caller/booking.go
+++ b/internal/caller/booking.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/jaystage/jaystage/internal/event"
+	"github.com/jaystage/jaystage/internal/hop"
 	"github.com/jaystage/jaystage/internal/replica"
 	"github.com/jaystage/jaystage/pkg/state"
 	"github.com/jaystage/jaystage/pkg/verdict"
@@ -248,7 +249,7 @@
 		return answer
 	}
 	answer.Body = body
-	for name, values := range endToEnd(resp.Header) {
+	for name, values := range hop.EndToEnd(resp.Header) {
 		for _, value := range values {
 			answer.Header = append(answer.Header, wire.Header{Name: name, Value: value})
 		}
--- a/internal/caller/follow.go
+++ b/internal/caller/follow.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"github.com/jaystage/jaystage/internal/hop"
 	"github.com/jaystage/jaystage/pkg/stream"
 )
 
@@ -150,7 +151,7 @@
 // copyAnswer passes an answer on as it comes.
 func (a *API) copyAnswer(w http.ResponseWriter, c *call, at *attempt, resp *http.Response) error {
 	header := w.Header()
-	for name, values := range endToEnd(resp.Header) {
+	for name, values := range hop.EndToEnd(resp.Header) {
 		header[name] = values
 	}
 	header.Set(RequestIDHeader, c.id)
--- a/internal/caller/problem.go
+++ b/internal/caller/problem.go
@@ -3,40 +3,20 @@
 import (
 	"encoding/json"
 	"fmt"
-	"math"
 	"net/http"
-	"strconv"
 	"time"
 
+	"github.com/jaystage/jaystage/internal/problem"
 	"github.com/jaystage/jaystage/pkg/verdict"
 )
 
 // Problem is the body of a refusal, of type application/problem+json.
-type Problem struct {
-	Type    string       `json:"type"`
-	Title   string       `json:"title"`
-	Status  int          `json:"status"`
-	Detail  string       `json:"detail"`
-	Code    verdict.Code `json:"code"`
-	Verdict string       `json:"verdict"`
-}
+type Problem = problem.Document
 
-// newProblem returns the document for an error.
-func newProblem(e *verdict.Error) Problem {
-	return Problem{
-		Type: "urn:jaystage:problem:" + string(e.Code), Title: http.StatusText(e.Status),
-		Status: e.Status, Detail: e.Detail, Code: e.Code, Verdict: e.Verdict.String(),
-	}
-}
+func newProblem(e *verdict.Error) Problem { return problem.New(e) }
 
 func writeProblem(w http.ResponseWriter, e *verdict.Error) {
-	h := w.Header()
-	h.Set("Content-Type", "application/problem+json")
-	if e.RetryAfter > 0 {
-		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(e.RetryAfter.Seconds()))))
-	}
-	w.WriteHeader(e.Status)
-	_ = json.NewEncoder(w).Encode(newProblem(e))
+	problem.Write(w, e, problem.WholeSeconds)
 }
 
 // writeStreamError ends a stream of server-sent events that cannot be completed,
--- a/internal/config/view.go
+++ b/internal/config/view.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/jaystage/jaystage/pkg/traffic"
 	"github.com/jaystage/jaystage/pkg/wire"
 )
 
@@ -36,6 +37,9 @@
 	Reason string `json:"reason"`
 	// Since is Unix time in milliseconds.
 	Since int64 `json:"since"`
+	// Born is the start, Unix time in milliseconds, up to which the drain of an
+	// upstream holds; zero for every start.
+	Born int64 `json:"born,omitempty"`
 }
 
 // Node is a node with a live session.
@@ -98,6 +102,14 @@
 	// Rollouts holds the last rollout of each service, a rollout.Rollout.
 	Rollouts map[string]json.RawMessage `json:"rollouts"`
 	Nodes    map[string]Node            `json:"nodes"`
+	// Plan is the traffic plan in force; nil before the first one.
+	Plan *traffic.Plan `json:"-"`
+	// Moves holds the move of each service's traffic that was ordered last.
+	Moves map[string]Move `json:"moves"`
+	// Usage holds the settled windows whose counts were not yet reported.
+	Usage map[string]Usage `json:"-"`
+
+	planEntry uint64 // version of the entry that Plan was read from
 }
 
 // Items turns a site configuration into entries of the key space.
@@ -131,26 +143,41 @@
 
 // NewView reads the live entries of the key space at the given version.
 func NewView(version uint64, items map[string]wire.Item) (*View, error) {
+	return NextView(nil, version, items)
+}
+
+// NextView is NewView with an earlier view of the same key space, of which unchanged
+// parts that are costly to read are kept.
+func NextView(earlier *View, version uint64, items map[string]wire.Item) (*View, error) {
 	v := &View{
 		Version: version, Accounts: make(map[string]Account), Tokens: make(map[string]string),
 		Domains: make(map[string]Domain), Services: make(map[string]Service), Models: make(map[string]string),
 		DrainedDomains: make(map[string]Drain), DrainedUpstreams: make(map[string]Drain),
 		Shares: make(map[string]Share), Rollouts: make(map[string]json.RawMessage), Nodes: make(map[string]Node),
+		Moves: make(map[string]Move), Usage: make(map[string]Usage),
 	}
 	for _, key := range slices.Sorted(maps.Keys(items)) {
 		item := items[key]
 		if item.Deleted {
 			continue
 		}
-		if err := v.read(item); err != nil {
+		if err := v.read(item, earlier); err != nil {
 			return nil, fmt.Errorf(unusableEntryMessage+": %w", key, err)
 		}
 	}
 	return v, nil
 }
 
-func (v *View) read(item wire.Item) error {
+func (v *View) read(item wire.Item, earlier *View) error {
 	switch {
+	case item.Key == KeyPlan:
+		return v.readPlan(item, earlier)
+	case strings.HasPrefix(item.Key, PrefixMove):
+		_, err := readInto(v.Moves, item, PrefixMove)
+		return err
+	case strings.HasPrefix(item.Key, PrefixUsage):
+		_, err := readInto(v.Usage, item, PrefixUsage)
+		return err
 	case item.Key == siteNameKey:
 		return json.Unmarshal(item.Value, &v.Site)
 	case strings.HasPrefix(item.Key, PrefixAccount):
--- /dev/null
+++ b/internal/control/ledger.go
@@ -0,0 +1,193 @@
+package control
+
+import (
+	"sync"
+	"time"
+
+	"github.com/jaystage/jaystage/internal/config"
+	"github.com/jaystage/jaystage/pkg/traffic"
+	"github.com/jaystage/jaystage/pkg/wire"
+)
+
+const (
+	// tallyLife is how long a node's open requests count after its last tally.
+	tallyLife = 1500 * time.Millisecond
+	// rateHalf smooths the rate at which a node uses an account's limit.
+	rateHalf = 500 * time.Millisecond
+	// startLevel is the part of an account's burst that a new leader grants: what was
+	// used before it led is unknown.
+	startLevel = 0.5
+)
+
+// ledger is what the leader knows of the use of all entry nodes. Only tallies to a
+// leader reach it; a new leader starts with an empty one.
+type ledger struct {
+	mu    sync.Mutex
+	term  uint64
+	since time.Time // when the term's first tally came
+	nodes map[nodeKey]*nodeUse
+	// levels holds the bucket of each account over all nodes.
+	levels map[string]*traffic.Bucket
+}
+
+type nodeKey struct {
+	name    string
+	process uint64
+}
+
+type nodeUse struct {
+	sequence uint64
+	at       time.Time
+	used     map[string]float64
+	rates    map[string]float64 // use a second
+	open     []wire.UpstreamUse
+	windows  map[uint64]map[string]uint64
+	versions []wire.VersionUse
+}
+
+func newLedger() *ledger { return &ledger{} }
+
+func (l *ledger) reset(now time.Time, term uint64) {
+	l.term, l.since = term, now
+	l.nodes, l.levels = make(map[nodeKey]*nodeUse), make(map[string]*traffic.Bucket)
+}
+
+func (c *Control) onTally(now time.Time, from string, t wire.UseTally) wire.UseTotals {
+	term, leads := c.State.Leading()
+	if !leads || t.Node != from {
+		return wire.UseTotals{Elsewhere: true, Leader: c.State.Leader()}
+	}
+	view, _ := c.State.View(now)
+	return c.ledger.take(now, term, view.Plan, t)
+}
+
+// take records a tally and returns the totals for its node.
+func (l *ledger) take(now time.Time, term uint64, plan *traffic.Plan, t wire.UseTally) wire.UseTotals {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.term != term {
+		l.reset(now, term)
+	}
+	key := nodeKey{t.Node, t.Process}
+	n, known := l.nodes[key]
+	if !known {
+		n = &nodeUse{used: make(map[string]float64), rates: make(map[string]float64), windows: make(map[uint64]map[string]uint64)}
+		l.nodes[key] = n
+	}
+	if t.Sequence > n.sequence {
+		l.record(now, plan, n, known, t)
+	}
+	totals := wire.UseTotals{Time: uint64(now.UnixMilli())}
+	if plan != nil {
+		for i := range plan.Accounts {
+			if a := &plan.Accounts[i]; a.Rate > 0 {
+				level := l.level(now, a)
+				totals.Levels = append(totals.Levels, wire.AccountLevel{Account: a.Name, Level: level.Level, Rate: l.othersRate(now, key, a.Name)})
+			}
+		}
+	}
+	open := make(map[string]uint64)
+	for other, use := range l.nodes {
+		if other.name != t.Node && now.Sub(use.at) < tallyLife {
+			for _, o := range use.open {
+				open[o.Upstream] += o.Open
+			}
+		}
+	}
+	for id, count := range open {
+		totals.Open = append(totals.Open, wire.UpstreamUse{Upstream: id, Open: count})
+	}
+	return totals
+}
+
+func (l *ledger) record(now time.Time, plan *traffic.Plan, n *nodeUse, known bool, t wire.UseTally) {
+	passed := now.Sub(n.at).Seconds()
+	for _, u := range t.Use {
+		delta := u.Cost - n.used[u.Account]
+		if !known {
+			delta = 0 // used before this node led, or counted by another leader
+		}
+		n.used[u.Account] = u.Cost
+		if known && passed > 0 {
+			keep := 1 / (1 + passed/rateHalf.Seconds())
+			n.rates[u.Account] = keep*n.rates[u.Account] + (1-keep)*delta/passed
+		}
+		if a, ok := named(plan, u.Account); ok && a.Rate > 0 {
+			l.level(now, a).Level -= delta
+		}
+	}
+	for _, w := range t.Windows {
+		counts := n.windows[w.Window]
+		if counts == nil {
+			counts = make(map[string]uint64)
+			n.windows[w.Window] = counts
+		}
+		counts[w.Account] = max(counts[w.Account], w.Count)
+	}
+	n.open, n.versions, n.sequence, n.at = t.Open, t.Versions, t.Sequence, now
+}
+
+func named(plan *traffic.Plan, account string) (*traffic.Account, bool) {
+	if plan == nil {
+		return nil, false
+	}
+	return plan.Named(account)
+}
+
+// level returns an account's bucket, brought up to date.
+func (l *ledger) level(now time.Time, a *traffic.Account) *traffic.Bucket {
+	b := l.levels[a.Name]
+	if b == nil {
+		b = &traffic.Bucket{Level: startLevel * a.Burst, At: now}
+		l.levels[a.Name] = b
+	}
+	b.Refill(now, a.Rate, a.Burst)
+	return b
+}
+
+func (l *ledger) othersRate(now time.Time, self nodeKey, account string) float64 {
+	sum := 0.0
+	for key, n := range l.nodes {
+		if key.name != self.name && now.Sub(n.at) < tallyLife {
+			sum += n.rates[account]
+		}
+	}
+	return sum
+}
+
+// settle returns the count of a window over all nodes, once this leader has heard
+// from the nodes for long enough.
+func (l *ledger) settle(now time.Time, term, window uint64) (config.Usage, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.term != term || now.Sub(l.since) < tallyLife {
+		return config.Usage{}, false
+	}
+	u := config.Usage{Window: window, Counts: make(map[string]uint64)}
+	for _, n := range l.nodes {
+		for account, count := range n.windows[window] {
+			u.Counts[account] += count
+		}
+		for old := range n.windows {
+			if old+2*windowsKept < window {
+				delete(n.windows, old)
+			}
+		}
+	}
+	return u, true
+}
+
+// versions returns the outcomes of a service's versions over all nodes.
+func (l *ledger) versions(service string) []wire.VersionUse {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var list []wire.VersionUse
+	for _, n := range l.nodes {
+		for _, v := range n.versions {
+			if v.Service == service {
+				list = append(list, v)
+			}
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/internal/control/relay.go
@@ -0,0 +1,135 @@
+package control
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/jaystage/jaystage/internal/config"
+	"github.com/jaystage/jaystage/internal/gateway"
+	"github.com/jaystage/jaystage/internal/periodic"
+	"github.com/jaystage/jaystage/internal/roster"
+	"github.com/jaystage/jaystage/pkg/wire"
+)
+
+// relayInterval is how often new statuses go to the other nodes; it adds to the age
+// of a status.
+const relayInterval = 150 * time.Millisecond
+
+// relay holds the statuses that wait to be sent to the other nodes.
+type relay struct {
+	mu      sync.Mutex
+	pending map[string]wire.Status
+}
+
+func (r *relay) add(s wire.Status) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.pending == nil {
+		r.pending = make(map[string]wire.Status)
+	}
+	r.pending[s.ID] = s
+}
+
+func (r *relay) take() []wire.Status {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	list := make([]wire.Status, 0, len(r.pending))
+	for _, s := range r.pending {
+		list = append(list, s)
+	}
+	r.pending = nil
+	return list
+}
+
+// Announce takes a status of an upstream. It returns once the status may be
+// acknowledged: a leaving is recorded on a majority of the voters first, which brings
+// it to every node that holds a lease.
+func (c *Control) Announce(ctx context.Context, now time.Time, s wire.Status) error {
+	change := c.roster.Apply(now, s)
+	if change != roster.Outdated {
+		c.relay.add(s)
+	}
+	if change == roster.Joined || change == roster.Left {
+		c.Log.WithFields(map[string]any{
+			"upstream": s.ID, "service": s.Service, "domain": s.Domain, "address": s.Address, "born": s.Born,
+			"sequence": s.Sequence, "leaving": s.Leaving, "gone": s.Gone, "cold_ms": s.Cold, "spot": s.Spot,
+		}).Info("upstream changed")
+	}
+	if !s.Leaving && !s.Gone {
+		return nil
+	}
+	born := int64(s.Born)
+	if e, ok := c.roster.Get(s.ID); ok {
+		if int64(e.Born) > born && born > 0 {
+			return nil // a later start has the id; the earlier one is known to be gone
+		}
+		born = max(born, int64(e.Born))
+	}
+	view, _ := c.State.View(now)
+	if d, ok := view.DrainedUpstreams[s.ID]; ok && d.Born >= born {
+		return nil
+	}
+	return c.write(ctx, config.PrefixDrainUpstream+s.ID, config.Drain{Author: "upstream", Since: now.UnixMilli(), Born: born})
+}
+
+// open sets the handlers; it is called before the links run.
+func (c *Control) open() {
+	c.Links.Handle(gateway.KindStatuses, func(_ context.Context, _ string, body []byte) (any, error) {
+		var m wire.Statuses
+		if err := wire.Unmarshal(body, &m); err != nil {
+			return nil, err
+		}
+		for _, s := range m.List {
+			c.roster.Apply(time.Now(), s)
+		}
+		return nil, nil
+	})
+	c.Links.Handle(gateway.KindRoster, func(context.Context, string, []byte) (any, error) {
+		var reply wire.Statuses
+		for _, e := range c.roster.List() {
+			reply.List = append(reply.List, e.Status)
+		}
+		return reply, nil
+	})
+	c.Links.Handle(gateway.KindTally, func(_ context.Context, from string, body []byte) (any, error) {
+		var t wire.UseTally
+		if err := wire.Unmarshal(body, &t); err != nil {
+			return nil, err
+		}
+		return c.onTally(time.Now(), from, t), nil
+	})
+}
+
+// Open sets the handlers; it is called before the links run.
+func (c *Control) Open() { c.open() }
+
+// Run relays statuses and carries out the duties until ctx ends.
+func (c *Control) Run(ctx context.Context) <-chan struct{} {
+	done := make(chan struct{})
+	relayed := periodic.Run(ctx, relayInterval, func(context.Context, time.Time) { c.spread() })
+	duties := periodic.Run(ctx, dutyInterval, c.duty.run)
+	moves := periodic.Run(ctx, moveInterval, c.mover.run)
+	go func() {
+		defer close(done)
+		<-relayed
+		<-duties
+		<-moves
+	}()
+	return done
+}
+
+// spread sends new statuses to all nodes with a session.
+func (c *Control) spread() {
+	list := c.relay.take()
+	if len(list) == 0 {
+		return
+	}
+	view, _ := c.State.View(time.Now())
+	for name := range view.Nodes {
+		if name != c.Self {
+			// A lost message is repaired by the upstream's next status.
+			_ = c.Links.Send(name, gateway.KindStatuses, wire.Statuses{List: list})
+		}
+	}
+}
--- /dev/null
+++ b/internal/gateway/admit.go
@@ -0,0 +1,177 @@
+package gateway
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/jaystage/jaystage/pkg/placement"
+	"github.com/jaystage/jaystage/pkg/verdict"
+)
+
+const (
+	// defaultBody bounds a body while the plan names no limit, in bytes.
+	defaultBody = 4 << 20
+	// stateRetry is when a client may come back to a node without a lease or a plan;
+	// an election takes about as long.
+	stateRetry = 500 * time.Millisecond
+)
+
+func refusal(status int, code verdict.Code, after time.Duration, detail string) *verdict.Error {
+	return &verdict.Error{Verdict: verdict.NotRun, Code: code, Status: status, RetryAfter: after, Detail: detail}
+}
+
+// admit decides whether the call may be served and reads its body.
+func (c *call) admit() *verdict.Error {
+	view, ok := c.g.State.View(c.start)
+	c.view, c.id = view, c.r.Header.Get(c.g.Headers.Attempt)
+	switch {
+	case !ok:
+		return refusal(http.StatusServiceUnavailable, verdict.CodeLeaseExpired, stateRetry, "the node has lost touch with the replicated state")
+	case view.Plan == nil:
+		return refusal(http.StatusServiceUnavailable, verdict.CodeStateUnavailable, stateRetry, "the node has no traffic plan yet")
+	}
+	route, ok := view.Plan.Match(c.r.Host, c.r.URL.EscapedPath())
+	if !ok {
+		return refusal(http.StatusNotFound, verdict.CodeUnknownService, 0, "no route takes this host and path")
+	}
+	c.route = route
+	if e := c.authenticate(); e != nil {
+		return e
+	}
+	c.deadline()
+	c.readPrompt()
+	name := route.Pick(draw(c.id, route.Name))
+	c.service, ok = view.Plan.Service(name)
+	if !ok {
+		return refusal(http.StatusServiceUnavailable, verdict.CodeNoUpstream, stateRetry, "the route has no service")
+	}
+	if e := c.readBody(); e != nil {
+		return e
+	}
+	return c.charge()
+}
+
+// draw maps a call to [0, 1), so that a split by weights is even over calls.
+func draw(id, route string) float64 {
+	return float64(xxhash.Sum64String(route+"\x00"+id)>>11) / (1 << 53)
+}
+
+func (c *call) authenticate() *verdict.Error {
+	if len(c.view.Plan.Accounts) == 0 {
+		return nil
+	}
+	scheme, key, _ := strings.Cut(c.r.Header.Get("Authorization"), " ")
+	if strings.EqualFold(scheme, "Bearer") {
+		if account, ok := c.view.Plan.Account(strings.TrimSpace(key)); ok {
+			c.account = account
+			return nil
+		}
+	}
+	if c.route.Public {
+		return nil
+	}
+	return refusal(http.StatusUnauthorized, verdict.CodeUnauthenticated, 0, "the key belongs to no client account")
+}
+
+// deadline takes the earlier of what the client and the route allow.
+func (c *call) deadline() {
+	wait := c.route.Timeout
+	if ms, err := strconv.ParseFloat(c.r.Header.Get(c.g.Headers.Deadline), 64); err == nil && ms > 0 {
+		wait = min(wait, time.Duration(ms*float64(time.Millisecond)))
+	}
+	c.limit = c.start.Add(wait)
+}
+
+// readPrompt reads the size and the parts of a prompt. What cannot be read counts as
+// no prompt: the headers steer the choice only, the upstream checks them.
+func (c *call) readPrompt() {
+	c.prompt.ID = c.id
+	in, out := pair(c.r.Header.Get(c.g.Headers.Tokens))
+	c.prompt.Prompt = int(in)
+	if c.account != nil {
+		switch {
+		case !c.account.Tokens:
+			c.cost = 1
+		case in+out > 0:
+			c.cost = in + out
+		default:
+			c.cost = c.account.Plain
+		}
+	}
+	for part := range strings.SplitSeq(c.r.Header.Get(c.g.Headers.Parts), ",") {
+		id, tokens, ok := strings.Cut(strings.TrimSpace(part), ":")
+		if n, err := strconv.Atoi(tokens); ok && err == nil {
+			c.prompt.Parts = append(c.prompt.Parts, placement.Part{ID: id, Tokens: n})
+		}
+	}
+}
+
+// pair reads two numbers with a comma between them; zero for what is no number.
+func pair(s string) (first, second float64) {
+	a, b, _ := strings.Cut(s, ",")
+	first, _ = strconv.ParseFloat(strings.TrimSpace(a), 64)
+	second, _ = strconv.ParseFloat(strings.TrimSpace(b), 64)
+	return max(0, first), max(0, second)
+}
+
+func (c *call) readBody() *verdict.Error {
+	limit := c.view.Plan.Limits.Body
+	if limit <= 0 {
+		limit = defaultBody
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, limit))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return refusal(http.StatusRequestEntityTooLarge, verdict.CodeTooLarge, 0, "the body is larger than the plan allows")
+	case err != nil:
+		return refusal(http.StatusBadRequest, verdict.CodeRequestIncomplete, 0, "the body could not be read in full")
+	}
+	c.body = body
+	return nil
+}
+
+// charge spends the call's cost from the account's limit.
+func (c *call) charge() *verdict.Error {
+	if c.account == nil || c.account.Rate <= 0 {
+		return nil
+	}
+	wait, ok := c.g.ledger.take(c.start, c.account, c.cost)
+	if ok {
+		return nil
+	}
+	return refusal(http.StatusTooManyRequests, verdict.CodeAccountLimit, wait, "the client account has used up its limit")
+}
+
+// forwarded returns the headers that go to an upstream.
+func (c *call) forwardedTo(u placement.Upstream, now time.Time, h http.Header) {
+	names := c.g.Headers
+	for _, name := range append([]string{"Authorization", names.Account, names.Expect, names.Priority}, names.Reserved...) {
+		h.Del(name)
+	}
+	set := func(name, value string) {
+		if name != "" {
+			h.Set(name, value)
+		}
+	}
+	if c.account != nil {
+		set(names.Account, c.account.Name)
+	}
+	set(names.Expect, u.ID)
+	set(names.Deadline, strconv.FormatInt(max(1, c.left(now).Milliseconds()), 10))
+	if c.prompt.Prompt > 0 {
+		set(names.Priority, strconv.Itoa(min(c.priority(), lowestPriority)))
+	}
+	if c.lastEvent != "" {
+		set(names.Resume, c.lastEvent)
+	}
+}
+
+// lowestPriority is the last rank that engines know.
+const lowestPriority = 9
--- /dev/null
+++ b/internal/gateway/call.go
@@ -0,0 +1,69 @@
+package gateway
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/jaystage/jaystage/internal/config"
+	"github.com/jaystage/jaystage/pkg/placement"
+	"github.com/jaystage/jaystage/pkg/traffic"
+	"github.com/jaystage/jaystage/pkg/verdict"
+)
+
+// call is one request of a client. Only its own goroutine uses it.
+type call struct {
+	g *Gateway
+	w http.ResponseWriter
+	r *http.Request
+
+	start time.Time
+	// limit is when the client or the route wants the final answer at the latest.
+	limit   time.Time
+	id      string
+	view    *config.View
+	route   *traffic.Route
+	service *traffic.Service
+	account *traffic.Account // nil on public routes
+	body    []byte
+	prompt  placement.Request
+	cost    float64 // what the account is charged
+
+	// sent counts the upstreams that the call was sent to.
+	sent int
+	// ran is the verdict of the last attempt that may have run; nil when none may.
+	ran *verdict.Verdict
+	// status is that of the answer that was passed on, or zero.
+	status int
+
+	began     bool // the client has the status and headers
+	lastEvent string
+	version   string // of the upstream that answered
+	upstream  string // the last one that the call was sent to
+	first     time.Time
+}
+
+// priority returns the call's rank, 0 first.
+func (c *call) priority() int {
+	if c.account != nil && c.account.Priority != nil {
+		return *c.account.Priority
+	}
+	return c.route.Priority
+}
+
+// left returns the time until the call's limit.
+func (c *call) left(now time.Time) time.Duration { return c.limit.Sub(now) }
+
+func (c *call) accountName() string {
+	if c.account == nil {
+		return ""
+	}
+	return c.account.Name
+}
+
+// mayHaveRun returns the verdict over all attempts.
+func (c *call) mayHaveRun() verdict.Verdict {
+	if c.ran == nil {
+		return verdict.NotRun
+	}
+	return *c.ran
+}
--- /dev/null
+++ b/internal/gateway/choose.go
@@ -0,0 +1,98 @@
+package gateway
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/jaystage/jaystage/internal/config"
+	"github.com/jaystage/jaystage/pkg/placement"
+	"github.com/jaystage/jaystage/pkg/verdict"
+)
+
+const (
+	// holdShare is the part of a route's objective for which a call waits for a place
+	// before it is refused.
+	holdShare = 0.15
+	// holdLeast lets a short objective wait for at least one place to become free.
+	holdLeast = 15 * time.Millisecond
+	// leastLeft is the time that an upstream needs at least to answer anything.
+	leastLeft = 5 * time.Millisecond
+	// holdPoll is how often a waiting call looks again without being woken, since
+	// bans and cold times end by themselves.
+	holdPoll = 20 * time.Millisecond
+)
+
+// choice is an upstream that a call was given a place on.
+type choice struct {
+	unit  *unit
+	up    placement.Upstream // a copy from the time of the choice
+	delay time.Duration
+}
+
+// choose gives the call a place on an upstream, and waits briefly when there is none.
+func (c *call) choose() (choice, *verdict.Error) {
+	hold := max(holdLeast, time.Duration(holdShare*float64(c.route.Objective)))
+	until := time.Now().Add(hold)
+	for {
+		now := time.Now()
+		view, ok := c.g.State.View(now)
+		if !ok {
+			return choice{}, refusal(http.StatusServiceUnavailable, verdict.CodeLeaseExpired, stateRetry, "the node has lost touch with the replicated state")
+		}
+		if c.left(now) < leastLeft {
+			return choice{}, refusal(http.StatusServiceUnavailable, verdict.CodeDeadline, 0, "no time is left to run the request")
+		}
+		got, freed, found := c.g.fleet.choose(now, c, view)
+		if found {
+			return got, nil
+		}
+		if !now.Before(until) {
+			return choice{}, refusal(http.StatusServiceUnavailable, verdict.CodeOverloaded, c.comeBack(), "no upstream has a free place")
+		}
+		timer := time.NewTimer(min(holdPoll, until.Sub(now)+time.Millisecond))
+		select {
+		case <-freed:
+		case <-timer.C:
+		case <-c.r.Context().Done():
+			timer.Stop()
+			return choice{}, refusal(http.StatusServiceUnavailable, verdict.CodeCallerGone, 0, "the client has left")
+		}
+		timer.Stop()
+	}
+}
+
+// comeBack returns when a refused client may come back. Returns are spread, so that
+// clients that were refused together do not come together.
+func (c *call) comeBack() time.Duration {
+	base := max(c.route.Objective/2, 200*time.Millisecond)
+	return base + time.Duration(draw(c.id, "return")*float64(base))
+}
+
+func (f *fleet) choose(now time.Time, c *call, view *config.View) (choice, <-chan struct{}, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	candidates := f.candidates(now, c, view)
+	if len(candidates) == 0 {
+		return choice{}, f.freed, false
+	}
+	limits := f.limits(c, view, candidates[0])
+	best, ok := placement.Choose(now, c.prompt, limits, candidates)
+	if !ok {
+		return choice{}, f.freed, false
+	}
+	u := f.ups[best.Upstream.ID]
+	u.Chosen(now, c.prompt, limits)
+	if c.sent == 0 {
+		f.budget(c.service.Name, len(limits.Nodes)).First(now)
+	}
+	return choice{unit: u, up: u.Upstream, delay: best.Delay}, nil, true
+}
+
+// again spends a further attempt from the budget that all nodes share.
+func (c *call) again(now time.Time) bool {
+	view, _ := c.g.State.View(now)
+	f := c.g.fleet
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.budget(c.service.Name, len(nodes(view))).Again(now)
+}
--- /dev/null
+++ b/internal/gateway/ledger.go
@@ -0,0 +1,152 @@
+package gateway
+
+import (
+	"sync"
+	"time"
+
+	"github.com/jaystage/jaystage/pkg/traffic"
+	"github.com/jaystage/jaystage/pkg/wire"
+)
+
+const (
+	// totalsLife is how long the leader's totals are used; without newer ones the node
+	// keeps to an even share of each limit.
+	totalsLife = 2 * time.Second
+	// windowsKept is the number of usage windows whose counts are told again, so that a
+	// new leader learns them.
+	windowsKept = 5
+	// longestWait bounds the Retry-After of an account that is over its limit.
+	longestWait = 5 * time.Second
+)
+
+// ledger counts what this node's clients use: tokens of accounts, requests that began
+// in each usage window and outcomes of versions. It is safe for concurrent use.
+type ledger struct {
+	window time.Duration
+	start  time.Time
+
+	mu       sync.Mutex
+	nodes    int // entry nodes, at least 1
+	accounts map[string]*accountUse
+	windows  map[uint64]map[string]uint64
+	versions map[versionKey]*wire.VersionUse
+}
+
+type accountUse struct {
+	bucket traffic.Bucket
+	used   float64 // since the start of the process
+	told   float64 // used when the answered tally was sent
+	others float64 // use of the other nodes a second
+	at     time.Time
+}
+
+type versionKey struct{ service, version, route string }
+
+func newLedger(window time.Duration) *ledger {
+	return &ledger{
+		window: window, start: time.Now(), nodes: 1, accounts: make(map[string]*accountUse),
+		windows: make(map[uint64]map[string]uint64), versions: make(map[versionKey]*wire.VersionUse),
+	}
+}
+
+// take spends from an account's limit. When it is used up, it returns how long the
+// client should wait.
+func (l *ledger) take(now time.Time, a *traffic.Account, cost float64) (time.Duration, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	u := l.account(a.Name)
+	rate, burst := a.Rate-u.others, a.Burst
+	if u.at.IsZero() || now.Sub(u.at) > totalsLife {
+		rate, burst = a.Rate/float64(l.nodes), a.Burst/float64(l.nodes)
+	}
+	rate = max(rate, a.Rate/float64(l.nodes)/2)
+	if !u.bucket.Take(now, rate, burst, cost) {
+		return min(u.bucket.Wait(rate), longestWait), false
+	}
+	u.used += cost
+	return 0, true
+}
+
+func (l *ledger) account(name string) *accountUse {
+	u := l.accounts[name]
+	if u == nil {
+		u = &accountUse{}
+		l.accounts[name] = u
+	}
+	return u
+}
+
+// began counts a request that an upstream began to run. The window follows the wall
+// clock of the process's start, so that steps of the clock move no count.
+func (l *ledger) began(now time.Time, account string) {
+	if l.window <= 0 || account == "" {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	number := l.number(now)
+	counts := l.windows[number]
+	if counts == nil {
+		counts = make(map[string]uint64)
+		l.windows[number] = counts
+		for old := range l.windows {
+			if old+windowsKept < number {
+				delete(l.windows, old)
+			}
+		}
+	}
+	counts[account]++
+}
+
+func (l *ledger) number(now time.Time) uint64 {
+	return uint64(l.start.Add(now.Sub(l.start)).UnixNano() / int64(l.window))
+}
+
+// outcome counts the outcome of an attempt for its version.
+func (l *ledger) outcome(c *call, a *attempt, good bool, took time.Duration) {
+	key := versionKey{c.service.Name, a.up.Version, c.route.Name}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	v := l.versions[key]
+	if v == nil {
+		v = &wire.VersionUse{Service: key.service, Version: key.version, Route: key.route}
+		l.versions[key] = v
+	}
+	v.Sent++
+	if !good {
+		v.Bad++
+		return
+	}
+	v.Good++
+	v.Millis += uint64(took.Milliseconds())
+}
+
+// tally fills in what the leader is told.
+func (l *ledger) tally(t *wire.UseTally) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for name, u := range l.accounts {
+		u.told = u.used
+		t.Use = append(t.Use, wire.AccountUse{Account: name, Cost: u.used})
+	}
+	for number, counts := range l.windows {
+		for account, n := range counts {
+			t.Windows = append(t.Windows, wire.WindowCount{Window: number, Account: account, Count: n})
+		}
+	}
+	for _, v := range l.versions {
+		t.Versions = append(t.Versions, *v)
+	}
+}
+
+// learn takes the leader's totals.
+func (l *ledger) learn(now time.Time, nodes int, t wire.UseTotals) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.nodes = max(1, nodes)
+	for _, level := range t.Levels {
+		u := l.account(level.Account)
+		u.bucket = traffic.Bucket{Level: level.Level - (u.used - u.told), At: now}
+		u.others, u.at = level.Rate, now
+	}
+}
--- /dev/null
+++ b/internal/gateway/log.go
@@ -0,0 +1,73 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/jaystage/jaystage/pkg/verdict"
+)
+
+// finish writes the line of a call that has its outcome, and counts it.
+func (c *call) finish(outcome string, e *verdict.Error) {
+	now := time.Now()
+	fields := logrus.Fields{
+		"request": c.id, "outcome": outcome, "took_ms": millis(now.Sub(c.start)), "sent": c.sent,
+		"account": c.accountName(), "upstream": c.upstream, "cost": c.cost,
+	}
+	route := ""
+	if c.route != nil {
+		route = c.route.Name
+		fields["route"], fields["left_ms"] = route, millis(c.left(now))
+	}
+	if c.view != nil {
+		fields["version"] = c.view.Version
+		if c.view.Plan != nil {
+			fields["plan"] = c.view.Plan.Version
+		}
+	}
+	if !c.first.IsZero() {
+		fields["first_ms"] = millis(c.first.Sub(c.start))
+		c.g.Metrics.record(c.accountName(), route, "first", c.first.Sub(c.start))
+	}
+	if c.lastEvent != "" {
+		fields["event"] = c.lastEvent
+	}
+	if c.status != 0 {
+		fields["status"] = c.status
+	}
+	if e != nil {
+		fields["code"], fields["verdict"], fields["status"], fields["detail"] = e.Code, e.Verdict.String(), e.Status, e.Detail
+		if e.RetryAfter > 0 {
+			fields["retry_after_ms"] = millis(e.RetryAfter)
+		}
+		if e.Cause != nil {
+			fields["error"] = e.Cause.Error()
+		}
+		outcome += " " + string(e.Code)
+	}
+	c.g.Metrics.count(outcome)
+	c.g.Metrics.record(c.accountName(), route, "complete", now.Sub(c.start))
+	c.g.Log.WithFields(fields).Info("request ended")
+}
+
+// logAttempt writes the line of an attempt that did not answer its call. The fleet's
+// lock must be held.
+func (c *call) logAttempt(now time.Time, a *attempt, f *failure) {
+	fields := logrus.Fields{
+		"request": c.id, "upstream": a.up.ID, "address": a.up.Address, "domain": a.up.Domain, "attempt": c.sent,
+		"cause": f.cause, "verdict": f.verdict.String(), "took_ms": millis(now.Sub(a.started)), "reused": a.conn != nil && a.conn.reused,
+		"load": a.up.Load(a.started), "open": a.up.Open, "others": a.up.Others, "reported": a.up.Reported,
+		"report_age_ms": millis(a.started.Sub(a.up.ReportedAt)), "seen_age_ms": millis(now.Sub(a.unit.seen)), "expected_ms": millis(a.delay),
+	}
+	if f.err != nil {
+		fields["error"] = f.err.Error()
+	}
+	if f.status != 0 {
+		fields["status"] = f.status
+	}
+	c.g.Metrics.count("attempt " + f.cause)
+	c.g.Log.WithFields(fields).Info("attempt failed")
+}
+
+func millis(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
--- /dev/null
+++ b/internal/gateway/metrics.go
@@ -0,0 +1,85 @@
+package gateway
+
+import (
+	"encoding/json"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Histograms hold 1 µs to one hour with 2 significant digits.
+const (
+	lowestMicros  = 1
+	highestMicros = int64(time.Hour / time.Microsecond)
+	digits        = 2
+)
+
+// Metrics holds a node's counters, and its histograms by client account and route. It
+// implements expvar.Var and is safe for concurrent use.
+type Metrics struct {
+	mu        sync.Mutex
+	counters  map[string]uint64
+	latencies map[latencyKey]*hdrhistogram.Histogram
+}
+
+type latencyKey struct{ account, route, measure string }
+
+// Latency summarizes a histogram, in milliseconds.
+type Latency struct {
+	Account string  `json:"account"`
+	Route   string  `json:"route"`
+	Measure string  `json:"measure"`
+	Count   int64   `json:"count"`
+	P50     float64 `json:"p50"`
+	P95     float64 `json:"p95"`
+	P99     float64 `json:"p99"`
+	Max     float64 `json:"max"`
+}
+
+// NewMetrics returns empty metrics.
+func NewMetrics() *Metrics {
+	return &Metrics{counters: make(map[string]uint64), latencies: make(map[latencyKey]*hdrhistogram.Histogram)}
+}
+
+func (m *Metrics) count(name string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.counters[name]++
+}
+
+func (m *Metrics) record(account, route, measure string, d time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	key := latencyKey{account, route, measure}
+	h, ok := m.latencies[key]
+	if !ok {
+		h = hdrhistogram.New(lowestMicros, highestMicros, digits)
+		m.latencies[key] = h
+	}
+	_ = h.RecordValue(min(max(d.Microseconds(), lowestMicros), highestMicros)) // inside the bounds
+}
+
+// String implements expvar.Var.
+func (m *Metrics) String() string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	doc := struct {
+		Counters map[string]uint64 `json:"counters"`
+		Latency  []Latency         `json:"latency"`
+	}{Counters: m.counters}
+	for k, h := range m.latencies {
+		ms := func(q float64) float64 { return float64(h.ValueAtQuantile(q)) / 1000 }
+		doc.Latency = append(doc.Latency, Latency{k.account, k.route, k.measure, h.TotalCount(), ms(50), ms(95), ms(99), float64(h.Max()) / 1000})
+	}
+	slices.SortFunc(doc.Latency, func(a, b Latency) int {
+		return strings.Compare(a.Account+a.Route+a.Measure, b.Account+b.Route+b.Measure)
+	})
+	body, err := json.Marshal(doc)
+	if err != nil {
+		return "null"
+	}
+	return string(body)
+}
--- /dev/null
+++ b/internal/hop/hop.go
@@ -0,0 +1,28 @@
+// Package hop tells the headers of one connection from those that are passed on
+// (RFC 9110, section 7.6.1).
+package hop
+
+import (
+	"net/http"
+	"net/textproto"
+	"strings"
+)
+
+var headers = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// EndToEnd returns a copy of the headers without those of the connection.
+func EndToEnd(from http.Header) http.Header {
+	h := from.Clone()
+	for _, list := range from.Values("Connection") {
+		for name := range strings.SplitSeq(list, ",") {
+			h.Del(textproto.TrimString(name))
+		}
+	}
+	for _, name := range headers {
+		h.Del(name)
+	}
+	return h
+}
--- /dev/null
+++ b/internal/linelog/linelog_test.go
@@ -0,0 +1,58 @@
+package linelog
+
+import (
+	"bytes"
+	"context"
+	"strings"
+	"testing"
+	"time"
+)
+
+type stuck struct{ release chan struct{} }
+
+func (s stuck) Write(p []byte) (int, error) { <-s.release; return len(p), nil }
+
+// Load pattern: every request of an overload logs while standard output is not read.
+// Guards against a request that waits for a log line.
+func TestWriteNeverBlocks(t *testing.T) {
+	s := stuck{make(chan struct{})}
+	w := New(s)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := w.Run(ctx)
+	finished := make(chan struct{})
+	go func() {
+		defer close(finished)
+		for range 10 * queued {
+			_, _ = w.Write([]byte("line\n"))
+		}
+	}()
+	select {
+	case <-finished:
+	case <-time.After(30 * time.Second):
+		t.Fatal("a write blocked")
+	}
+	if w.Dropped() == 0 {
+		t.Error("got no dropped lines, want the volume bounded")
+	}
+	close(s.release)
+	cancel()
+	<-done
+}
+
+func TestLinesArriveAndDropsAreReported(t *testing.T) {
+	var out bytes.Buffer
+	w := New(&out)
+	for range linesPerSecond * 3 {
+		_, _ = w.Write([]byte("line\n"))
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := w.Run(ctx)
+	for len(w.lines) > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	cancel()
+	<-done
+	if got := strings.Count(out.String(), "line\n"); got == 0 || got > queued {
+		t.Errorf("got %d lines, want 1 to %d", got, queued)
+	}
+}
--- /dev/null
+++ b/internal/problem/problem.go
@@ -0,0 +1,48 @@
+// Package problem writes refusals as application/problem+json documents (RFC 9457).
+package problem
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/jaystage/jaystage/pkg/verdict"
+)
+
+// Document is the body of a refusal.
+type Document struct {
+	Type    string       `json:"type"`
+	Title   string       `json:"title"`
+	Status  int          `json:"status"`
+	Detail  string       `json:"detail"`
+	Code    verdict.Code `json:"code"`
+	Verdict string       `json:"verdict"`
+}
+
+// New returns the document for an error.
+func New(e *verdict.Error) Document {
+	return Document{
+		Type: "urn:jaystage:problem:" + string(e.Code), Title: http.StatusText(e.Status),
+		Status: e.Status, Detail: e.Detail, Code: e.Code, Verdict: e.Verdict.String(),
+	}
+}
+
+// WholeSeconds formats a Retry-After as RFC 9110 has it.
+func WholeSeconds(d time.Duration) string { return strconv.Itoa(int(math.Ceil(d.Seconds()))) }
+
+// Fraction formats a Retry-After for clients that understand fractions of a second.
+func Fraction(d time.Duration) string { return strconv.FormatFloat(d.Seconds(), 'f', 3, 64) }
+
+// Write sends the refusal. The function after formats the Retry-After.
+func Write(w http.ResponseWriter, e *verdict.Error, after func(time.Duration) string) {
+	h := w.Header()
+	h.Set("Content-Type", "application/problem+json")
+	if e.RetryAfter > 0 {
+		h.Set("Retry-After", after(e.RetryAfter))
+	}
+	w.WriteHeader(e.Status)
+	// The status is sent; a client that is gone needs no body.
+	_ = json.NewEncoder(w).Encode(New(e))
+}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -42,6 +42,7 @@
 	kindVoters  = "voters"
 	kindBooking = "booking"
 	kindHistory = "history"
+	kindCurrent = "current"
 )
 
 // Errors of the replicated state.
--- a/internal/replica/serve.go
+++ b/internal/replica/serve.go
@@ -19,7 +19,7 @@
 func (r *Replica) handlers() map[string]peer.Handler {
 	return map[string]peer.Handler{
 		kindPropose: r.onPropose, kindRenew: r.onRenew, kindAwait: r.onAwait, kindBooking: r.onBooking, kindLookup: r.onLookup, kindVoters: r.onVoters,
-		kindHistory: r.onHistory,
+		kindHistory: r.onHistory, kindCurrent: r.onCurrent,
 	}
 }
 
--- a/internal/replica/view.go
+++ b/internal/replica/view.go
@@ -126,7 +126,7 @@
 		}
 		items[item.Key] = item
 	}
-	view, err := config.NewView(d.Version, items)
+	view, err := config.NextView(v.lease.Load().view, d.Version, items)
 	if err != nil {
 		return nil, err
 	}
--- a/pkg/wire/doc.go
+++ b/pkg/wire/doc.go
@@ -10,3 +10,4 @@
 //go:generate go tool go-jsonschema --only-models --min-sized-ints --tags json --capitalization ID --capitalization VM -p wire -t -o cell.go schema/cell.json
 //go:generate go tool go-jsonschema --only-models --min-sized-ints --tags json --capitalization ID --capitalization VM -p wire -t -o rollout.go schema/rollout.json
 //go:generate go tool go-jsonschema --only-models --min-sized-ints --tags json --capitalization ID --capitalization VM -p wire -t -o raft.go schema/raft.json
+//go:generate go tool go-jsonschema --only-models --min-sized-ints --tags json --capitalization ID --capitalization VM -p wire -t -o traffic.go schema/traffic.json
