Keep a voter's folder where inode numbers are not stable

Change: wal.Unstamped, chosen by the adapter; the check stays elsewhere. Result: TestFolderWithoutStableStamps shows both cases. Conclusion: such disks need the leader's check of regressed folders alone.

--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -47,6 +47,8 @@
 	// Voter is true when the node holds the replicated state in the folder Data.
 	Voter bool
 	Data  string
+	// Unstamped is true when the file system of Data keeps no stable inode numbers.
+	Unstamped bool
 	// Seeds are the hosts of some voters. Found allows them, if this node is one of
 	// them and has an empty folder, to form the group.
 	Seeds []string
@@ -103,7 +105,7 @@
 	state, err := replica.Open(replica.Config{
 		Entry: config.Node{Name: o.Host, Process: process, Domain: o.Domain},
 		Voter: o.Voter, Data: o.Data, Voters: o.Seeds, Seeds: o.Seeds, JoinOnly: !o.Found || !contains(o.Seeds, o.Host),
-		Lease: o.Lease, Sole: true, Links: n.links, Log: o.Log,
+		Lease: o.Lease, Sole: true, Unstamped: o.Unstamped, Links: n.links, Log: o.Log,
 	})
 	if err != nil {
 		return nil, err
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -89,6 +89,8 @@
 	// JoinOnly is true when a voter with an empty folder must not form a group but
 	// joins the one that the seeds belong to.
 	JoinOnly bool
+	// Unstamped is true when the file system of Data keeps no stable inode numbers.
+	Unstamped bool
 	hooks    hooks
 }
 
--- a/internal/replica/voter.go
+++ b/internal/replica/voter.go
@@ -88,7 +88,11 @@
 }
 
 func openVoter(r *Replica) (*voter, error) {
-	log, err := wal.Open(r.config.Data, wal.Options{Name: r.config.Entry.Name})
+	options := wal.Options{Name: r.config.Entry.Name}
+	if r.config.Unstamped {
+		options.FS = wal.Unstamped{}
+	}
+	log, err := wal.Open(r.config.Data, options)
 	if err != nil {
 		return nil, err
 	}
--- a/pkg/wal/fs.go
+++ b/pkg/wal/fs.go
@@ -129,3 +129,11 @@
 	}
 	return stamp, nil
 }
+
+// Unstamped is OS for file systems whose inode numbers and birth times change over
+// restarts. A folder that was copied or restored cannot be told there; the group's
+// leader still notices one that is older than its acknowledgements.
+type Unstamped struct{ OS }
+
+// Stamp implements FS.
+func (Unstamped) Stamp(string) (string, error) { return "unstamped", nil }
--- /dev/null
+++ b/pkg/wal/unstamped_test.go
@@ -0,0 +1,47 @@
+package wal
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"testing"
+)
+
+// Guards against a voter that refuses its own folder after a restart, on a file
+// system whose inode numbers are not stable: the file is replaced by an equal one,
+// which has another inode.
+func TestFolderWithoutStableStamps(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		fs   FS
+		want error
+	}{{"stamped", OS{}, ErrCopied}, {"unstamped", Unstamped{}, nil}} {
+		t.Run(c.name, func(t *testing.T) {
+			dir := filepath.Join(t.TempDir(), "voter")
+			open := func() error {
+				l, err := Open(dir, Options{Name: "a", FS: c.fs})
+				if err != nil {
+					return err
+				}
+				return l.Close()
+			}
+			if err := open(); err != nil {
+				t.Fatal(err)
+			}
+			path := filepath.Join(dir, identityName)
+			data, err := os.ReadFile(path)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if err := os.WriteFile(path+".copy", data, 0o600); err != nil {
+				t.Fatal(err)
+			}
+			if err := os.Rename(path+".copy", path); err != nil {
+				t.Fatal(err)
+			}
+			if got := open(); !errors.Is(got, c.want) {
+				t.Errorf("got %v, want %v", got, c.want)
+			}
+		})
+	}
+}
