--- a/internal/config/move.go
+++ b/internal/config/move.go
@@ -36,3 +36,9 @@
 
 // Since returns how long the move has been running.
 func (m Move) Since(now time.Time) time.Duration { return now.Sub(time.UnixMilli(m.Started)) }
+
+// Fleet is what is known of the upstreams that the platform provides for a service.
+type Fleet struct {
+	// Nominal is the number of upstreams that the operator provided at first.
+	Nominal int `json:"nominal"`
+}
--- a/internal/config/plan.go
+++ b/internal/config/plan.go
@@ -13,6 +13,8 @@
 	PrefixUsage = "usage/"
 	// PrefixMove begins the keys of the moves of a service's traffic to a version.
 	PrefixMove = "move/"
+	// PrefixFleet begins the keys of the sizes of fleets.
+	PrefixFleet = "fleet/"
 )
 
 // readPlan decodes the plan, unless an earlier view holds the same version of the
--- a/internal/config/view.go
+++ b/internal/config/view.go
@@ -108,6 +108,8 @@
 	Moves map[string]Move `json:"moves"`
 	// Usage holds the settled windows whose counts were not yet reported.
 	Usage map[string]Usage `json:"-"`
+	// Fleets holds the size of each service's fleet that is ordered from the platform.
+	Fleets map[string]Fleet `json:"fleets"`
 
 	planEntry uint64 // version of the entry that Plan was read from
 }
@@ -154,7 +156,7 @@
 		Domains: make(map[string]Domain), Services: make(map[string]Service), Models: make(map[string]string),
 		DrainedDomains: make(map[string]Drain), DrainedUpstreams: make(map[string]Drain),
 		Shares: make(map[string]Share), Rollouts: make(map[string]json.RawMessage), Nodes: make(map[string]Node),
-		Moves: make(map[string]Move), Usage: make(map[string]Usage),
+		Moves: make(map[string]Move), Usage: make(map[string]Usage), Fleets: make(map[string]Fleet),
 	}
 	for _, key := range slices.Sorted(maps.Keys(items)) {
 		item := items[key]
@@ -175,6 +177,9 @@
 	case strings.HasPrefix(item.Key, PrefixMove):
 		_, err := readInto(v.Moves, item, PrefixMove)
 		return err
+	case strings.HasPrefix(item.Key, PrefixFleet):
+		_, err := readInto(v.Fleets, item, PrefixFleet)
+		return err
 	case strings.HasPrefix(item.Key, PrefixUsage):
 		_, err := readInto(v.Usage, item, PrefixUsage)
 		return err
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -49,6 +49,8 @@
 	Log   logrus.FieldLogger
 	// Platform carries out the duties; nil for none.
 	Platform Platform
+	// Scales is true when this system orders upstreams from the platform.
+	Scales bool
 	// Window is the length of a usage window; zero when usage is not reported.
 	Window time.Duration
 	// Deciding is how long a move waits for outcomes at each step, and Exposure the
@@ -60,12 +62,13 @@
 	ledger *ledger
 	duty   duty
 	mover  mover
+	fleet  provider
 }
 
 // New returns the control of a voter.
 func New(self string, state State, links Links, log logrus.FieldLogger) *Control {
 	c := &Control{Self: self, State: state, Links: links, Log: log, roster: roster.New(), ledger: newLedger()}
-	c.duty.c, c.mover.c = c, c
+	c.duty.c, c.mover.c, c.fleet.c = c, c, c
 	c.relay.told = make(map[string]uint64)
 	return c
 }
--- a/internal/control/duty.go
+++ b/internal/control/duty.go
@@ -31,6 +31,8 @@
 type Platform interface {
 	// Report sends the settled counts of a usage window.
 	Report(ctx context.Context, token uint64, u config.Usage) error
+	// Scale orders upstreams. ErrNoneLeft means that there are none at present.
+	Scale(ctx context.Context, token uint64, o Order) error
 }
 
 // duty is the part of the leader in charge of the platform's duties. The term of the
--- a/internal/control/relay.go
+++ b/internal/control/relay.go
@@ -111,12 +111,14 @@
 	done := make(chan struct{})
 	relayed := periodic.Run(ctx, relayInterval, func(context.Context, time.Time) { c.spread() })
 	duties := periodic.Run(ctx, dutyInterval, c.duty.run)
+	fleets := periodic.Run(ctx, fleetInterval, c.fleet.run)
 	moves := periodic.Run(ctx, moveInterval, c.mover.run)
 	go func() {
 		defer close(done)
 		<-relayed
 		<-duties
 		<-moves
+		<-fleets
 	}()
 	return done
 }
--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -73,6 +73,8 @@
 	Control  string
 	Handler  func(*control.Control) http.Handler
 	Platform control.Platform
+	// Scales is true when the system orders upstreams from the platform.
+	Scales   bool
 	Exposure float64
 
 	// Metrics is the address of the metrics; empty for none.
@@ -160,7 +162,8 @@
 
 func (n *Node) openControl() error {
 	n.control = control.New(n.o.Host, n.state, n.links, n.o.Log)
-	n.control.Platform, n.control.Window, n.control.Exposure = n.o.Platform, n.o.Bounds.Window, n.o.Exposure
+	n.control.Platform, n.control.Scales = n.o.Platform, n.o.Scales
+	n.control.Window, n.control.Exposure = n.o.Bounds.Window, n.o.Exposure
 	n.control.Open()
 	return n.listen("control", n.o.Control, n.o.Handler(n.control))
 }
