--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -27,8 +27,9 @@
 	// the key only keeps strangers' connections apart from the system's own.
 	linkKey = "jaystage-private-network"
 	// electionTimeout is the shortest time without a heartbeat after which voters elect
-	// a leader: some hundred round trips of a region, and three syncs of a slow disk.
-	electionTimeout = 300 * time.Millisecond
+	// a leader: some hundred round trips of a region. A restarted voter votes after two
+	// of them.
+	electionTimeout = 200 * time.Millisecond
 	// unreadyTime is how long a stopping node still takes requests: the balancer asks
 	// each second and needs two answers.
 	unreadyTime = 2500 * time.Millisecond
--- a/internal/replica/voter.go
+++ b/internal/replica/voter.go
@@ -18,7 +18,10 @@
 const (
 	defaultElection = 500 * time.Millisecond
 	tickInterval    = 20 * time.Millisecond
-	maxInbox        = 4096
+	// heartbeatPart is the number of heartbeats in an election timeout; the consensus
+	// core needs five.
+	heartbeatPart = 5
+	maxInbox      = 4096
 	// maxTogether bounds the commands that one step appends.
 	maxTogether      = 512
 	expireInterval   = time.Minute
@@ -108,7 +111,7 @@
 	}
 	v.node = raft.New(raft.Config{
 		Name: r.config.Entry.Name, Incarnation: id.Incarnation, Group: id.Group, Restarted: id.Group != "",
-		Peers: r.config.Voters, Found: !r.config.JoinOnly, NewGroup: newID(), Election: r.config.Election, Seed: rand.Uint64(),
+		Peers: r.config.Voters, Found: !r.config.JoinOnly, NewGroup: newID(), Election: r.config.Election, Heartbeat: r.config.Election / heartbeatPart, Seed: rand.Uint64(),
 		State: recovered.State, Snapshot: recovered.Snapshot, Entries: recovered.Entries,
 	})
 	return v, nil
