Tell all nodes of waiting prompts; serve small requests first within a limit

Change: a request needs its cost and a reserve in the bucket (traffic.Reserve); waiting prompt tokens are part of tallies and totals and count in the choice.

--- a/internal/control/ledger.go
+++ b/internal/control/ledger.go
@@ -86,16 +86,19 @@
 			}
 		}
 	}
-	open := make(map[string]uint64)
+	open := make(map[string]wire.UpstreamUse)
 	for other, use := range l.nodes {
 		if other.name != t.Node && now.Sub(use.at) < tallyLife {
 			for _, o := range use.open {
-				open[o.Upstream] += o.Open
+				sum := open[o.Upstream]
+				sum.Open, sum.Pending = sum.Open+o.Open, sum.Pending+o.Pending
+				open[o.Upstream] = sum
 			}
 		}
 	}
-	for id, count := range open {
-		totals.Open = append(totals.Open, wire.UpstreamUse{Upstream: id, Open: count})
+	for id, sum := range open {
+		sum.Upstream = id
+		totals.Open = append(totals.Open, sum)
 	}
 	return totals
 }
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -117,7 +117,7 @@
 	defer f.mu.Unlock()
 	for id, u := range f.ups {
 		if u.Open > 0 {
-			t.Open = append(t.Open, wire.UpstreamUse{Upstream: id, Open: uint64(u.Open)})
+			t.Open = append(t.Open, wire.UpstreamUse{Upstream: id, Open: uint64(u.Open), Pending: uint64(u.Pending)})
 		}
 	}
 }
@@ -127,11 +127,11 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, u := range f.ups {
-		u.Others = 0
+		u.Others, u.OthersPending = 0, 0
 	}
 	for _, o := range open {
 		if u := f.ups[o.Upstream]; u != nil {
-			u.Others = int(o.Open)
+			u.Others, u.OthersPending = int(o.Open), int(o.Pending)
 		}
 	}
 }
--- a/internal/gateway/ledger.go
+++ b/internal/gateway/ledger.go
@@ -61,7 +61,7 @@
 	}
 	rate = max(rate, a.Rate/float64(l.nodes)/2)
 	if !u.bucket.Take(now, rate, burst, cost) {
-		return min(u.bucket.Wait(rate), longestWait), false
+		return min(u.bucket.Wait(rate, burst, cost), longestWait), false
 	}
 	u.used += cost
 	return 0, true
--- a/pkg/placement/choose.go
+++ b/pkg/placement/choose.go
@@ -121,7 +121,7 @@
 		shared, _ := r.Shared()
 		uncached -= shared
 	}
-	cost += float64(u.Pending+uncached) / promptRate
+	cost += float64(u.Pending+u.OthersPending+uncached) / promptRate
 	cost += u.failureRate(now) * failureDelay
 	if u.Domain != l.Domain {
 		cost += domainDelay
--- a/pkg/placement/placement_test.go
+++ b/pkg/placement/placement_test.go
@@ -137,3 +137,14 @@
 		t.Errorf("got load %d from an old report, want %d", got, want)
 	}
 }
+
+// Load pattern: long prompts of other nodes wait on an upstream that has few requests.
+// Guards against a short request behind them.
+func TestPromptsOfOtherNodesCount(t *testing.T) {
+	list := fleet(2, 64)
+	list[0].Others, list[0].OthersPending = 1, 30_000
+	list[1].Others = 20
+	if u := choose(t, now, Request{ID: "x", Prompt: 800}, Limits{Domain: "a", Queue: 16}, list); u != list[1] {
+		t.Error("the request was put behind long prompts")
+	}
+}
--- a/pkg/placement/upstream.go
+++ b/pkg/placement/upstream.go
@@ -28,6 +28,9 @@
 	Open int
 	// Others counts those of other nodes, as the leader last told.
 	Others int
+	// OthersPending is the number of prompt tokens of other nodes' requests without a
+	// first event, as the leader last told.
+	OthersPending int
 	// Pending is the number of prompt tokens that this node has sent there and that
 	// have not led to a first event yet.
 	Pending int
--- a/pkg/traffic/bucket.go
+++ b/pkg/traffic/bucket.go
@@ -25,21 +25,43 @@
 	b.Level = min(b.Level, burst)
 }
 
-// Take spends the cost if the bucket holds anything. A cost above the level leaves
-// the bucket in debt, so that a large request is not starved by small ones.
+// Take spends the cost if the bucket then still holds the reserve for smaller requests.
+// A cost above the level leaves the bucket in debt, so that a request larger than the
+// burst can be served at all.
 func (b *Bucket) Take(now time.Time, rate, burst, cost float64) bool {
 	b.Refill(now, rate, burst)
-	if b.Level <= 0 {
+	if b.Level <= Reserve(burst, cost) {
 		return false
 	}
 	b.Level -= cost
 	return true
 }
 
-// Wait returns when the bucket will hold something again.
-func (b *Bucket) Wait(rate float64) time.Duration {
-	if b.Level > 0 || rate <= 0 {
+// Wait returns when the bucket will hold enough for a request of the cost, if nothing
+// else is spent.
+func (b *Bucket) Wait(rate, burst, cost float64) time.Duration {
+	missing := Reserve(burst, cost) - b.Level
+	if missing < 0 || rate <= 0 {
 		return 0
 	}
-	return time.Duration((1 - b.Level) / rate * float64(time.Second))
+	return time.Duration((1 + missing) / rate * float64(time.Second))
+}
+
+const (
+	// reserveShare is the part of the burst that a request as large as largeShare of
+	// the burst leaves behind; smaller requests leave proportionally less. While an
+	// account is over its limit, its small requests are served before its large ones.
+	reserveShare = 0.15
+	largeShare   = 0.1
+	// reserveMost bounds the level that a request needs, as a part of the burst, so that
+	// one larger than the burst can be served at all.
+	reserveMost = 0.8
+)
+
+// Reserve returns the level below which a request of the cost is refused.
+func Reserve(burst, cost float64) float64 {
+	if burst <= 0 {
+		return 0
+	}
+	return min(reserveMost*burst, cost+reserveShare*burst*min(1, cost/(largeShare*burst)))
 }
--- a/pkg/traffic/traffic_test.go
+++ b/pkg/traffic/traffic_test.go
@@ -111,3 +111,27 @@
 		t.Errorf("got %v in 8 s, want at most %v", got, want)
 	}
 }
+
+// Load pattern: one account at several times its limit, with small and large requests.
+// Guards against large requests that push the account's small ones out.
+func TestSmallRequestsOfALimitedAccountAreServed(t *testing.T) {
+	var b Bucket
+	start := time.Unix(1000, 0)
+	served := map[float64]int{}
+	const rate, burst = 36_000.0, 36_000.0
+	asked := 0
+	for ms := 0; ms < 20_000; ms += 50 {
+		asked++
+		for _, cost := range []float64{200, 12_000} {
+			if b.Take(start.Add(time.Duration(ms)*time.Millisecond), rate, burst, cost) {
+				served[cost]++
+			}
+		}
+	}
+	if got := float64(served[200]) / float64(asked); got < 0.9 {
+		t.Errorf("got %.2f of the small requests served, want 0.9", got)
+	}
+	if spent := float64(served[200])*200 + float64(served[12_000])*12_000; spent < 0.95*rate*20 || served[12_000] == 0 {
+		t.Errorf("got %v tokens spent of %v, want the limit used", spent, rate*20)
+	}
+}
--- a/pkg/wire/traffic.go
+++ b/pkg/wire/traffic.go
@@ -115,6 +115,9 @@
 	// Open requests.
 	Open uint64 `json:"open"`
 
+	// Prompt tokens of requests without a first event.
+	Pending uint64 `json:"pending,omitempty,omitzero"`
+
 	// Name of the upstream.
 	Upstream string `json:"upstream"`
 }
