--- a/internal/control/relay.go
+++ b/internal/control/relay.go
@@ -16,6 +16,10 @@
 // of a status.
 const relayInterval = 150 * time.Millisecond
 
+// greetInterval is how often a voter looks for new sessions, which need all statuses
+// before their nodes can serve.
+const greetInterval = 30 * time.Millisecond
+
 // knownAge is the age up to which a status is sent to a node that starts: upstreams
 // report every second or so.
 const knownAge = 5 * time.Second
@@ -109,7 +113,14 @@
 // Run relays statuses and carries out the duties until ctx ends.
 func (c *Control) Run(ctx context.Context) <-chan struct{} {
 	done := make(chan struct{})
-	relayed := periodic.Run(ctx, relayInterval, func(context.Context, time.Time) { c.spread() })
+	spread := time.Now()
+	relayed := periodic.Run(ctx, greetInterval, func(_ context.Context, now time.Time) {
+		var list []wire.Status
+		if now.Sub(spread) >= relayInterval {
+			spread, list = now, c.relay.take()
+		}
+		c.spread(now, list)
+	})
 	duties := periodic.Run(ctx, dutyInterval, c.duty.run)
 	fleets := periodic.Run(ctx, fleetInterval, c.fleet.run)
 	moves := periodic.Run(ctx, moveInterval, c.mover.run)
@@ -123,10 +134,9 @@
 	return done
 }
 
-// spread sends new statuses to all nodes with a session.
-func (c *Control) spread() {
-	list := c.relay.take()
-	now := time.Now()
+// spread sends new statuses to all nodes with a session, and all statuses to those
+// whose session is new.
+func (c *Control) spread(now time.Time, list []wire.Status) {
 	view, _ := c.State.View(now)
 	for name, node := range view.Nodes {
 		send := list
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -35,6 +35,11 @@
 	// status is that of the answer that was passed on, or zero.
 	status int
 
+	// candidates is the number of upstreams at the last choice, and bars counts those
+	// that could not get the call, by reason.
+	candidates int
+	bars       map[string]int
+
 	began     bool // the client has the status and headers
 	lastEvent string
 	version   string // of the upstream that answered
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -73,11 +73,14 @@
 	defer f.mu.Unlock()
 	candidates := f.candidates(now, c, view)
 	if len(candidates) == 0 {
+		c.candidates, c.bars = 0, nil
 		return choice{}, f.freed, false
 	}
 	limits := f.limits(c, view, candidates[0])
 	best, ok := placement.Choose(now, c.prompt, limits, candidates)
+	c.candidates, c.bars = len(candidates), nil
 	if !ok {
+		c.bars = placement.Bars(now, c.prompt, limits, candidates)
 		return choice{}, f.freed, false
 	}
 	u := f.ups[best.Upstream.ID]
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -33,6 +33,9 @@
 	if c.lastEvent != "" {
 		fields["event"] = c.lastEvent
 	}
+	if e != nil && e.Verdict == verdict.NotRun && c.service != nil {
+		fields["candidates"], fields["bars"] = c.candidates, c.bars
+	}
 	if c.status != 0 {
 		fields["status"] = c.status
 	}
--- a/internal/replica/cluster_test.go
+++ b/internal/replica/cluster_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/jaystage/jaystage/internal/config"
 	"github.com/jaystage/jaystage/internal/peer"
+	"github.com/jaystage/jaystage/pkg/wal"
 	"github.com/jaystage/jaystage/pkg/wire"
 )
 
@@ -36,7 +37,8 @@
 	mu        sync.Mutex
 	addresses map[string]string
 	isolated  map[string]bool
-	size      int      // of the group; zero for any
+	size      int // of the group; zero for any
+	disk      func(name string) wal.FS
 	joiners   []string // voters that are not in the first group
 	nodes     map[string]*member
 	hooks     hooks
@@ -110,6 +112,9 @@
 	}
 	joins := contains(c.joiners, name)
 	voter := contains(c.voters, name) || joins
+	if c.disk != nil {
+		hooks.fs = c.disk(name)
+	}
 	r, err := Open(Config{
 		Entry: config.Node{Name: name, Domain: "d-" + name}, Voter: voter, JoinOnly: joins, Size: c.size, Data: filepath.Join(c.dir, name),
 		Voters: c.voters, Seeds: c.seeds, Links: links, Log: log.WithField("node", name), hooks: hooks,
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -19,6 +19,7 @@
 	"github.com/jaystage/jaystage/internal/config"
 	"github.com/jaystage/jaystage/internal/event"
 	"github.com/jaystage/jaystage/internal/peer"
+	"github.com/jaystage/jaystage/pkg/wal"
 	"github.com/jaystage/jaystage/pkg/wire"
 )
 
@@ -108,6 +109,7 @@
 	noWait       bool                       // end sessions of a new leader at once
 	syncEach     bool                       // sync each command by itself
 	ignoreExpiry bool                       // admit after the lease has run out
+	fs           wal.FS                     // file system of the voter's folder
 	sent         *atomic.Int64              // counts messages to other nodes
 	cut          func(to, kind string) bool // loses messages
 	reply        func(kind string) error    // delays or loses the reply to a request
--- a/pkg/placement/choose.go
+++ b/pkg/placement/choose.go
@@ -80,10 +80,7 @@
 	home := r.home(now, candidates)
 	best, bestCost := (*Upstream)(nil), math.Inf(1)
 	for _, u := range candidates {
-		if !u.Usable(now) || contains(r.Tried, u.ID) || u.Load(now) >= u.Slots+l.Queue {
-			continue
-		}
-		if now.Before(u.Cold) && l.ColdRate > 0 && !u.coldAllows(now, ColdRate(u.ID, l.Self, l.Nodes, l.ColdRate)) {
+		if u.bar(now, r, l) != "" {
 			continue
 		}
 		if cost := u.cost(now, r, l, u == home); cost < bestCost {
@@ -96,6 +93,43 @@
 	return Choice{best, time.Duration(bestCost * float64(time.Millisecond))}, true
 }
 
+// Reasons for which an upstream cannot get a request now.
+const (
+	BarLeaving = "leaving"
+	BarBanned  = "unreachable"
+	BarTried   = "tried"
+	BarFull    = "full"
+	BarCold    = "cold"
+)
+
+// bar returns why the upstream cannot get the request now; empty when it can.
+func (u *Upstream) bar(now time.Time, r Request, l Limits) string {
+	switch {
+	case u.Leaving:
+		return BarLeaving
+	case u.Banned(now):
+		return BarBanned
+	case contains(r.Tried, u.ID):
+		return BarTried
+	case u.Load(now) >= u.Slots+l.Queue:
+		return BarFull
+	case now.Before(u.Cold) && l.ColdRate > 0 && !u.coldAllows(now, ColdRate(u.ID, l.Self, l.Nodes, l.ColdRate)):
+		return BarCold
+	}
+	return ""
+}
+
+// Bars counts the candidates by the reason for which they cannot get the request.
+func Bars(now time.Time, r Request, l Limits, candidates []*Upstream) map[string]int {
+	counts := make(map[string]int)
+	for _, u := range candidates {
+		if why := u.bar(now, r, l); why != "" {
+			counts[why]++
+		}
+	}
+	return counts
+}
+
 // Usable tells whether an upstream may get any new request.
 func (u *Upstream) Usable(now time.Time) bool { return !u.Leaving && !u.Banned(now) }
 
