--- a/pkg/admission/policy.go
+++ b/pkg/admission/policy.go
@@ -68,7 +68,7 @@
 	// least bounds the sum of these steps.
 	least = 0.6
 	// overShare is the part for accounts that use more than their share.
-	overShare = 0.8
+	overShare = 0.7
 )
 
 // fraction returns the fraction for a class by its rank among the priorities.
