Divide an account's level between the nodes that see it

Change: a node spends at most twice its share of the use of the level; a larger request passes by a draw in proportion. Result: TestLimitHoldsWhileManyNodesSeeOneLevel failed before (72 nodes, 6,144,000 of 5,940,000) and passes; 0.85 of the limit and more is used.

--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -152,7 +152,7 @@
 	if c.account == nil || c.account.Rate <= 0 {
 		return nil
 	}
-	wait, ok := c.g.ledger.take(c.start, c.account, c.cost)
+	wait, ok := c.g.ledger.take(c.start, c.account, c.cost, draw(c.id, "limit"))
 	if ok {
 		return nil
 	}
--- a/internal/gateway/ledger.go
+++ b/internal/gateway/ledger.go
@@ -17,6 +17,13 @@
 	windowsKept = 5
 	// longestWait bounds the Retry-After of an account that is over its limit.
 	longestWait = 5 * time.Second
+	// longestTally is the time until the node has heard the next totals.
+	longestTally = 2 * tallyInterval
+	// partFactor is how much more than its share of the use a node may spend of the
+	// level that all nodes see.
+	partFactor = 2.0
+	// ownHalf smooths the node's own use a second, as the leader smooths the others'.
+	ownHalf = 500 * time.Millisecond
 )
 
 // ledger counts what this node's clients use: tokens of accounts, requests that began
@@ -37,7 +44,12 @@
 	used   float64 // since the start of the process
 	told   float64 // used when the answered tally was sent
 	others float64 // use of the other nodes a second
-	at     time.Time
+	own    float64 // use of this node a second
+	ownAt  float64 // used when own was last brought up to date
+	// allow is the part of the level that this node may spend until the next totals;
+	// all nodes see the same level.
+	allow float64
+	at    time.Time
 }
 
 type versionKey struct{ service, version, route string }
@@ -50,23 +62,40 @@
 }
 
 // take spends from an account's limit. When it is used up, it returns how long the
-// client should wait.
-func (l *ledger) take(now time.Time, a *traffic.Account, cost float64) (time.Duration, bool) {
+// client should wait. The draw in [0, 1) decides on a request that is larger than this
+// node's part of what is left.
+func (l *ledger) take(now time.Time, a *traffic.Account, cost, draw float64) (time.Duration, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	u := l.account(a.Name)
 	rate, burst := a.Rate-u.others, a.Burst
-	if u.at.IsZero() || now.Sub(u.at) > totalsLife {
+	known := !u.at.IsZero() && now.Sub(u.at) <= totalsLife
+	if !known {
 		rate, burst = a.Rate/float64(l.nodes), a.Burst/float64(l.nodes)
 	}
 	rate = max(rate, a.Rate/float64(l.nodes)/2)
+	if known && draw*cost > u.allow {
+		return longestTally + time.Duration(draw*float64(longestTally)), false
+	}
 	if !u.bucket.Take(now, rate, burst, cost) {
 		return min(u.bucket.Wait(rate, burst, cost), longestWait), false
 	}
 	u.used += cost
+	u.allow = max(0, u.allow-cost)
 	return 0, true
 }
 
+// part is the share of an account's level that this node may spend before it hears the
+// next one: twice its share of the use, so that shifting clients are not held up.
+func (u *accountUse) part(nodes int) float64 {
+	even := 1 / float64(nodes)
+	share := even
+	if sum := u.own + u.others; sum > 0 {
+		share = max(u.own/sum, even)
+	}
+	return min(1, partFactor*share)
+}
+
 func (l *ledger) account(name string) *accountUse {
 	u := l.accounts[name]
 	if u == nil {
@@ -146,7 +175,12 @@
 	l.nodes = max(1, nodes)
 	for _, level := range t.Levels {
 		u := l.account(level.Account)
+		if passed := now.Sub(u.at).Seconds(); !u.at.IsZero() && passed > 0 {
+			keep := 1 / (1 + passed/ownHalf.Seconds())
+			u.own = keep*u.own + (1-keep)*(u.used-u.ownAt)/passed
+		}
 		u.bucket = traffic.Bucket{Level: level.Level - (u.used - u.told), At: now}
-		u.others, u.at = level.Rate, now
+		u.others, u.at, u.ownAt = level.Rate, now, u.used
+		u.allow = max(0, u.bucket.Level) * u.part(l.nodes)
 	}
 }
--- /dev/null
+++ b/internal/gateway/ledger_test.go
@@ -0,0 +1,88 @@
+package gateway
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/jaystage/jaystage/pkg/traffic"
+	"github.com/jaystage/jaystage/pkg/wire"
+)
+
+// Load pattern: one account at several times its usual, spread over many nodes with
+// large requests. Guards against all nodes spending the same level at once.
+func TestLimitHoldsWhileManyNodesSeeOneLevel(t *testing.T) {
+	for _, c := range []struct {
+		nodes  int
+		demand float64 // in limits
+		cost   float64
+	}{{59, 2.5, 12_000}, {72, 4, 12_000}, {8, 3, 12_000}, {6, 1.5, 2000}, {59, 0.6, 12_000}} {
+		const rate, burst = 600_000.0, 600_000.0
+		account := &traffic.Account{Name: "a", Rate: rate, Burst: burst, Tokens: true}
+		rng := rand.New(rand.NewPCG(1, uint64(c.nodes)))
+		start := time.Unix(1000, 0)
+		leader := traffic.Bucket{}
+		ledgers, told := make([]*ledger, c.nodes), make([]float64, c.nodes)
+		rates := make([]float64, c.nodes)
+		for i := range ledgers {
+			ledgers[i] = newLedger(0)
+		}
+		window := make([]float64, 0, 20_000)
+		asked, spent := 0.0, 0.0
+		for ms := range 20_000 {
+			now := start.Add(time.Duration(ms) * time.Millisecond)
+			tallies(now, ms, ledgers, &leader, told, rates, rate, burst)
+			used := 0.0
+			for i := range ledgers {
+				if rng.Float64() >= c.demand*rate/1000/float64(c.nodes)/c.cost {
+					continue
+				}
+				asked += c.cost
+				if _, ok := ledgers[i].take(now, account, c.cost, rng.Float64()); ok {
+					used += c.cost
+				}
+			}
+			spent += used
+			window = append(window, used)
+		}
+		most, sum := 0.0, 0.0
+		for i, used := range window {
+			sum += used
+			if i >= 8000 {
+				sum -= window[i-8000]
+			}
+			most = max(most, sum)
+		}
+		if got, want := most, (rate*8+burst)*1.1; got > want {
+			t.Errorf("%d nodes: got %.0f tokens in 8 s, want at most %.0f", c.nodes, got, want)
+		}
+		if got, want := spent, 0.85*min(asked, rate*20); got < want {
+			t.Errorf("%d nodes: got %.0f tokens served of %.0f asked, want at least %.0f", c.nodes, got, asked, want)
+		}
+	}
+}
+
+// tallies plays the exchange with the leader for the nodes whose turn it is.
+func tallies(now time.Time, ms int, ledgers []*ledger, leader *traffic.Bucket, told, rates []float64, rate, burst float64) {
+	interval := int(tallyInterval.Milliseconds())
+	for i, l := range ledgers {
+		if ms%interval != i*interval/len(ledgers) {
+			continue
+		}
+		var t wire.UseTally
+		l.tally(&t)
+		leader.Refill(now, rate, burst)
+		for _, u := range t.Use {
+			leader.Level -= u.Cost - told[i]
+			rates[i] = 0.5*rates[i] + 0.5*(u.Cost-told[i])/tallyInterval.Seconds()
+			told[i] = u.Cost
+		}
+		others := 0.0
+		for j, r := range rates {
+			if j != i {
+				others += r
+			}
+		}
+		l.learn(now, len(ledgers), wire.UseTotals{Levels: []wire.AccountLevel{{Account: "a", Level: leader.Level, Rate: others}}})
+	}
+}
