Limit by what all nodes are asked; let others' waiting prompts be read meanwhile

Change: tallies tell what clients ask; a request is accepted by a draw when what is asked until the next totals exceeds the level. Waiting prompts of others shrink by the reading rate; a request compares four upstreams beside its session's home. Tests: LimitHoldsWhileManyNodesSeeOneLevel with two more loads, LaggingTotalsStillSpreadTheLoad.

--- a/internal/control/ledger.go
+++ b/internal/control/ledger.go
@@ -40,6 +40,8 @@
 	at       time.Time
 	used     map[string]float64
 	rates    map[string]float64 // use a second
+	asked    map[string]float64
+	demands  map[string]float64 // asked a second
 	open     []wire.UpstreamUse
 	windows  map[uint64]map[string]uint64
 	versions []wire.VersionUse
@@ -71,7 +73,7 @@
 	key := nodeKey{t.Node, t.Process}
 	n, known := l.nodes[key]
 	if !known {
-		n = &nodeUse{used: make(map[string]float64), rates: make(map[string]float64), windows: make(map[uint64]map[string]uint64)}
+		n = &nodeUse{used: make(map[string]float64), rates: make(map[string]float64), asked: make(map[string]float64), demands: make(map[string]float64), windows: make(map[uint64]map[string]uint64)}
 		l.nodes[key] = n
 	}
 	if t.Sequence > n.sequence {
@@ -82,7 +84,7 @@
 		for i := range plan.Accounts {
 			if a := &plan.Accounts[i]; a.Rate > 0 {
 				level := l.level(now, a)
-				totals.Levels = append(totals.Levels, wire.AccountLevel{Account: a.Name, Level: level.Level, Rate: l.othersRate(now, key, a.Name)})
+				totals.Levels = append(totals.Levels, wire.AccountLevel{Account: a.Name, Level: level.Level, Rate: l.othersRate(now, key, a.Name), Asked: l.demand(now, a.Name)})
 			}
 		}
 	}
@@ -114,7 +116,9 @@
 		if known && passed > 0 {
 			keep := 1 / (1 + passed/rateHalf.Seconds())
 			n.rates[u.Account] = keep*n.rates[u.Account] + (1-keep)*delta/passed
+			n.demands[u.Account] = keep*n.demands[u.Account] + (1-keep)*(u.Asked-n.asked[u.Account])/passed
 		}
+		n.asked[u.Account] = u.Asked
 		if a, ok := named(plan, u.Account); ok && a.Rate > 0 {
 			l.level(now, a).Level -= delta
 		}
@@ -158,6 +162,17 @@
 	return sum
 }
 
+// demand is what clients of all nodes ask of an account's limit a second.
+func (l *ledger) demand(now time.Time, account string) float64 {
+	sum := 0.0
+	for _, n := range l.nodes {
+		if now.Sub(n.at) < tallyLife {
+			sum += n.demands[account]
+		}
+	}
+	return sum
+}
+
 // settle returns the count of a window over all nodes, once this leader has heard
 // from the nodes for long enough.
 func (l *ledger) settle(now time.Time, term, window uint64) (config.Usage, bool) {
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -109,7 +109,7 @@
 	}
 	view, _ := e.Gateway.State.View(now)
 	e.Gateway.ledger.learn(now, len(nodes(view)), reply)
-	e.Gateway.fleet.learnOthers(reply.Open)
+	e.Gateway.fleet.learnOthers(now, reply.Open)
 }
 
 // tally fills in the open requests on each upstream.
@@ -124,11 +124,11 @@
 }
 
 // learnOthers takes the open requests of all other nodes.
-func (f *fleet) learnOthers(open []wire.UpstreamUse) {
+func (f *fleet) learnOthers(now time.Time, open []wire.UpstreamUse) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, u := range f.ups {
-		u.Others, u.OthersPending = 0, 0
+		u.Others, u.OthersPending, u.OthersAt = 0, 0, now
 	}
 	for _, o := range open {
 		if u := f.ups[o.Upstream]; u != nil {
--- a/internal/gateway/ledger.go
+++ b/internal/gateway/ledger.go
@@ -19,11 +19,6 @@
 	longestWait = 5 * time.Second
 	// longestTally is the time until the node has heard the next totals.
 	longestTally = 2 * tallyInterval
-	// partFactor is how much more than its share of the use a node may spend of the
-	// level that all nodes see.
-	partFactor = 2.0
-	// ownHalf smooths the node's own use a second, as the leader smooths the others'.
-	ownHalf = 500 * time.Millisecond
 )
 
 // ledger counts what this node's clients use: tokens of accounts, requests that began
@@ -42,14 +37,12 @@
 type accountUse struct {
 	bucket traffic.Bucket
 	used   float64 // since the start of the process
+	asked  float64 // since the start of the process
 	told   float64 // used when the answered tally was sent
 	others float64 // use of the other nodes a second
-	own    float64 // use of this node a second
-	ownAt  float64 // used when own was last brought up to date
-	// allow is the part of the level that this node may spend until the next totals;
-	// all nodes see the same level.
-	allow float64
-	at    time.Time
+	// demand is what clients of all nodes ask for a second.
+	demand float64
+	at     time.Time
 }
 
 type versionKey struct{ service, version, route string }
@@ -62,38 +55,39 @@
 }
 
 // take spends from an account's limit. When it is used up, it returns how long the
-// client should wait. The draw in [0, 1) decides on a request that is larger than this
-// node's part of what is left.
+// client should wait. The draw in [0, 1) decides which requests are accepted while all
+// nodes together would accept too many.
 func (l *ledger) take(now time.Time, a *traffic.Account, cost, draw float64) (time.Duration, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	u := l.account(a.Name)
 	rate, burst := a.Rate-u.others, a.Burst
+	u.asked += cost
 	known := !u.at.IsZero() && now.Sub(u.at) <= totalsLife
 	if !known {
 		rate, burst = a.Rate/float64(l.nodes), a.Burst/float64(l.nodes)
 	}
 	rate = max(rate, a.Rate/float64(l.nodes)/2)
-	if known && draw*cost > u.allow {
+	u.bucket.Refill(now, rate, burst)
+	if known && draw > u.chance(burst, cost) {
 		return longestTally + time.Duration(draw*float64(longestTally)), false
 	}
 	if !u.bucket.Take(now, rate, burst, cost) {
 		return min(u.bucket.Wait(rate, burst, cost), longestWait), false
 	}
 	u.used += cost
-	u.allow = max(0, u.allow-cost)
 	return 0, true
 }
 
-// part is the share of an account's level that this node may spend before it hears the
-// next one: twice its share of the use, so that shifting clients are not held up.
-func (u *accountUse) part(nodes int) float64 {
-	even := 1 / float64(nodes)
-	share := even
-	if sum := u.own + u.others; sum > 0 {
-		share = max(u.own/sum, even)
+// chance is the part of the requests that all nodes may accept until they hear the next
+// totals, since all of them see the same level: what the level leaves above the reserve,
+// relative to what will be asked for until then.
+func (u *accountUse) chance(burst, cost float64) float64 {
+	coming := u.demand * tallyInterval.Seconds()
+	if coming <= 0 {
+		return 1
 	}
-	return min(1, partFactor*share)
+	return (u.bucket.Level - traffic.Reserve(burst, cost) + min(cost, burst/2)) / coming
 }
 
 func (l *ledger) account(name string) *accountUse {
@@ -156,7 +150,7 @@
 	defer l.mu.Unlock()
 	for name, u := range l.accounts {
 		u.told = u.used
-		t.Use = append(t.Use, wire.AccountUse{Account: name, Cost: u.used})
+		t.Use = append(t.Use, wire.AccountUse{Account: name, Cost: u.used, Asked: u.asked})
 	}
 	for number, counts := range l.windows {
 		for account, n := range counts {
@@ -175,12 +169,7 @@
 	l.nodes = max(1, nodes)
 	for _, level := range t.Levels {
 		u := l.account(level.Account)
-		if passed := now.Sub(u.at).Seconds(); !u.at.IsZero() && passed > 0 {
-			keep := 1 / (1 + passed/ownHalf.Seconds())
-			u.own = keep*u.own + (1-keep)*(u.used-u.ownAt)/passed
-		}
 		u.bucket = traffic.Bucket{Level: level.Level - (u.used - u.told), At: now}
-		u.others, u.at, u.ownAt = level.Rate, now, u.used
-		u.allow = max(0, u.bucket.Level) * u.part(l.nodes)
+		u.others, u.demand, u.at = level.Rate, level.Asked, now
 	}
 }
--- a/internal/gateway/ledger_test.go
+++ b/internal/gateway/ledger_test.go
@@ -16,14 +16,23 @@
 		nodes  int
 		demand float64 // in limits
 		cost   float64
-	}{{59, 2.5, 12_000}, {72, 4, 12_000}, {8, 3, 12_000}, {6, 1.5, 2000}, {59, 0.6, 12_000}} {
-		const rate, burst = 600_000.0, 600_000.0
+		limit  float64
+		least  float64 // part of what can be served
+	}{
+		{59, 2.5, 12_000, 600_000, 0.85},
+		{72, 4, 12_000, 600_000, 0.85},
+		{8, 3, 12_000, 600_000, 0.85},
+		{6, 1.5, 2000, 600_000, 0.85},
+		{59, 0.6, 12_000, 600_000, 0.98},
+		{59, 0.4, 12_000, 60_000, 0.9},
+	} {
+		rate, burst := c.limit, c.limit
 		account := &traffic.Account{Name: "a", Rate: rate, Burst: burst, Tokens: true}
 		rng := rand.New(rand.NewPCG(1, uint64(c.nodes)))
 		start := time.Unix(1000, 0)
 		leader := traffic.Bucket{}
 		ledgers, told := make([]*ledger, c.nodes), make([]float64, c.nodes)
-		rates := make([]float64, c.nodes)
+		rates, asks, demands := make([]float64, c.nodes), make([]float64, c.nodes), make([]float64, c.nodes)
 		for i := range ledgers {
 			ledgers[i] = newLedger(0)
 		}
@@ -31,7 +40,7 @@
 		asked, spent := 0.0, 0.0
 		for ms := range 20_000 {
 			now := start.Add(time.Duration(ms) * time.Millisecond)
-			tallies(now, ms, ledgers, &leader, told, rates, rate, burst)
+			tallies(now, ms, ledgers, &leader, told, rates, asks, demands, rate, burst)
 			used := 0.0
 			for i := range ledgers {
 				if rng.Float64() >= c.demand*rate/1000/float64(c.nodes)/c.cost {
@@ -56,14 +65,14 @@
 		if got, want := most, (rate*8+burst)*1.1; got > want {
 			t.Errorf("%d nodes: got %.0f tokens in 8 s, want at most %.0f", c.nodes, got, want)
 		}
-		if got, want := spent, 0.85*min(asked, rate*20); got < want {
+		if got, want := spent, c.least*min(asked, rate*20); got < want {
 			t.Errorf("%d nodes: got %.0f tokens served of %.0f asked, want at least %.0f", c.nodes, got, asked, want)
 		}
 	}
 }
 
 // tallies plays the exchange with the leader for the nodes whose turn it is.
-func tallies(now time.Time, ms int, ledgers []*ledger, leader *traffic.Bucket, told, rates []float64, rate, burst float64) {
+func tallies(now time.Time, ms int, ledgers []*ledger, leader *traffic.Bucket, told, rates, asks, demands []float64, rate, burst float64) {
 	interval := int(tallyInterval.Milliseconds())
 	for i, l := range ledgers {
 		if ms%interval != i*interval/len(ledgers) {
@@ -76,13 +85,16 @@
 			leader.Level -= u.Cost - told[i]
 			rates[i] = 0.5*rates[i] + 0.5*(u.Cost-told[i])/tallyInterval.Seconds()
 			told[i] = u.Cost
+			demands[i] = 0.5*demands[i] + 0.5*(u.Asked-asks[i])/tallyInterval.Seconds()
+			asks[i] = u.Asked
 		}
-		others := 0.0
+		others, demand := 0.0, 0.0
 		for j, r := range rates {
+			demand += demands[j]
 			if j != i {
 				others += r
 			}
 		}
-		l.learn(now, len(ledgers), wire.UseTotals{Levels: []wire.AccountLevel{{Account: "a", Level: leader.Level, Rate: others}}})
+		l.learn(now, len(ledgers), wire.UseTotals{Levels: []wire.AccountLevel{{Account: "a", Level: leader.Level, Rate: others, Asked: demand}}})
 	}
 }
--- a/pkg/placement/choose.go
+++ b/pkg/placement/choose.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -21,6 +22,10 @@
 	failureDelay = 1500.0
 	// domainDelay prefers an upstream in the node's own failure domain among equals.
 	domainDelay = 2.0
+	// sampled is the number of upstreams that a request compares beside its session's
+	// home. Nodes that compared all of them would rush to the one that looked idle in
+	// the totals that they all have.
+	sampled = 4
 	// jitter spreads equal upstreams, so that nodes that read the same reports do not
 	// all choose the same one.
 	jitter = 3.0
@@ -64,6 +69,9 @@
 	// ColdRate is the rate of a cold upstream over all nodes, in requests a second;
 	// zero for none.
 	ColdRate float64
+	// Sample is the number of upstreams that a request compares beside its session's
+	// home; zero selects the default.
+	Sample int
 	// Queue is the number of requests that may wait on one upstream beyond its slots.
 	Queue int
 }
@@ -78,21 +86,42 @@
 // get the request now.
 func Choose(now time.Time, r Request, l Limits, candidates []*Upstream) (Choice, bool) {
 	home := r.home(now, candidates)
+	tried := l.sample(r.ID, candidates)
 	best, bestCost := (*Upstream)(nil), math.Inf(1)
 	for _, u := range candidates {
-		if u.bar(now, r, l) != "" {
+		if u.bar(now, r, l) != "" || u != home && tried != nil && !tried[u] {
 			continue
 		}
 		if cost := u.cost(now, r, l, u == home); cost < bestCost {
 			best, bestCost = u, cost
 		}
 	}
+	if best == nil && tried != nil {
+		l.Sample = len(candidates) // none of the drawn ones could take it
+		return Choose(now, r, l, candidates)
+	}
 	if best == nil {
 		return Choice{}, false
 	}
 	return Choice{best, time.Duration(bestCost * float64(time.Millisecond))}, true
 }
 
+// sample draws the candidates that a request compares; nil for all.
+func (l Limits) sample(id string, candidates []*Upstream) map[*Upstream]bool {
+	n := l.Sample
+	if n == 0 {
+		n = sampled
+	}
+	if len(candidates) <= n {
+		return nil
+	}
+	drawn := make(map[*Upstream]bool, n)
+	for i := 0; len(drawn) < n; i++ {
+		drawn[candidates[int(fraction(id+strconv.Itoa(i))*float64(len(candidates)))]] = true
+	}
+	return drawn
+}
+
 // Reasons for which an upstream cannot get a request now.
 const (
 	BarLeaving = "leaving"
@@ -155,7 +184,7 @@
 		shared, _ := r.Shared()
 		uncached -= shared
 	}
-	cost += float64(u.Pending+u.OthersPending+uncached) / promptRate
+	cost += (u.waiting(now) + float64(uncached)) / promptRate
 	cost += u.failureRate(now) * failureDelay
 	if u.Domain != l.Domain {
 		cost += domainDelay
--- a/pkg/placement/placement_test.go
+++ b/pkg/placement/placement_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 )
@@ -142,9 +144,76 @@
 // Guards against a short request behind them.
 func TestPromptsOfOtherNodesCount(t *testing.T) {
 	list := fleet(2, 64)
-	list[0].Others, list[0].OthersPending = 1, 30_000
+	list[0].Others, list[0].OthersPending, list[0].OthersAt = 1, 30_000, now
 	list[1].Others = 20
 	if u := choose(t, now, Request{ID: "x", Prompt: 800}, Limits{Domain: "a", Queue: 16}, list); u != list[1] {
 		t.Error("the request was put behind long prompts")
 	}
 }
+
+// stale plays many nodes that see each other's requests with a lag, and returns the
+// mean and the 99th percentile of the work that a request finds before it, in
+// milliseconds of prompt reading.
+func stale(nodes, upstreams, sample int) (mean, high float64) {
+	const seconds, rate, lag, readMS = 20, 6.0, 300, 80.0 // requests a second for each node
+	rng := rand.New(rand.NewPCG(3, uint64(sample)))
+	backlog := make([]float64, upstreams) // prompt tokens
+	views := make([][]*Upstream, nodes)
+	sent := make([][]float64, nodes) // tokens of each node that wait
+	for n := range views {
+		views[n], sent[n] = fleet(upstreams, 1000), make([]float64, upstreams)
+	}
+	var waits []float64
+	for ms := range seconds * 1000 {
+		at := now.Add(time.Duration(ms) * time.Millisecond)
+		for u := range backlog {
+			worked := min(backlog[u], readMS)
+			for n := range sent {
+				if backlog[u] > 0 {
+					sent[n][u] -= sent[n][u] * worked / backlog[u]
+				}
+				views[n][u].Pending = int(sent[n][u])
+			}
+			backlog[u] -= worked
+		}
+		if ms%lag == 0 {
+			for n := range views {
+				for u := range backlog {
+					views[n][u].OthersPending, views[n][u].OthersAt = int(backlog[u]-sent[n][u]), at
+				}
+			}
+		}
+		for n := range views {
+			if rng.Float64() >= rate/1000 {
+				continue
+			}
+			tokens := 1000 + rng.ExpFloat64()*8000
+			c, ok := Choose(at, Request{ID: fmt.Sprint(ms, n), Prompt: int(tokens)}, Limits{Domain: "a", Queue: 10_000, Sample: sample}, views[n])
+			if !ok {
+				panic("no upstream")
+			}
+			var u int
+			_, _ = fmt.Sscanf(c.Upstream.ID, "u%d", &u)
+			waits = append(waits, backlog[u]/readMS)
+			backlog[u] += tokens
+			sent[n][u] += tokens
+		}
+	}
+	slices.Sort(waits)
+	for _, w := range waits {
+		mean += w / float64(len(waits))
+	}
+	return mean, waits[len(waits)*99/100]
+}
+
+// Load pattern: many nodes with totals that lag. Guards against all of them avoiding
+// or rushing to the same upstream because of what it had some time ago. A choice by
+// chance is the baseline of the same run.
+func TestLaggingTotalsStillSpreadTheLoad(t *testing.T) {
+	chance, chanceHigh := stale(59, 80, 1)
+	mean, high := stale(59, 80, sampled)
+	t.Logf("by chance: mean %.0f ms, high %.0f ms; %d compared: mean %.0f ms, high %.0f ms", chance, chanceHigh, sampled, mean, high)
+	if mean > 0.6*chance || high > 0.7*chanceHigh {
+		t.Errorf("got a wait of %.0f ms, high %.0f ms, want at most %.0f ms, %.0f ms", mean, high, 0.6*chance, 0.7*chanceHigh)
+	}
+}
--- a/pkg/placement/upstream.go
+++ b/pkg/placement/upstream.go
@@ -31,6 +31,8 @@
 	// OthersPending is the number of prompt tokens of other nodes' requests without a
 	// first event, as the leader last told.
 	OthersPending int
+	// OthersAt is when that was told.
+	OthersAt time.Time
 	// Pending is the number of prompt tokens that this node has sent there and that
 	// have not led to a first event yet.
 	Pending int
@@ -58,6 +60,13 @@
 	return load
 }
 
+// waiting estimates the prompt tokens that wait on the upstream. What others had there
+// is read meanwhile.
+func (u *Upstream) waiting(now time.Time) float64 {
+	read := promptRate * float64(now.Sub(u.OthersAt).Milliseconds())
+	return float64(u.Pending) + max(0, float64(u.OthersPending)-read)
+}
+
 // Sent notes that a request with this many prompt tokens goes to the upstream.
 func (u *Upstream) Sent(prompt int) {
 	u.Open++
--- a/pkg/wire/traffic.go
+++ b/pkg/wire/traffic.go
@@ -7,6 +7,9 @@
 	// Client account.
 	Account string `json:"account"`
 
+	// What clients ask for a second, over all nodes.
+	Asked float64 `json:"asked,omitempty,omitzero"`
+
 	// Level of the bucket that holds the limit.
 	Level float64 `json:"level"`
 
@@ -19,6 +22,9 @@
 	// Client account.
 	Account string `json:"account"`
 
+	// Tokens or requests that clients asked for since the start of the process.
+	Asked float64 `json:"asked,omitempty,omitzero"`
+
 	// Tokens or requests since the start of the process.
 	Cost float64 `json:"cost"`
 }
