--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -221,7 +221,7 @@
 	}},
 	{"silence", func(w *world, rng *rand.Rand, i int) {
 		w.cut(i, silent)
-		pause(rng, 500*time.Millisecond, 6*time.Second)
+		pause(rng, 500*time.Millisecond, 10*time.Second)
 		w.cut(i, pass)
 	}},
 	{"one way", func(w *world, rng *rand.Rand, i int) {
