--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -114,7 +114,7 @@
 }
 
 func TestShedRequestGoesElsewhereOrIsRefusedAsNotRun(t *testing.T) {
-	shed := func(_ int, r *http.Request) []step {
+	shed := func(_ int, _ *http.Request) []step {
 		return []step{{send: "HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"}}
 	}
 	t.Run("one attempt", func(t *testing.T) {
@@ -153,7 +153,7 @@
 
 // Guards against an answer that belongs to an earlier request of the connection.
 func TestLateAnswerOfAnotherRequestIsSkipped(t *testing.T) {
-	s := newStand(t, func(n int, r *http.Request) []step {
+	s := newStand(t, func(_ int, r *http.Request) []step {
 		stray := "HTTP/1.1 200 OK\r\nX-Attempt: other\r\nX-Signature: s\r\nContent-Length: 5\r\n\r\nstray"
 		return []step{{send: stray + answer(r, 200, "own")}}
 	})
@@ -173,7 +173,7 @@
 
 func TestAnswerWithoutLength(t *testing.T) {
 	unframed := func(end step) func(int, *http.Request) []step {
-		return func(_ int, r *http.Request) []step {
+		return func(_ int, _ *http.Request) []step {
 			return []step{{send: "HTTP/1.1 200 OK\r\nX-Attempt: a1\r\nX-Signature: s\r\n\r\nwhole", pause: 20 * time.Millisecond}, end}
 		}
 	}
@@ -197,7 +197,7 @@
 // Guards against a stream with a missing or doubled piece when it continues on
 // another upstream.
 func TestStreamContinuesElsewhere(t *testing.T) {
-	answers := func(n int, r *http.Request) []step {
+	answers := func(_ int, r *http.Request) []step {
 		from := 0
 		if last := r.Header.Get("Last-Event-Id"); last != "" {
 			_, _ = fmt.Sscan(last, &from)
--- a/internal/replica/join.go
+++ b/internal/replica/join.go
@@ -113,7 +113,7 @@
 func (v *voter) makeRoom(ctx context.Context, name string) error {
 	var silent raft.Member
 	var found bool
-	err := v.readable(func(l *leadership) {
+	err := v.readable(func(*leadership) {
 		known := slices.ContainsFunc(v.status.Members, func(m raft.Member) bool { return m.Name == name })
 		if !known {
 			silent, found = v.silentVoter(boottime.Now())
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -213,7 +213,7 @@
 		pause(rng, 100*time.Millisecond, 2*time.Second)
 		w.start(i, false)
 	}},
-	{"stop", func(w *world, rng *rand.Rand, i int) { <-w.signal(i, syscall.SIGTERM); w.start(i, false) }},
+	{"stop", func(w *world, _ *rand.Rand, i int) { <-w.signal(i, syscall.SIGTERM); w.start(i, false) }},
 	{"freeze", func(w *world, rng *rand.Rand, i int) {
 		w.signal(i, syscall.SIGSTOP)
 		pause(rng, 300*time.Millisecond, 6*time.Second)
@@ -246,7 +246,7 @@
 		}
 		w.start(i, false)
 	}},
-	{"lost disk", func(w *world, rng *rand.Rand, i int) {
+	{"lost disk", func(w *world, _ *rand.Rand, i int) {
 		<-w.signal(i, syscall.SIGKILL)
 		if w.vms[i].voter {
 			w.wipe(i)
