Let a new leader know what accounts owe

Found while tracing: a new leader starts every account at half of its burst and drops what was used since the last tally to the leader before, which forgives a debt. Change: tallies carry the node's estimate of the level; a new leader takes the lowest. Result: TestNewLeaderKnowsTheDebtOfAnAccount fails before (501, want -790) and passes.

--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -276,3 +276,21 @@
 		t.Errorf("got %v tokens in 20 s, want %v to %v", got, 1000*20*0.8, want)
 	}
 }
+
+// Guards against a debt that is forgotten when the leader changes (lkfc hunt-94c9-27:
+// 1.8% over what the rules allow in eight seconds).
+func TestNewLeaderKnowsTheDebtOfAnAccount(t *testing.T) {
+	p := &traffic.Plan{Accounts: []traffic.Account{{Name: "a", Rate: 1000, Burst: 1000}}}
+	l := newLedger()
+	start := time.Unix(1000, 0)
+	var got float64
+	for i, node := range []string{"n", "m"} {
+		totals := l.take(start.Add(time.Duration(i)*time.Millisecond), 7, p, wire.UseTally{
+			Node: node, Process: 1, Sequence: 1, Use: []wire.AccountUse{{Account: "a", Cost: 9000, Level: -800, Known: true}},
+		})
+		got = totals.Levels[0].Level
+	}
+	if want := -790.0; got > want {
+		t.Errorf("got level %.0f after a change of the leader, want at most %.0f", got, want)
+	}
+}
--- a/internal/control/ledger.go
+++ b/internal/control/ledger.go
@@ -14,8 +14,8 @@
 	tallyLife = 1500 * time.Millisecond
 	// rateHalf smooths the rate at which a node uses an account's limit.
 	rateHalf = 500 * time.Millisecond
-	// startLevel is the part of an account's burst that a new leader grants: what was
-	// used before it led is unknown.
+	// startLevel is the part of an account's burst that a new leader grants at most.
+	// Nodes then tell what they knew of the level from the leader before.
 	startLevel = 0.5
 )
 
@@ -119,8 +119,15 @@
 			n.demands[u.Account] = keep*n.demands[u.Account] + (1-keep)*(u.Asked-n.asked[u.Account])/passed
 		}
 		n.asked[u.Account] = u.Asked
-		if a, ok := named(plan, u.Account); ok && a.Rate > 0 {
-			l.level(now, a).Level -= delta
+		a, ok := named(plan, u.Account)
+		if !ok || a.Rate <= 0 {
+			continue
+		}
+		b := l.level(now, a)
+		b.Level -= delta
+		if !known && u.Known {
+			// What the leader before granted is not forgotten.
+			b.Level = min(b.Level, u.Level)
 		}
 	}
 	for _, w := range t.Windows {
--- a/internal/gateway/ledger.go
+++ b/internal/gateway/ledger.go
@@ -150,7 +150,7 @@
 	defer l.mu.Unlock()
 	for name, u := range l.accounts {
 		u.told = u.used
-		t.Use = append(t.Use, wire.AccountUse{Account: name, Cost: u.used, Asked: u.asked})
+		t.Use = append(t.Use, wire.AccountUse{Account: name, Cost: u.used, Asked: u.asked, Level: u.bucket.Level, Known: !u.at.IsZero()})
 	}
 	for number, counts := range l.windows {
 		for account, n := range counts {
--- a/pkg/wire/traffic.go
+++ b/pkg/wire/traffic.go
@@ -27,6 +27,12 @@
 
 	// Tokens or requests since the start of the process.
 	Cost float64 `json:"cost"`
+
+	// The estimate rests on totals of a leader.
+	Known bool `json:"known,omitempty,omitzero"`
+
+	// The node's estimate of what the account may still use over all nodes.
+	Level float64 `json:"level,omitempty,omitzero"`
 }
 
 // Current is the leader's answer to a question for the newest version of the key
