--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -54,8 +54,7 @@
 	Scales bool
 	// Window is the length of a usage window; zero when usage is not reported.
 	Window time.Duration
-	// Deciding is how long a move waits for outcomes at each step, and Exposure the
-	// largest share of a version that is not proved.
+	// Exposure is the largest share of all requests that a bad version may get.
 	Exposure float64
 
 	roster *roster.Roster
--- a/internal/control/relay.go
+++ b/internal/control/relay.go
@@ -84,8 +84,8 @@
 	return c.write(ctx, config.PrefixDrainUpstream+s.ID, config.Drain{Author: "upstream", Since: now.UnixMilli(), Born: born})
 }
 
-// open sets the handlers; it is called before the links run.
-func (c *Control) open() {
+// Open sets the handlers; it is called before the links run.
+func (c *Control) Open() {
 	c.Links.Handle(gateway.KindStatuses, func(_ context.Context, _ string, body []byte) (any, error) {
 		var m wire.Statuses
 		if err := wire.Unmarshal(body, &m); err != nil {
@@ -108,9 +108,6 @@
 	})
 }
 
-// Open sets the handlers; it is called before the links run.
-func (c *Control) Open() { c.open() }
-
 // Run relays statuses and carries out the duties until ctx ends.
 func (c *Control) Run(ctx context.Context) <-chan struct{} {
 	done := make(chan struct{})
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -48,8 +48,7 @@
 	placement.Upstream
 	seen     time.Time // last status
 	answered time.Time // last answer
-	// idle is true in a status of a warm upstream.
-	warmed time.Time // when a status last said that it is warm
+	warmed   time.Time // when a status last said that it is warm
 }
 
 func newFleet(g *Gateway) *fleet {
