--- a/internal/replica/voter.go
+++ b/internal/replica/voter.go
@@ -22,10 +22,8 @@
 	heartbeatPart = 5
 	maxInbox      = 4096
 	// maxTogether bounds the commands that one step appends.
-	maxTogether    = 512
-	expireInterval = time.Minute
-	// reopenInterval is how often a voter whose disk failed tries to write again.
-	reopenInterval   = 250 * time.Millisecond
+	maxTogether      = 512
+	expireInterval   = time.Minute
 	snapshotEntries  = 50_000
 	snapshotBytes    = 32 << 20
 	maxCommandBytes  = 3 << 20
