Elect a leader sooner after a restart of all voters

That voter answered no vote for two election timeouts, and the others then asked for pre-votes only once an election timeout. What is left of the outage is the restart itself and the two thirds of an election timeout that leases need.

--- a/pkg/raft/doc.go
+++ b/pkg/raft/doc.go
@@ -26,7 +26,8 @@
 //
 // A node that restarts with a folder is unproven: it neither votes nor campaigns
 // until it holds what a present leader has committed, or has heard from no leader
-// for two election timeouts. A leader excludes a member that lacks entries which
+// for an election timeout and two heartbeats. A pre-candidate therefore asks again
+// until its election timeout. A leader excludes a member that lacks entries which
 // it acknowledged to that leader (Output.Regressed). Both limit what an older
 // image of the same folder can do. An older image cannot be told from the present
 // one if no leader is running and the only member that received the newer promises
--- a/pkg/raft/election.go
+++ b/pkg/raft/election.go
@@ -10,6 +10,13 @@
 	n.deadline = n.now.Add(n.cfg.Election + time.Duration(n.rand.Int64N(int64(n.cfg.Election))))
 }
 
+// putOff keeps this member from campaigning for a time.
+func (n *Node) putOff(d time.Duration) {
+	if until := n.now.Add(d); until.After(n.deadline) {
+		n.deadline = until
+	}
+}
+
 // lease is how long a leader may rely on an answer, measured on its own clock from
 // when it sent the question. A follower refuses votes for Election on its clock,
 // which may run 5% faster; 0.95 is below 1/1.05.
@@ -66,7 +73,16 @@
 		n.startVote()
 		return
 	}
+	n.preAsk()
+}
+
+// preAsk asks all others whether they would vote for this member. It is repeated
+// until the election timeout: one that has just restarted, or has just heard from the
+// former leader, cannot answer at first. The pause is drawn, so that two members
+// seldom win the pre-vote at once and then split the vote.
+func (n *Node) preAsk() {
 	n.askVotes(KindPreVote, n.term+1)
+	n.askAt = n.now.Add(n.cfg.Heartbeat + time.Duration(n.rand.Int64N(int64((askBeats-1)*n.cfg.Heartbeat))))
 }
 
 func (n *Node) startVote() {
@@ -113,6 +129,9 @@
 	candidate := Member{Name: m.From, Incarnation: m.Incarnation}
 	if pre {
 		grant := m.Term > n.term && n.log.newer(m.Index, m.Prior)
+		if grant && !n.favour(m.From) {
+			return
+		}
 		term := n.term
 		if grant {
 			term = m.Term
@@ -135,6 +154,21 @@
 	n.promise(n.reply(m, Message{Kind: KindVoteReply, Term: n.term}))
 }
 
+// favour reports whether a pre-vote may go to a candidate. For two heartbeats only one
+// gets it: two that win it at once would split the vote, above all if no more than a
+// quorum is up. It is not extended, so that one that hears no answers keeps nobody
+// else from leading.
+func (n *Node) favour(candidate string) bool {
+	if n.role == PreCandidate {
+		return true // waits for a quorum itself, and may be needed for that of another
+	}
+	if n.now.Before(n.favouredTo) {
+		return n.favoured == candidate
+	}
+	n.favoured, n.favouredTo = candidate, n.now.Add(2*n.cfg.Heartbeat)
+	return true
+}
+
 func (n *Node) onPreVoteReply(m Message) {
 	if m.Reject && m.Term > n.term {
 		n.becomeFollower(m.Term, "")
--- a/pkg/raft/node.go
+++ b/pkg/raft/node.go
@@ -5,6 +5,13 @@
 	"time"
 )
 
+// provingBeats is the number of heartbeats, beyond an election timeout, for which a
+// restarted member waits for a present leader: one to be late and one to be lost.
+const provingBeats = 2
+
+// askBeats is the number of heartbeats within which a pre-candidate asks again.
+const askBeats = 3
+
 // Role is the part that a member plays in the present term.
 type Role uint8
 
@@ -55,6 +62,9 @@
 	unproven    bool
 	heard       time.Time // when a leader was last heard from, or the start
 	deadline    time.Time // of the election timeout
+	askAt       time.Time // when a pre-candidate asks again
+	favoured    string    // candidate that alone gets pre-votes until favouredTo
+	favouredTo  time.Time
 	joinAt      time.Time
 	joins       map[string]join
 	partial     *Snapshot // snapshot being received
@@ -190,8 +200,10 @@
 
 // tick does what falls due with time.
 func (n *Node) tick() {
-	if n.unproven && n.now.Sub(n.heard) >= 2*n.cfg.Election {
+	if n.unproven && n.now.Sub(n.heard) >= n.cfg.Election+provingBeats*n.cfg.Heartbeat {
 		n.unproven = false
+		// Those that have waited for this member ask again within this time.
+		n.putOff(askBeats * n.cfg.Heartbeat)
 	}
 	if n.group == "" || len(n.members()) == 0 {
 		n.join()
@@ -201,6 +213,9 @@
 		n.tickLeader()
 		return
 	}
+	if n.role == PreCandidate && !n.now.Before(n.askAt) && n.now.Before(n.deadline) && !n.stalled() {
+		n.preAsk()
+	}
 	if n.now.Before(n.deadline) || n.unproven || n.stalled() {
 		return
 	}
--- a/pkg/raft/step_test.go
+++ b/pkg/raft/step_test.go
@@ -234,3 +234,33 @@
 		})
 	}
 }
+
+// Load pattern: power returns to all members, some later than others. The target is a
+// leader within two election timeouts of the member that completes a majority, in nine
+// of ten restarts.
+func TestRestartOfAllElectsSoon(t *testing.T) {
+	const restarts, want = 40, 36
+	soon := 0
+	for seed := range uint64(restarts) {
+		s := newSim(seed, 5, Config{}, mutation{})
+		s.idle = true
+		for !s.converged() {
+			s.run(simElection / 2)
+		}
+		for _, name := range s.names {
+			s.crash(s.servers[name])
+		}
+		s.run(simElection)
+		s.start(s.servers["a"])
+		s.start(s.servers["b"])
+		s.run(2 * simElection)
+		s.start(s.servers["c"])
+		s.run(2 * simElection)
+		if len(s.leaders()) > 0 {
+			soon++
+		}
+	}
+	if soon < want {
+		t.Errorf("got a leader in time in %d of %d restarts, want %d", soon, restarts, want)
+	}
+}
