Let requests wait for a node that is about to serve

Cause: after a restart of everything, an entry node has a lease 0.7 to 0.9 s after its start. Change: while the node starts, a request waits for the state if at most 0.8 s are missing and half of the client's time is left after it; others are refused at once. A node that lost its lease later refuses at once as before, since how long that lasts is not known.

--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -10,6 +10,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/jaystage/jaystage/internal/config"
 	"github.com/jaystage/jaystage/pkg/placement"
 	"github.com/jaystage/jaystage/pkg/verdict"
 )
@@ -23,6 +24,14 @@
 	// startTime is how long a whole deployment takes to serve after its processes
 	// started together.
 	startTime = 1200 * time.Millisecond
+	// startHold is the longest time for which a request waits for a node that starts:
+	// about the longest objective in use. After it, an answer would be late anyway.
+	startHold = 800 * time.Millisecond
+	// startShare is the part of the client's time that may pass in that wait, so that
+	// the request can still be run after it.
+	startShare = 0.5
+	// startPoll is how often a waiting request looks for the state.
+	startPoll = 10 * time.Millisecond
 )
 
 func refusal(status int, code verdict.Code, after time.Duration, detail string) *verdict.Error {
@@ -31,7 +40,7 @@
 
 // admit decides whether the call may be served and reads its body.
 func (c *call) admit() *verdict.Error {
-	view, ok := c.g.State.View(c.start)
+	view, ok := c.awaitState()
 	c.view, c.id = view, c.r.Header.Get(c.g.Headers.Attempt)
 	switch {
 	case !ok:
@@ -60,10 +69,41 @@
 	return c.charge()
 }
 
+// awaitState returns the state, false without a valid lease. While the node starts, a
+// request waits for the state instead of coming back later, if little time is missing.
+func (c *call) awaitState() (*config.View, bool) {
+	view, ok := c.g.State.View(c.start)
+	if ok && view.Plan != nil || !c.worthWaiting() {
+		return view, ok
+	}
+	ticker := time.NewTicker(startPoll)
+	defer ticker.Stop()
+	until := c.g.started.Add(startTime)
+	for {
+		select {
+		case now := <-ticker.C:
+			view, ok = c.g.State.View(now)
+			if ok && view.Plan != nil || !now.Before(until) {
+				return view, ok
+			}
+		case <-c.r.Context().Done():
+			return view, ok
+		}
+	}
+}
+
+// worthWaiting tells whether the node is about to serve and the client has the time
+// for it. The route's limits are not known yet.
+func (c *call) worthWaiting() bool {
+	missing := startTime - c.start.Sub(c.g.started)
+	ms, err := strconv.ParseFloat(c.r.Header.Get(c.g.Headers.Deadline), 64)
+	return err == nil && missing > 0 && missing <= startHold && missing.Seconds()*1000 <= startShare*ms
+}
+
 // stateRetry returns when the node should have a lease: after its start it needs an
 // election and a session first. Returns are spread.
 func (c *call) stateRetry() time.Duration {
-	after := max(stateRetry, startTime-c.start.Sub(c.g.started))
+	after := max(stateRetry, startTime-time.Since(c.g.started))
 	return after + time.Duration(draw(c.id, "return")*float64(stateRetry)/2)
 }
 
@@ -152,7 +192,7 @@
 	if c.account == nil || c.account.Rate <= 0 {
 		return nil
 	}
-	wait, ok := c.g.ledger.take(c.start, c.account, c.cost, draw(c.id, "limit"))
+	wait, ok := c.g.ledger.take(time.Now(), c.account, c.cost, draw(c.id, "limit"))
 	if ok {
 		return nil
 	}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -80,6 +80,41 @@
 	}
 }
 
+// Guards against clients that are sent away from a node that is about to serve: all
+// processes of a deployment have just been restarted.
+func TestRequestWaitsForANodeThatStarts(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		age      time.Duration // of the process
+		begins   time.Duration // until the lease; zero for never
+		deadline string        // of the client, in ms
+		want     int
+		least    time.Duration // until the answer
+	}{
+		{"lease comes in time", startTime - 700*time.Millisecond, 100 * time.Millisecond, "1500", 200, 100 * time.Millisecond},
+		{"lease does not come", startTime - 300*time.Millisecond, 0, "1500", 503, 250 * time.Millisecond},
+		{"client has too little time", startTime - 700*time.Millisecond, time.Second, "1300", 503, 0},
+		{"client names no time", startTime - 700*time.Millisecond, time.Second, "", 503, 0},
+		{"node has only just started", 0, time.Second, "9000", 503, 0},
+		{"node lost its lease long after its start", time.Hour, time.Second, "9000", 503, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			d := newDesk(t, newStand(t, sound("x")))
+			d.state.end()
+			start := time.Now()
+			d.gateway.started = start.Add(-c.age)
+			if c.begins > 0 {
+				timer := time.AfterFunc(c.begins, func() { d.state.set(true) })
+				t.Cleanup(func() { timer.Stop() })
+			}
+			wantStatus(t, d.call("GET", "/look/", "", "X-Deadline", c.deadline), c.want)
+			if took := time.Since(start); took < c.least {
+				t.Errorf("got an answer after %v, want one after %v at least", took, c.least)
+			}
+		})
+	}
+}
+
 // Guards against a booking that runs twice: whatever the upstream does after it may
 // have begun, the booking is not sent again and not refused as not run.
 func TestBookingThatMayHaveRunIsNotSentAgain(t *testing.T) {
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -37,10 +37,12 @@
 	return f.view, f.valid
 }
 
-func (f *fixedView) end() {
+func (f *fixedView) end() { f.set(false) }
+
+func (f *fixedView) set(valid bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.valid = false
+	f.valid = valid
 }
 
 // stand is an upstream that answers raw bytes, so that it can misbehave.
