Provide for the loss of the largest domain, and count only warm upstreams

At 49.6 s the on-demand ones were given up as the new reclaimable ones reported, which were cold. What is needed at low load is not measured yet.

--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -23,6 +23,9 @@
 	fleetWarmup = 5 * time.Second
 	// runningAge is the age up to which a status shows a running upstream.
 	runningAge = 4 * time.Second
+	// startAge is the age after which a cold upstream is not one that has just started;
+	// they are cold for a few seconds.
+	startAge = 15 * time.Second
 )
 
 // ErrNoneLeft means that the platform has none of the ordered upstreams at present.
@@ -68,7 +71,7 @@
 	if move, ok := view.Moves[s.Name]; ok && move.Phase == config.MoveRunning {
 		return // both versions run; what they need shows after the move
 	}
-	running := p.running(now, s.Name)
+	running, warm := p.running(now, s.Name)
 	total := 0
 	for _, n := range running {
 		total += n
@@ -81,7 +84,7 @@
 		p.record(ctx, s.Name, config.Fleet{Nominal: total})
 		return
 	}
-	in := fleet.CountInputs{Nominal: nominal.Nominal, Least: s.Scaling.Min, Most: s.Scaling.Max, Spot: s.Scaling.Spot, Running: running}
+	in := fleet.CountInputs{Nominal: nominal.Nominal, Least: s.Scaling.Min, Most: s.Scaling.Max, Spot: s.Scaling.Spot, Running: running, Warm: warm}
 	for name, price := range s.Scaling.Prices {
 		_, drained := view.DrainedDomains[name]
 		in.Domains = append(in.Domains, fleet.CountDomain{Name: name, Price: price, Drained: drained})
@@ -102,15 +105,23 @@
 	}
 }
 
-// running counts the upstreams of a service that are ready, by offer.
-func (p *provider) running(now time.Time, service string) map[fleet.CountKey]int {
-	counts := make(map[fleet.CountKey]int)
+// running counts the upstreams of a service that are ready, by offer, and those of
+// them that bear full load. One that turns cold later, when its domain comes back,
+// is warm again before a replacement would be.
+func (p *provider) running(now time.Time, service string) (running, warm map[fleet.CountKey]int) {
+	running, warm = make(map[fleet.CountKey]int), make(map[fleet.CountKey]int)
 	for _, e := range p.c.roster.List() {
-		if e.Service == service && !e.Leaving && !e.Gone && now.Sub(e.Seen) < runningAge {
-			counts[fleet.CountKey{Domain: e.Domain, Reclaimable: e.Spot}]++
+		if e.Service != service || e.Leaving || e.Gone || now.Sub(e.Seen) >= runningAge {
+			continue
+		}
+		key := fleet.CountKey{Domain: e.Domain, Reclaimable: e.Spot}
+		running[key]++
+		cold := now.Sub(e.Seen).Milliseconds() < int64(e.Cold)
+		if !cold || now.UnixMilli()-int64(e.Born) > startAge.Milliseconds() {
+			warm[key]++
 		}
 	}
-	return counts
+	return running, warm
 }
 
 // record stores the size that the operator provided, once.
--- a/pkg/fleet/counts.go
+++ b/pkg/fleet/counts.go
@@ -10,13 +10,15 @@
 // Parameters of the counts of a pool that is ordered by domain and kind.
 const (
 	// baseShare is the part of the pool's nominal size that on-demand upstreams keep,
-	// so that a wave of reclaims over all domains leaves some capacity.
-	baseShare = 0.33
-	// spotShare is the part that reclaimable upstreams have. Both together exceed the
-	// nominal size by more than one domain's reclaimable upstreams.
-	spotShare = 1.0
-	// leastShare is the part of the nominal size below which on-demand upstreams are
-	// ordered in place of missing reclaimable ones.
+	// so that a wave of reclaims over all domains leaves some capacity. They cost
+	// several times as much as reclaimable ones.
+	baseShare = 0.15
+	// spotShare is the part that reclaimable upstreams have. It exceeds the nominal
+	// size, so that nothing is missing while one of four domains starts anew.
+	spotShare = 1.3
+	// leastShare is the part of the nominal size that remains when the domain with the
+	// most reclaimable upstreams loses them. On-demand upstreams make up for what is
+	// missing before that happens, since reclaims tend to follow each other.
 	leastShare = 0.85
 	// repeatAfter is how long after an order the counts may still differ from it
 	// because upstreams start or drain; then it is given again.
@@ -50,6 +52,9 @@
 	Domains []CountDomain
 	// Running holds the upstreams that are ready and do not leave.
 	Running map[CountKey]int
+	// Warm holds those of Running that bear full load: for some seconds after its
+	// start, an upstream takes only a few requests.
+	Warm map[CountKey]int
 }
 
 // CountOrder asks for a number of upstreams of one offer.
@@ -111,13 +116,14 @@
 	if in.Spot <= 0 || in.Spot >= 1 {
 		spot = nil
 	}
-	ready := 0
-	for key, n := range in.Running {
+	ready, largest := 0, 0
+	for key, n := range in.Warm {
 		if key.Reclaimable && slices.ContainsFunc(usable, func(d CountDomain) bool { return d.Name == key.Domain }) {
 			ready += n
+			largest = max(largest, n)
 		}
 	}
-	if missing := ceil(leastShare*float64(in.Nominal)) - ready; missing > sum(base) {
+	if missing := ceil(leastShare*float64(in.Nominal)) - (ready - largest); missing > sum(base) {
 		base = spread(missing, usable, func(CountDomain) int { return in.Most })
 	}
 	var orders []CountOrder
