Tell a new leader what each node used while there was none

Cause: a new leader took the lowest level that any node still knew of an account. Change: nodes tell the part of their use that no leader has confirmed; the new leader takes the lowest level without it and subtracts the sum.

--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -294,3 +294,22 @@
 		t.Errorf("got level %.0f after a change of the leader, want at most %.0f", got, want)
 	}
 }
+
+// Load pattern: an account becomes hot while there is no leader. Each node spends from
+// the last level it was told; guards against a new leader that knows of one node only.
+func TestNewLeaderKnowsWhatAllNodesUsedMeanwhile(t *testing.T) {
+	p := &traffic.Plan{Accounts: []traffic.Account{{Name: "a", Rate: 1000, Burst: 2000}}}
+	l := newLedger()
+	now := time.Unix(1000, 0)
+	var got float64
+	for _, node := range []string{"n", "m", "o", "p"} {
+		totals := l.take(now, 7, p, wire.UseTally{
+			Node: node, Process: 1, Sequence: 1, Use: []wire.AccountUse{{Account: "a", Cost: 9000, Level: 900, Untold: 600, Known: true}},
+		})
+		got = totals.Levels[0].Level
+	}
+	// The burst above which a new leader grants nothing is 1000, and 2400 were used.
+	if want := 1000.0 - 2400; got > want {
+		t.Errorf("got level %.0f after a change of the leader, want at most %.0f", got, want)
+	}
+}
--- a/internal/control/ledger.go
+++ b/internal/control/ledger.go
@@ -28,6 +28,9 @@
 	nodes map[nodeKey]*nodeUse
 	// levels holds the bucket of each account over all nodes.
 	levels map[string]*traffic.Bucket
+	// untold is what nodes used of each account between their last answer from the
+	// leader before and their first tally to this one.
+	untold map[string]float64
 }
 
 type nodeKey struct {
@@ -51,7 +54,7 @@
 
 func (l *ledger) reset(now time.Time, term uint64) {
 	l.term, l.since = term, now
-	l.nodes, l.levels = make(map[nodeKey]*nodeUse), make(map[string]*traffic.Bucket)
+	l.nodes, l.levels, l.untold = make(map[nodeKey]*nodeUse), make(map[string]*traffic.Bucket), make(map[string]float64)
 }
 
 func (c *Control) onTally(now time.Time, from string, t wire.UseTally) wire.UseTotals {
@@ -126,8 +129,11 @@
 		b := l.level(now, a)
 		b.Level -= delta
 		if !known && u.Known {
-			// What the leader before granted is not forgotten.
-			b.Level = min(b.Level, u.Level)
+			// What the leader before granted is not forgotten, nor what each node used
+			// since: the others' estimates are without it.
+			granted := min(b.Level+l.untold[u.Account], u.Level+u.Untold)
+			l.untold[u.Account] += u.Untold
+			b.Level = granted - l.untold[u.Account]
 		}
 	}
 	for _, w := range t.Windows {
--- a/internal/gateway/ledger.go
+++ b/internal/gateway/ledger.go
@@ -38,8 +38,10 @@
 	bucket traffic.Bucket
 	used   float64 // since the start of the process
 	asked  float64 // since the start of the process
-	told   float64 // used when the answered tally was sent
-	others float64 // use of the other nodes a second
+	told   float64 // used when the last tally was sent
+	// confirmed is what was used when the last answered tally was sent.
+	confirmed float64
+	others    float64 // use of the other nodes a second
 	// demand is what clients of all nodes ask for a second.
 	demand float64
 	at     time.Time
@@ -150,7 +152,7 @@
 	defer l.mu.Unlock()
 	for name, u := range l.accounts {
 		u.told = u.used
-		t.Use = append(t.Use, wire.AccountUse{Account: name, Cost: u.used, Asked: u.asked, Level: u.bucket.Level, Known: !u.at.IsZero()})
+		t.Use = append(t.Use, wire.AccountUse{Account: name, Cost: u.used, Asked: u.asked, Level: u.bucket.Level, Untold: u.used - u.confirmed, Known: !u.at.IsZero()})
 	}
 	for number, counts := range l.windows {
 		for account, n := range counts {
@@ -171,5 +173,6 @@
 		u := l.account(level.Account)
 		u.bucket = traffic.Bucket{Level: level.Level - (u.used - u.told), At: now}
 		u.others, u.demand, u.at = level.Rate, level.Asked, now
+		u.confirmed = u.told
 	}
 }
--- a/internal/gateway/ledger_test.go
+++ b/internal/gateway/ledger_test.go
@@ -71,6 +71,30 @@
 	}
 }
 
+// Guards against use that no leader counts: a tally without an answer may be lost.
+func TestUnansweredTalliesAreToldAgain(t *testing.T) {
+	l := newLedger(0)
+	now := time.Unix(1000, 0)
+	account := &traffic.Account{Name: "a", Rate: 1000, Burst: 1000}
+	untold := func() float64 {
+		var tally wire.UseTally
+		l.tally(&tally)
+		return tally.Use[0].Untold
+	}
+	l.learn(now, 2, wire.UseTotals{Levels: []wire.AccountLevel{{Account: "a", Level: 1000}}})
+	l.take(now, account, 100, 0)
+	for range 2 {
+		if got, want := untold(), 100.0; got != want {
+			t.Errorf("without an answer: got %.0f untold, want %.0f", got, want)
+		}
+	}
+	l.take(now, account, 50, 0)
+	l.learn(now, 2, wire.UseTotals{Levels: []wire.AccountLevel{{Account: "a", Level: 900}}})
+	if got, want := untold(), 50.0; got != want {
+		t.Errorf("after the answer: got %.0f untold, want %.0f", got, want)
+	}
+}
+
 // tallies plays the exchange with the leader for the nodes whose turn it is.
 func tallies(now time.Time, ms int, ledgers []*ledger, leader *traffic.Bucket, told, rates, asks, demands []float64, rate, burst float64) {
 	interval := int(tallyInterval.Milliseconds())
--- a/pkg/wire/traffic.go
+++ b/pkg/wire/traffic.go
@@ -33,6 +33,10 @@
 
 	// The node's estimate of what the account may still use over all nodes.
 	Level float64 `json:"level,omitempty,omitzero"`
+
+	// The part of the cost that no leader has confirmed so far; the level is without
+	// it.
+	Untold float64 `json:"untold,omitempty,omitzero"`
 }
 
 // Current is the leader's answer to a question for the newest version of the key
