Have the soak cut a node off while a key is revoked

A node has to be silent from before a revocation until four seconds after it, which the drawn faults seldom do.

--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -30,6 +30,12 @@
 	upstreams = 4
 	// recoverTime is how long after the last fault the deployment has to serve again.
 	recoverTime = 8 * time.Second
+	// longestCut covers two changes of the plan and the time until the second key's
+	// removal is in force.
+	longestCut = 16 * time.Second
+	// afterRevoked is how long requests with the removed key reach the node that was cut
+	// off; clients send it about fifteen a second.
+	afterRevoked = 400 * time.Millisecond
 	// leastServed is the part of the requests with a lasting key that is answered then.
 	leastServed = 0.9
 )
@@ -167,6 +173,8 @@
 				b.mu.Lock()
 				list[0].leaving = true
 				b.mu.Unlock()
+			case rng.IntN(4) == 0:
+				b.cutThroughRevocation(ctx, w, voters+rng.IntN(entries))
 			case rng.IntN(3) == 0:
 				u.path.set([]mode{delayed, silent, refused, oneWay}[rng.IntN(4)])
 				time.Sleep(time.Second)
@@ -179,6 +187,23 @@
 	series.Wait()
 }
 
+// cutThroughRevocation keeps a VM from hearing that a key is taken away, until after it
+// has to refuse the key all the same.
+func (b *book) cutThroughRevocation(ctx context.Context, w *world, i int) {
+	since := time.Now()
+	w.cut(i, silent)
+	defer w.cut(i, pass)
+	for ctx.Err() == nil && time.Since(since) < longestCut {
+		b.mu.Lock()
+		revoked := b.revoked
+		b.mu.Unlock()
+		if revoked.After(since) && time.Since(revoked) > revokeTime+afterRevoked {
+			return
+		}
+		sleep(ctx, 50*time.Millisecond)
+	}
+}
+
 // share returns the part of the requests that are answered during a time.
 func (b *book) share(d time.Duration) float64 {
 	count := func() (int, int) {
