Log what a limit's refusal rests on

Whether the account's limit was used up could not be read from the logs. Measured: the account has 124,608 tokens a second and asks for 500,000 to 800,000; what is left stays below the burst in all of those seconds, so no refill is lost. Accepted: 118,000 a second, the rest is the higher level at the end. Totals are at most 0.3 s old. Conclusion: the limit is used fully; what is refused there is the account's excess.

--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -192,11 +192,12 @@
 	if c.account == nil || c.account.Rate <= 0 {
 		return nil
 	}
-	wait, ok := c.g.ledger.take(time.Now(), c.account, c.cost, draw(c.id, "limit"))
-	if ok {
+	s := c.g.ledger.take(time.Now(), c.account, c.cost, draw(c.id, "limit"))
+	if s.accepted {
 		return nil
 	}
-	return refusal(http.StatusTooManyRequests, verdict.CodeAccountLimit, wait, "the client account has used up its limit")
+	c.limited = &s
+	return refusal(http.StatusTooManyRequests, verdict.CodeAccountLimit, s.wait, "the client account has used up its limit")
 }
 
 // forwarded returns the headers that go to an upstream.
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -28,6 +28,9 @@
 	prompt  placement.Request
 	cost    float64 // what the account is charged
 
+	// limited is why the account's limit refused the call; nil when it did not.
+	limited *spending
+
 	// sent counts the upstreams that the call was sent to.
 	sent int
 	// ran is the verdict of the last attempt that may have run; nil when none may.
--- a/internal/gateway/ledger.go
+++ b/internal/gateway/ledger.go
@@ -56,29 +56,43 @@
 	}
 }
 
-// take spends from an account's limit. When it is used up, it returns how long the
-// client should wait. The draw in [0, 1) decides which requests are accepted while all
-// nodes together would accept too many.
-func (l *ledger) take(now time.Time, a *traffic.Account, cost, draw float64) (time.Duration, bool) {
+// spending is a decision about an account's limit with what it rests on.
+type spending struct {
+	accepted bool
+	wait     time.Duration // until the client should come back, when refused
+	level    float64       // what was left, in the units of the limit
+	others   float64       // use of the other nodes a second
+	demand   float64       // what clients of all nodes ask for a second
+	age      time.Duration // of the leader's totals
+	known    bool          // the totals are recent enough; otherwise an even share counts
+}
+
+// take spends from an account's limit. The draw in [0, 1) decides which requests are
+// accepted while all nodes together would accept too many.
+func (l *ledger) take(now time.Time, a *traffic.Account, cost, draw float64) spending {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	u := l.account(a.Name)
 	rate, burst := a.Rate-u.others, a.Burst
 	u.asked += cost
 	known := !u.at.IsZero() && now.Sub(u.at) <= totalsLife
+	s := spending{others: u.others, demand: u.demand, age: now.Sub(u.at), known: known}
 	if !known {
 		rate, burst = a.Rate/float64(l.nodes), a.Burst/float64(l.nodes)
 	}
 	rate = max(rate, a.Rate/float64(l.nodes)/2)
 	u.bucket.Refill(now, rate, burst)
-	if known && draw > u.chance(burst, cost) {
-		return longestTally + time.Duration(draw*float64(longestTally)), false
-	}
-	if !u.bucket.Take(now, rate, burst, cost) {
-		return min(u.bucket.Wait(rate, burst, cost), longestWait), false
+	s.level = u.bucket.Level
+	switch {
+	case known && draw > u.chance(burst, cost):
+		s.wait = longestTally + time.Duration(draw*float64(longestTally))
+	case !u.bucket.Take(now, rate, burst, cost):
+		s.wait = min(u.bucket.Wait(rate, burst, cost), longestWait)
+	default:
+		s.accepted = true
+		u.used += cost
 	}
-	u.used += cost
-	return 0, true
+	return s
 }
 
 // chance is the part of the requests that all nodes may accept until they hear the next
--- a/internal/gateway/ledger_test.go
+++ b/internal/gateway/ledger_test.go
@@ -47,7 +47,7 @@
 					continue
 				}
 				asked += c.cost
-				if _, ok := ledgers[i].take(now, account, c.cost, rng.Float64()); ok {
+				if ledgers[i].take(now, account, c.cost, rng.Float64()).accepted {
 					used += c.cost
 				}
 			}
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -31,6 +31,13 @@
 		fields["first_ms"] = millis(c.first.Sub(c.start))
 		c.g.Metrics.record(c.accountName(), route, "first", c.first.Sub(c.start))
 	}
+	if s := c.limited; s != nil {
+		fields["limit_rate"], fields["limit_burst"], fields["limit_left"] = c.account.Rate, c.account.Burst, s.level
+		fields["limit_others"], fields["limit_demand"], fields["limit_known"] = s.others, s.demand, s.known
+		if s.known {
+			fields["limit_age_ms"] = millis(s.age)
+		}
+	}
 	if c.upstream != "" {
 		fields["expected_ms"], fields["held"] = millis(c.expected), c.held
 	}
