--- a/cmd/jaystage-platform/main.go
+++ b/cmd/jaystage-platform/main.go
@@ -10,5 +10,5 @@
 )
 
 func main() {
-	os.Exit(platform.Main(context.Background(), os.Stdout, os.Stderr))
+	os.Exit(platform.Main(context.Background(), os.Args[1:], os.Stdout, os.Stderr))
 }
