Add up the totals of all nodes once for the tallies of a moment

Cause: the leader added up rates, demands and open requests of all nodes for each tally of each node: work that grows with the square of the nodes. Change: the sums are kept for 50 ms, with what each node has in them, which is subtracted in its answer. TestTotalsAreThoseOfTheOtherNodes holds before and after.

--- a/internal/control/ledger.go
+++ b/internal/control/ledger.go
@@ -12,6 +12,9 @@
 const (
 	// tallyLife is how long a node's open requests count after its last tally.
 	tallyLife = 1500 * time.Millisecond
+	// sumsAge is how long totals over all nodes are used again. They rest on tallies
+	// that are up to 300 ms old.
+	sumsAge = 50 * time.Millisecond
 	// rateHalf smooths the rate at which a node uses an account's limit.
 	rateHalf = 500 * time.Millisecond
 	// startLevel is the part of an account's burst that a new leader grants at most.
@@ -31,6 +34,8 @@
 	// untold is what nodes used of each account between their last answer from the
 	// leader before and their first tally to this one.
 	untold map[string]float64
+	sums   sums // of all nodes that told something lately
+	added  time.Time
 }
 
 type nodeKey struct {
@@ -46,6 +51,7 @@
 	asked    map[string]float64
 	demands  map[string]float64 // asked a second
 	open     []wire.UpstreamUse
+	counted  sums // what the totals hold of this node
 	windows  map[uint64]map[string]uint64
 	versions []wire.VersionUse
 }
@@ -53,7 +59,7 @@
 func newLedger() *ledger { return &ledger{} }
 
 func (l *ledger) reset(now time.Time, term uint64) {
-	l.term, l.since = term, now
+	l.term, l.since, l.added, l.sums = term, now, time.Time{}, newSums()
 	l.nodes, l.levels, l.untold = make(map[nodeKey]*nodeUse), make(map[string]*traffic.Bucket), make(map[string]float64)
 }
 
@@ -76,36 +82,78 @@
 	key := nodeKey{t.Node, t.Process}
 	n, known := l.nodes[key]
 	if !known {
-		n = &nodeUse{used: make(map[string]float64), rates: make(map[string]float64), asked: make(map[string]float64), demands: make(map[string]float64), windows: make(map[uint64]map[string]uint64)}
+		n = &nodeUse{counted: newSums(), used: make(map[string]float64), rates: make(map[string]float64), asked: make(map[string]float64), demands: make(map[string]float64), windows: make(map[uint64]map[string]uint64)}
 		l.nodes[key] = n
 	}
 	if t.Sequence > n.sequence {
 		l.record(now, plan, n, known, t)
 	}
+	l.add(now)
 	totals := wire.UseTotals{Time: uint64(now.UnixMilli())}
 	if plan != nil {
 		for i := range plan.Accounts {
 			if a := &plan.Accounts[i]; a.Rate > 0 {
 				level := l.level(now, a)
-				totals.Levels = append(totals.Levels, wire.AccountLevel{Account: a.Name, Level: level.Level, Rate: l.othersRate(now, key, a.Name), Asked: l.demand(now, a.Name)})
+				totals.Levels = append(totals.Levels, wire.AccountLevel{
+					Account: a.Name, Level: level.Level, Rate: max(0, l.sums.rates[a.Name]-n.counted.rates[a.Name]), Asked: l.sums.demands[a.Name],
+				})
 			}
 		}
 	}
-	open := make(map[string]wire.UpstreamUse)
-	for other, use := range l.nodes {
-		if other.name != t.Node && now.Sub(use.at) < tallyLife {
-			for _, o := range use.open {
-				sum := open[o.Upstream]
-				sum.Open, sum.Pending = sum.Open+o.Open, sum.Pending+o.Pending
-				open[o.Upstream] = sum
+	totals.Open = l.othersOpen(n)
+	return totals
+}
+
+// sums are totals over all nodes, or what one node has in them.
+type sums struct {
+	rates   map[string]float64 // use a second, by account
+	demands map[string]float64 // asked a second, by account
+	open    map[string]wire.UpstreamUse
+}
+
+func newSums() sums {
+	return sums{rates: make(map[string]float64), demands: make(map[string]float64), open: make(map[string]wire.UpstreamUse)}
+}
+
+// add brings the totals up to date, unless that was done a moment ago: each of some
+// hundred nodes asks for them several times a second.
+func (l *ledger) add(now time.Time) {
+	if now.Sub(l.added) < sumsAge {
+		return
+	}
+	l.added, l.sums = now, newSums()
+	for _, n := range l.nodes {
+		n.counted = newSums()
+		if now.Sub(n.at) >= tallyLife {
+			continue
+		}
+		for _, part := range []sums{n.counted, l.sums} {
+			for account, rate := range n.rates {
+				part.rates[account] += rate
+			}
+			for account, demand := range n.demands {
+				part.demands[account] += demand
+			}
+			for _, o := range n.open {
+				sum := part.open[o.Upstream]
+				sum.Upstream, sum.Open, sum.Pending = o.Upstream, sum.Open+o.Open, sum.Pending+o.Pending
+				part.open[o.Upstream] = sum
 			}
 		}
 	}
-	for id, sum := range open {
-		sum.Upstream = id
-		totals.Open = append(totals.Open, sum)
+}
+
+// othersOpen lists the open requests of all nodes but one.
+func (l *ledger) othersOpen(n *nodeUse) []wire.UpstreamUse {
+	list := make([]wire.UpstreamUse, 0, len(l.sums.open))
+	for id, sum := range l.sums.open {
+		own := n.counted.open[id]
+		sum.Open, sum.Pending = sum.Open-own.Open, sum.Pending-own.Pending
+		if sum.Open > 0 {
+			list = append(list, sum)
+		}
 	}
-	return totals
+	return list
 }
 
 func (l *ledger) record(now time.Time, plan *traffic.Plan, n *nodeUse, known bool, t wire.UseTally) {
@@ -165,27 +213,6 @@
 	return b
 }
 
-func (l *ledger) othersRate(now time.Time, self nodeKey, account string) float64 {
-	sum := 0.0
-	for key, n := range l.nodes {
-		if key.name != self.name && now.Sub(n.at) < tallyLife {
-			sum += n.rates[account]
-		}
-	}
-	return sum
-}
-
-// demand is what clients of all nodes ask of an account's limit a second.
-func (l *ledger) demand(now time.Time, account string) float64 {
-	sum := 0.0
-	for _, n := range l.nodes {
-		if now.Sub(n.at) < tallyLife {
-			sum += n.demands[account]
-		}
-	}
-	return sum
-}
-
 // settle returns the count of a window over all nodes, once this leader has heard
 // from the nodes for long enough.
 func (l *ledger) settle(now time.Time, term, window uint64) (config.Usage, bool) {
