Give up a connection to an upstream after 0.2 s

Change: 0.2 s. Nothing has been sent by then, so bookings go elsewhere too. Measured: TestUpstreamThatAnswersNoConnectionIsLeftSoon takes 0.71 s with the former limit.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -10,6 +11,8 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"github.com/jaystage/jaystage/internal/config"
 	"github.com/jaystage/jaystage/pkg/wire"
 )
@@ -115,6 +118,50 @@
 	}
 }
 
+// deaf returns an address that answers no connection, as behind a link that loses
+// packets.
+func deaf(t *testing.T) string {
+	t.Helper()
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = unix.Close(fd) })
+	if err := errors.Join(unix.Bind(fd, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}), unix.Listen(fd, 0)); err != nil {
+		t.Fatal(err)
+	}
+	name, err := unix.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := fmt.Sprintf("127.0.0.1:%d", name.(*unix.SockaddrInet4).Port)
+	for range 20 {
+		c, err := net.DialTimeout("tcp", address, 50*time.Millisecond)
+		if err != nil {
+			return address
+		}
+		t.Cleanup(func() { _ = c.Close() })
+	}
+	t.Fatal("the socket takes all connections")
+	return ""
+}
+
+// Load pattern: packets pass one way only. Guards against requests that wait for a
+// connection until their objective has passed; none has been sent, so that bookings go
+// elsewhere too.
+func TestUpstreamThatAnswersNoConnectionIsLeftSoon(t *testing.T) {
+	d := newDesk(t, newStand(t, sound("x")))
+	d.gateway.Learn(time.Now(), []wire.Status{{ID: "deaf", Service: "s", Address: deaf(t), Domain: "a", Slots: 4, Born: 1, Sequence: 1}})
+	const target = 600 * time.Millisecond // most objectives of streams in use are 500 ms and more
+	start := time.Now()
+	for i := range 6 {
+		wantStatus(t, d.call("POST", "/book/", "x", "X-Attempt", fmt.Sprint("a", i)), 200)
+	}
+	if got := time.Since(start); got > target {
+		t.Errorf("got six answers after %v, want them within %v: one attempt finds out", got, target)
+	}
+}
+
 // Guards against a booking that runs twice: whatever the upstream does after it may
 // have begun, the booking is not sent again and not refused as not run.
 func TestBookingThatMayHaveRunIsNotSentAgain(t *testing.T) {
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -15,9 +15,10 @@
 )
 
 const (
-	// dialTimeout bounds the opening of a connection: within a region it takes a few
-	// milliseconds, and a lost first packet is sent again after a second.
-	dialTimeout = 700 * time.Millisecond
+	// dialTimeout bounds the opening of a connection: it takes a few milliseconds within
+	// a region and some ten between regions. A lost first packet is sent again only
+	// after a second, and nothing has been sent yet, so another upstream is sooner.
+	dialTimeout = 200 * time.Millisecond
 	// idleLimit is how long a connection is kept without use when the upstream names
 	// no limit; keepShare is the part of a named limit that is used, so that the
 	// upstream does not close the connection as a request is on its way.
@@ -96,6 +97,19 @@
 	return len(p.idle[address]) > 0
 }
 
+// addresses lists those to which idle connections are kept.
+func (p *pool) addresses() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := make([]string, 0, len(p.idle))
+	for address, conns := range p.idle {
+		if len(conns) > 0 {
+			list = append(list, address)
+		}
+	}
+	return list
+}
+
 // put keeps a connection for the next request, unless bytes have come that belong to
 // no request.
 func (p *pool) put(address string, k *conn) {
