Keep lists of candidates instead of building one for each request

Each request listed and sorted all upstreams and hashed the session with each name; each report looked at all addresses. Change: upstreams are found by address; a list of candidates is used for 50 ms unless the state or the upstreams change; names are hashed once; only the compared candidates are looked at; the list of entry nodes is read once for each version of the state.

--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -75,16 +75,15 @@
 func (f *fleet) choose(now time.Time, c *call, view *config.View) (choice, <-chan struct{}, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	candidates := f.candidates(now, c, view)
-	if len(candidates) == 0 {
-		c.candidates, c.bars = 0, nil
+	among := f.candidates(now, c, view)
+	c.candidates, c.bars = len(among.list), nil
+	if len(among.list) == 0 {
 		return choice{}, f.freed, false
 	}
-	limits := f.limits(c, view, candidates[0])
-	best, ok := placement.Choose(now, c.prompt, limits, candidates)
-	c.candidates, c.bars = len(candidates), nil
+	limits := f.limits(c, view, among)
+	best, ok := placement.Choose(now, c.prompt, limits, among.list)
 	if !ok {
-		c.bars = placement.Bars(now, c.prompt, limits, candidates)
+		c.bars = placement.Bars(now, c.prompt, limits, among.list)
 		return choice{}, f.freed, false
 	}
 	best.Take(now, limits)
@@ -101,5 +100,5 @@
 	f := c.g.fleet
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.budget(c.service.Name, len(nodes(view))).Again(now)
+	return f.budget(c.service.Name, len(f.nodes(view))).Again(now)
 }
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -108,7 +108,7 @@
 		return
 	}
 	view, _ := e.Gateway.State.View(now)
-	e.Gateway.ledger.learn(now, len(nodes(view)), reply)
+	e.Gateway.ledger.learn(now, e.Gateway.fleet.count(view), reply)
 	e.Gateway.fleet.learnOthers(now, reply.Open)
 }
 
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -32,6 +33,11 @@
 
 	mu      sync.Mutex
 	ups     map[string]*unit
+	holders map[string]*unit // by address
+	lists   map[listKey]*candidates
+	// view and members are the view that the node list was last read from, and the list.
+	view    *config.View
+	members []string
 	budgets map[string]*traffic.Budget // by service
 	// heard is when any status arrived last. While none arrives, no upstream counts as
 	// silent: the node itself may be cut off.
@@ -46,14 +52,15 @@
 // unit is one start of an upstream.
 type unit struct {
 	placement.Upstream
-	seen     time.Time // last status
-	answered time.Time // last answer
-	warmed   time.Time // when a status last said that it is warm
+	list     *candidates // that holds the unit
+	seen     time.Time   // last status
+	answered time.Time   // last answer
+	warmed   time.Time   // when a status last said that it is warm
 }
 
 func newFleet(g *Gateway) *fleet {
 	return &fleet{
-		g: g, roster: roster.New(), ups: make(map[string]*unit), budgets: make(map[string]*traffic.Budget),
+		g: g, roster: roster.New(), ups: make(map[string]*unit), holders: make(map[string]*unit), lists: make(map[listKey]*candidates), budgets: make(map[string]*traffic.Budget),
 		freed: make(chan struct{}), returned: make(map[string]time.Time), drained: make(map[string]bool),
 	}
 }
@@ -85,10 +92,8 @@
 	if change == roster.Outdated {
 		return
 	}
-	for id, u := range f.ups {
-		if u.Address == s.Address && id != s.ID && u.Born <= int64(s.Born) {
-			delete(f.ups, id)
-		}
+	if holder := f.holders[s.Address]; holder != nil && holder.Address == s.Address && holder.ID != s.ID && holder.Born <= int64(s.Born) {
+		f.remove(holder)
 	}
 	u := f.ups[s.ID]
 	switch {
@@ -96,14 +101,21 @@
 		if u != nil {
 			u.Leaving = true
 			if u.Open == 0 {
-				delete(f.ups, s.ID)
+				f.remove(u)
 			}
 		}
 		return
 	case u == nil || u.Born != int64(s.Born):
 		u = &unit{Upstream: placement.Upstream{ID: s.ID, Born: int64(s.Born)}}
 		f.ups[s.ID] = u
+		clear(f.lists)
+	case u.Service != s.Service || u.Version != s.Version || u.Domain != s.Domain:
+		clear(f.lists)
+	}
+	if u.Address != s.Address && f.holders[u.Address] == u {
+		delete(f.holders, u.Address)
 	}
+	f.holders[s.Address] = u
 	u.Address, u.Domain, u.Service, u.Version = s.Address, s.Domain, s.Service, s.Version
 	u.Slots, u.seen = int(s.Slots), now
 	u.Leaving = u.Leaving || s.Leaving
@@ -114,65 +126,113 @@
 	}
 }
 
-// nodes lists the entry nodes of a view.
-func nodes(view *config.View) []string {
-	var list []string
+// remove forgets a unit. The fleet's lock must be held.
+func (f *fleet) remove(u *unit) {
+	if f.ups[u.ID] == u {
+		delete(f.ups, u.ID)
+	}
+	if f.holders[u.Address] == u {
+		delete(f.holders, u.Address)
+	}
+	clear(f.lists)
+}
+
+// nodes lists the entry nodes of a view. The fleet's lock must be held.
+func (f *fleet) nodes(view *config.View) []string {
+	if f.view == view && view != nil {
+		return f.members
+	}
+	f.view, f.members = view, nil
 	for _, n := range view.SortedNodes() {
 		if !n.Voter {
-			list = append(list, n.Name)
+			f.members = append(f.members, n.Name)
 		}
 	}
-	return list
+	return f.members
+}
+
+// count returns the number of entry nodes of a view.
+func (f *fleet) count(view *config.View) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.nodes(view))
+}
+
+// listAge is how long a list of candidates is used again: whether an upstream reports
+// shows over seconds.
+const listAge = 50 * time.Millisecond
+
+// listKey tells lists of candidates apart: requests of one service may go to different
+// versions while its traffic moves.
+type listKey struct {
+	service string
+	next    bool // the version that the traffic moves to
+}
+
+// candidates is a list of upstreams that may get new requests.
+type candidates struct {
+	view *config.View
+	at   time.Time
+	list []*placement.Upstream
 }
 
 // candidates lists the upstreams of a call's service that may get new requests. The
 // fleet's lock must be held.
-func (f *fleet) candidates(now time.Time, c *call, view *config.View) []*placement.Upstream {
+func (f *fleet) candidates(now time.Time, c *call, view *config.View) *candidates {
+	next, admits := versions(view, c)
+	key := listKey{c.service.Name, next}
+	if l := f.lists[key]; l != nil && l.view == view && now.Sub(l.at) < listAge {
+		return l
+	}
 	f.followDrains(now, view, c.service)
-	admits := versions(view, c)
-	stale := silentBeats * f.g.Bounds.Heartbeat
-	var list []*placement.Upstream
+	l := &candidates{view: view, at: now}
+	f.lists[key] = l
 	for _, u := range f.ups {
-		if u.Service != c.service.Name {
-			continue
-		}
-		if _, drained := view.DrainedDomains[u.Domain]; drained {
-			continue
-		}
-		if !admits(u.Version) {
-			continue
+		if u.Service == c.service.Name && admits(u.Version) && !f.out(now, view, u) {
+			u.list = l
+			l.list = append(l.list, &u.Upstream)
 		}
-		if d, drained := view.DrainedUpstreams[u.ID]; drained && (d.Born == 0 || u.Born <= d.Born) {
-			continue
-		}
-		if stale > 0 && now.Sub(u.seen) > stale && now.Sub(u.answered) > heardAnswers && now.Sub(f.heard) < f.g.Bounds.Heartbeat {
-			continue
-		}
-		list = append(list, &u.Upstream)
 	}
-	slices.SortFunc(list, func(a, b *placement.Upstream) int {
-		if a.ID < b.ID {
-			return -1
+	slices.SortFunc(l.list, func(a, b *placement.Upstream) int { return strings.Compare(a.ID, b.ID) })
+	return l
+}
+
+// out tells whether an upstream is drained or has fallen silent.
+func (f *fleet) out(now time.Time, view *config.View, u *unit) bool {
+	if _, drained := view.DrainedDomains[u.Domain]; drained {
+		return true
+	}
+	if d, drained := view.DrainedUpstreams[u.ID]; drained && (d.Born == 0 || u.Born <= d.Born) {
+		return true
+	}
+	stale := silentBeats * f.g.Bounds.Heartbeat
+	return stale > 0 && now.Sub(u.seen) > stale && now.Sub(u.answered) > heardAnswers && now.Sub(f.heard) < f.g.Bounds.Heartbeat
+}
+
+// linked lists the members of a list to which the node keeps a connection.
+func (f *fleet) linked(l *candidates) []*placement.Upstream {
+	var list []*placement.Upstream
+	for _, address := range f.g.pool.addresses() {
+		if u := f.holders[address]; u != nil && u.list == l {
+			list = append(list, &u.Upstream)
 		}
-		return 1
-	})
+	}
 	return list
 }
 
 // versions tells which versions of its service may serve a call while the service's
-// traffic moves to a new version, and after a move.
-func versions(view *config.View, c *call) func(version string) bool {
+// traffic moves to a new version, and after a move; next is true for the new one.
+func versions(view *config.View, c *call) (next bool, admits func(version string) bool) {
 	move, ok := view.Moves[c.service.Name]
 	switch {
 	case !ok:
-		return func(string) bool { return true }
+		return false, func(string) bool { return true }
 	case move.Phase == config.MoveDone:
-		return func(version string) bool { return version == move.Target }
-	case move.Phase == config.MoveUndone:
-		return func(version string) bool { return version != move.Target }
+		next = true
+	case move.Phase != config.MoveUndone:
+		next = draw(c.id, "move") < move.Share && c.sent == 0 || move.Share >= 1
 	}
-	next := draw(c.id, "move") < move.Share && c.sent == 0
-	return func(version string) bool { return (version == move.Target) == (next || move.Share >= 1) }
+	return next, func(version string) bool { return (version == move.Target) == next }
 }
 
 // followDrains notes which failure domains came back from a drain: their upstreams
@@ -202,12 +262,14 @@
 	}
 }
 
-// limits returns the limits of a call's service as this node keeps them.
-func (f *fleet) limits(c *call, view *config.View, u *placement.Upstream) placement.Limits {
-	l := placement.Limits{Self: f.g.Self, Domain: f.g.Domain, Nodes: nodes(view), ColdRate: c.service.ColdRate, Connected: f.g.pool.has}
-	if u == nil {
-		return l
+// limits returns the limits of a call's service as this node keeps them, for a list
+// that is not empty.
+func (f *fleet) limits(c *call, view *config.View, among *candidates) placement.Limits {
+	l := placement.Limits{
+		Self: f.g.Self, Domain: f.g.Domain, Nodes: f.nodes(view), ColdRate: c.service.ColdRate,
+		Connected: f.g.pool.has, Linked: f.linked(among),
 	}
+	u := among.list[0]
 	if c.service.Engine != nil {
 		l.Queue = int(float64(u.Slots) * queueEngine)
 	} else {
--- /dev/null
+++ b/internal/gateway/scale_test.go
@@ -0,0 +1,58 @@
+package gateway
+
+import (
+	"fmt"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/jaystage/jaystage/pkg/placement"
+	"github.com/jaystage/jaystage/pkg/traffic"
+	"github.com/jaystage/jaystage/pkg/wire"
+)
+
+// manyStatuses returns a status of each of some upstreams.
+func manyStatuses(n int, sequence uint64) []wire.Status {
+	var list []wire.Status
+	for i := range n {
+		list = append(list, wire.Status{
+			ID: fmt.Sprintf("i-%010d", i), Service: "s", Address: fmt.Sprintf("10.0.%d.%d:8000", i/250, i%250), Domain: fmt.Sprint("d", i%5),
+			Version: "v1", Slots: 12, Born: 1, Sequence: sequence,
+		})
+	}
+	return list
+}
+
+// BenchmarkLearn measures what a node does with one status of each upstream.
+func BenchmarkLearn(b *testing.B) {
+	for _, n := range []int{150, 1000, 3000} {
+		b.Run(fmt.Sprint(n, " upstreams"), func(b *testing.B) {
+			d := newDesk(&testing.T{})
+			sequence := uint64(0)
+			for b.Loop() {
+				sequence++
+				d.gateway.Learn(time.Now(), manyStatuses(n, sequence))
+			}
+		})
+	}
+}
+
+// BenchmarkChoose measures one choice of an upstream for a prompt of a session.
+func BenchmarkChoose(b *testing.B) {
+	for _, n := range []int{150, 1000, 3000} {
+		b.Run(fmt.Sprint(n, " upstreams"), func(b *testing.B) {
+			d := newDesk(&testing.T{})
+			d.gateway.Learn(time.Now(), manyStatuses(n, 1))
+			c := &call{g: d.gateway, r: httptest.NewRequest("POST", "/", nil), route: &traffic.Route{}, service: &traffic.Service{Name: "s", Engine: &traffic.Engine{}}}
+			c.prompt = placement.Request{ID: "x", Prompt: 6000, Parts: []placement.Part{{ID: "session", Tokens: 5000}, {ID: "own", Tokens: 1000}}}
+			for b.Loop() {
+				got, _, ok := d.gateway.fleet.choose(time.Now(), c, d.state.view)
+				if !ok {
+					b.Fatal("no upstream")
+				}
+				got.unit.Ended()
+				got.unit.Began(got.tokens)
+			}
+		})
+	}
+}
--- a/pkg/placement/choose.go
+++ b/pkg/placement/choose.go
@@ -2,7 +2,7 @@
 
 import (
 	"math"
-	"strconv"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -95,6 +95,8 @@
 	// Connected tells whether the node keeps an idle connection to an address; nil if
 	// connections cost nothing.
 	Connected func(address string) bool
+	// Linked lists the candidates to which it does.
+	Linked []*Upstream
 }
 
 // Choice is the upstream of a request and what is expected there.
@@ -112,52 +114,52 @@
 // get the request now.
 func Choose(now time.Time, r Request, l Limits, candidates []*Upstream) (Choice, bool) {
 	held := r.held(now, l, candidates)
-	tried := l.sample(r.ID, candidates)
-	best, bestCost := (*Upstream)(nil), math.Inf(1)
-	for _, u := range candidates {
-		if u.bar(now, r, l) != "" || held[u] == 0 && tried != nil && !tried[u] {
+	short := l.shortlist(r.ID, candidates, held)
+	best, bestCost, bestHeld := (*Upstream)(nil), math.Inf(1), 0.0
+	for _, u := range short {
+		if u.bar(now, r, l) != "" {
 			continue
 		}
-		if cost := u.cost(now, r, l, held[u]); cost < bestCost {
-			best, bestCost = u, cost
+		if cost := u.cost(now, r, l, held.part(u)); cost < bestCost {
+			best, bestCost, bestHeld = u, cost, held.part(u)
 		}
 	}
-	if best == nil && tried != nil {
-		l.Sample = len(candidates) // none of the drawn ones could take it
+	switch {
+	case best != nil:
+		return Choice{best, time.Duration(bestCost * float64(time.Millisecond)), bestHeld, int(r.unread(bestHeld))}, true
+	case len(short) < len(candidates):
+		l.Sample = len(candidates) // none of the compared ones could take it
 		return Choose(now, r, l, candidates)
 	}
-	if best == nil {
-		return Choice{}, false
-	}
-	return Choice{best, time.Duration(bestCost * float64(time.Millisecond)), held[best], int(r.unread(held[best]))}, true
+	return Choice{}, false
 }
 
-// sample draws the candidates that a request compares; nil for all.
-func (l Limits) sample(id string, candidates []*Upstream) map[*Upstream]bool {
+// shortlist returns the candidates that a request compares: those that hold its shared
+// parts, some drawn ones, and some drawn from those with a connection.
+func (l Limits) shortlist(id string, candidates []*Upstream, held homes) []*Upstream {
 	n := l.Sample
 	if n == 0 {
 		n = sampled
 	}
 	if len(candidates) <= n {
-		return nil
-	}
-	drawn := make(map[*Upstream]bool, n+sampledConnected)
-	for i := 0; len(drawn) < n; i++ {
-		drawn[candidates[int(fraction(id+strconv.Itoa(i))*float64(len(candidates)))]] = true
-	}
-	if l.Connected == nil {
-		return drawn
+		return candidates
 	}
-	var connected []*Upstream
-	for _, u := range candidates {
-		if l.Connected(u.Address) {
-			connected = append(connected, u)
+	short := make([]*Upstream, 0, n+sampledConnected+2)
+	add := func(u *Upstream) {
+		if u != nil && !slices.Contains(short, u) {
+			short = append(short, u)
 		}
 	}
-	for i := range min(sampledConnected, len(connected)) {
-		drawn[connected[int(fraction(id+"/"+strconv.Itoa(i))*float64(len(connected)))]] = true
+	seed := xxhash.Sum64String(id)
+	for i := uint64(0); len(short) < n; i++ {
+		add(candidates[mix(seed+i)%uint64(len(candidates))])
+	}
+	add(held.first)
+	add(held.second)
+	for i := range uint64(min(sampledConnected, len(l.Linked))) {
+		add(l.Linked[mix(^seed+i)%uint64(len(l.Linked))])
 	}
-	return drawn
+	return short
 }
 
 // Reasons for which an upstream cannot get a request now.
@@ -176,7 +178,7 @@
 		return BarLeaving
 	case u.Banned(now):
 		return BarBanned
-	case contains(r.Tried, u.ID):
+	case slices.Contains(r.Tried, u.ID):
 		return BarTried
 	case u.Load(now) >= u.Slots+l.Queue:
 		return BarFull
@@ -231,47 +233,65 @@
 	return cost + jitter*fraction(r.ID+u.ID)
 }
 
-// held returns the upstreams that most likely hold the session's part of the prompt,
-// with the part of it that they hold: the first ones in an order that all nodes agree
-// on without telling each other.
-func (r Request) held(now time.Time, l Limits, candidates []*Upstream) map[*Upstream]float64 {
+// homes are the upstreams that most likely hold a session's part of the prompt.
+type homes struct{ first, second *Upstream }
+
+// part returns the part of the shared prompt that an upstream holds.
+func (h homes) part(u *Upstream) float64 {
+	switch u {
+	case h.first:
+		return 1
+	case h.second:
+		return secondHome
+	}
+	return 0
+}
+
+// held returns the homes of the request's session: the first ones in an order that all
+// nodes agree on without telling each other.
+func (r Request) held(now time.Time, l Limits, candidates []*Upstream) homes {
 	_, session := r.Shared()
 	if session == "" {
-		return nil
+		return homes{}
 	}
-	var first, second *Upstream
+	var h homes
 	var top, next uint64
+	key := xxhash.Sum64String(session)
 	for _, u := range candidates {
 		if !u.Usable(now) {
 			continue
 		}
-		switch h := xxhash.Sum64String(session + "\x00" + u.ID); {
-		case first == nil || h > top:
-			first, second, top, next = u, first, h, top
-		case second == nil || h > next:
-			second, next = u, h
+		switch rank := mix(key ^ u.hash()); {
+		case h.first == nil || rank > top:
+			h.first, h.second, top, next = u, h.first, rank, top
+		case h.second == nil || rank > next:
+			h.second, next = u, rank
 		}
 	}
-	list := map[*Upstream]float64{}
-	if first != nil {
-		list[first] = 1
+	if l.OneHome {
+		h.second = nil
 	}
-	if second != nil && !l.OneHome {
-		list[second] = secondHome
+	return h
+}
+
+// hash returns a number that stands for the upstream's ID.
+func (u *Upstream) hash() uint64 {
+	if u.idHash == 0 {
+		u.idHash = xxhash.Sum64String(u.ID)
 	}
-	return list
+	return u.idHash
+}
+
+// mix scrambles a number, so that close ones lie far apart (the finalizer of MurmurHash3).
+func mix(x uint64) uint64 {
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	return x ^ x>>33
 }
 
 // fraction maps a text to [0, 1).
 func fraction(s string) float64 {
 	return float64(xxhash.Sum64String(s)>>11) / (1 << 53)
 }
-
-func contains(list []string, s string) bool {
-	for _, l := range list {
-		if l == s {
-			return true
-		}
-	}
-	return false
-}
--- a/pkg/placement/placement_test.go
+++ b/pkg/placement/placement_test.go
@@ -266,6 +266,11 @@
 			connected := func(address string) bool { return at.Sub(used[n][address]) < idleFor }
 			if l.Connected != nil {
 				limits.Connected = connected
+				for _, u := range views[n] {
+					if connected(u.Address) {
+						limits.Linked = append(limits.Linked, u)
+					}
+				}
 			}
 			r := Request{ID: fmt.Sprint(ms, n), Prompt: what.shared + what.own, Parts: []Part{{fmt.Sprint("s", s), what.shared}, {fmt.Sprint("own", ms, n), what.own}}}
 			c, ok := Choose(at, r, limits, views[n])
--- a/pkg/placement/upstream.go
+++ b/pkg/placement/upstream.go
@@ -45,6 +45,7 @@
 
 	health Health
 	cold   coldShare
+	idHash uint64 // of ID; zero until it is needed
 }
 
 // reportLife is how long a reported load is used. Requests last a few seconds, so an
