Relay reports to entry nodes when they tell something

Change: entry nodes get joins, leaves, changes, cold times, the first seconds after a domain's return, and every third report; voters get all. A batch is encoded once. At more than 100 nodes the leader tells the open requests of others with every second tally, and so on.

--- a/internal/control/ledger.go
+++ b/internal/control/ledger.go
@@ -15,6 +15,10 @@
 	// sumsAge is how long totals over all nodes are used again. They rest on tallies
 	// that are up to 300 ms old.
 	sumsAge = 50 * time.Millisecond
+	// openNodes is the number of nodes up to which each tally is answered with the open
+	// requests on all upstreams; twice as many hear of them every second time, and so
+	// on, since their number grows with the nodes as well.
+	openNodes = 100
 	// rateHalf smooths the rate at which a node uses an account's limit.
 	rateHalf = 500 * time.Millisecond
 	// startLevel is the part of an account's burst that a new leader grants at most.
@@ -100,7 +104,11 @@
 			}
 		}
 	}
-	totals.Open = l.othersOpen(n)
+	if t.Sequence%uint64(1+len(l.nodes)/openNodes) == 0 {
+		totals.Open = l.othersOpen(n)
+	} else {
+		totals.Partial = true
+	}
 	return totals
 }
 
--- a/internal/control/relay.go
+++ b/internal/control/relay.go
@@ -25,41 +25,91 @@
 // report every second or so.
 const knownAge = 5 * time.Second
 
+// refreshBeats is the number of reports of an upstream after which entry nodes hear
+// that nothing has changed. They take an upstream for silent after six; at some hundred
+// nodes, all reports to all of them would fill their links.
+const refreshBeats = 3
+
+// returnedTime is how long after its return from a drain all statuses of a failure
+// domain go to entry nodes: they show which upstreams have turned cold meanwhile.
+const returnedTime = 4 * time.Second
+
 // relay holds the statuses that wait to be sent to the other nodes.
 type relay struct {
 	mu      sync.Mutex
-	pending map[string]wire.Status
+	pending map[string]pendingStatus
+	// drained holds the domains that were drained when last looked at, and returned when
+	// the others came back.
+	drained  map[string]bool
+	returned map[string]time.Time
 	// told holds the sessions that have had all statuses. Only spread uses it.
 	told map[string]uint64
 }
 
-func (r *relay) add(s wire.Status) {
+type pendingStatus struct {
+	wire.Status
+	// news is true if entry nodes need it; voters get all.
+	news bool
+}
+
+// add queues a status that follows an earlier one of the same upstream.
+func (r *relay) add(now time.Time, old wire.Status, s wire.Status, change roster.Change) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.pending == nil {
-		r.pending = make(map[string]wire.Status)
+		r.pending = make(map[string]pendingStatus)
+	}
+	news := change != roster.Refreshed || changed(old, s) || now.Sub(r.returned[s.Domain]) < returnedTime
+	r.pending[s.ID] = pendingStatus{s, news || r.pending[s.ID].news}
+}
+
+// changed tells whether entry nodes need a status after an earlier one of the same
+// start.
+func changed(old, s wire.Status) bool {
+	if s.Cold > 0 || old.Cold > 0 || s.Sequence/refreshBeats != old.Sequence/refreshBeats {
+		return true
 	}
-	r.pending[s.ID] = s
+	old.Sequence = s.Sequence
+	return old != s
 }
 
-func (r *relay) take() []wire.Status {
+// take returns the statuses that wait, and those of them that entry nodes need.
+func (r *relay) take() (all, news []wire.Status) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	list := make([]wire.Status, 0, len(r.pending))
 	for _, s := range r.pending {
-		list = append(list, s)
+		all = append(all, s.Status)
+		if s.news {
+			news = append(news, s.Status)
+		}
 	}
 	r.pending = nil
-	return list
+	return all, news
+}
+
+// follow notes which domains came back from a drain.
+func (r *relay) follow(now time.Time, view *config.View) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for d := range r.drained {
+		if _, still := view.DrainedDomains[d]; !still {
+			delete(r.drained, d)
+			r.returned[d] = now
+		}
+	}
+	for d := range view.DrainedDomains {
+		r.drained[d] = true
+	}
 }
 
 // Announce takes a status of an upstream. It returns once the status may be
 // acknowledged: a leaving is recorded on a majority of the voters first, which brings
 // it to every node that holds a lease.
 func (c *Control) Announce(ctx context.Context, now time.Time, s wire.Status) error {
+	old, _ := c.roster.Get(s.ID)
 	change := c.roster.Apply(now, s)
 	if change != roster.Outdated {
-		c.relay.add(s)
+		c.relay.add(now, old.Status, s, change)
 	}
 	if change == roster.Joined || change == roster.Left {
 		event.With(c.Log, event.UpstreamChanged).WithFields(map[string]any{
@@ -113,11 +163,12 @@
 	done := make(chan struct{})
 	spread := time.Now()
 	relayed := periodic.Run(ctx, greetInterval, func(_ context.Context, now time.Time) {
-		var list []wire.Status
+		var all, news []wire.Status
 		if now.Sub(spread) >= relayInterval {
-			spread, list = now, c.relay.take()
+			spread = now
+			all, news = c.relay.take()
 		}
-		c.spread(now, list)
+		c.spread(now, all, news)
 	})
 	duties := periodic.Run(ctx, dutyInterval, c.duty.run)
 	fleets := periodic.Run(ctx, fleetInterval, c.fleet.run)
@@ -132,21 +183,34 @@
 	return done
 }
 
-// spread sends new statuses to all nodes with a session, and all statuses to those
-// whose session is new.
-func (c *Control) spread(now time.Time, list []wire.Status) {
+// spread sends new statuses to the other nodes, and all known ones to those whose
+// session is new.
+func (c *Control) spread(now time.Time, all, news []wire.Status) {
 	view, _ := c.State.View(now)
+	c.relay.follow(now, view)
+	var known []wire.Status
 	for name, node := range view.Nodes {
-		send := list
-		if c.relay.told[name] != node.Incarnation {
-			send = c.known(now)
+		if name != c.Self && c.relay.told[name] != node.Incarnation {
+			known = c.known(now)
+			break
+		}
+	}
+	forVoters, forEntries, forNew := c.encode(all), c.encode(news), c.encode(known)
+	for name, node := range view.Nodes {
+		message := forEntries
+		switch {
+		case name == c.Self:
+			continue
+		case c.relay.told[name] != node.Incarnation:
+			message = forNew
+		case node.Voter:
+			message = forVoters
 		}
-		if name == c.Self || len(send) == 0 {
+		if message == nil {
 			continue
 		}
 		// A lost message is repaired by the upstreams' next statuses.
-		err := c.Links.Send(name, gateway.KindStatuses, wire.Statuses{List: send})
-		if err == nil {
+		if err := c.Links.Send(name, gateway.KindStatuses, message); err == nil {
 			c.relay.told[name] = node.Incarnation
 		}
 	}
@@ -157,6 +221,19 @@
 	}
 }
 
+// encode returns a message for many nodes; nil for an empty list.
+func (c *Control) encode(list []wire.Status) wire.Encoded {
+	if len(list) == 0 {
+		return nil
+	}
+	data, err := wire.Marshal(wire.Statuses{List: list})
+	if err != nil {
+		c.Log.WithError(err).Error("statuses cannot be encoded")
+		return nil
+	}
+	return data
+}
+
 // known lists the newest status of each upstream, with the cold time that is left.
 func (c *Control) known(now time.Time) []wire.Status {
 	var list []wire.Status
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -109,7 +109,9 @@
 	}
 	view, _ := e.Gateway.State.View(now)
 	e.Gateway.ledger.learn(now, e.Gateway.fleet.count(view), reply)
-	e.Gateway.fleet.learnOthers(now, reply.Open)
+	if !reply.Partial {
+		e.Gateway.fleet.learnOthers(now, reply.Open)
+	}
 }
 
 // tally fills in the open requests on each upstream.
--- a/pkg/wire/traffic.go
+++ b/pkg/wire/traffic.go
@@ -176,6 +176,9 @@
 	// Open requests of all other nodes on each upstream.
 	Open []UpstreamUse `json:"open"`
 
+	// The open requests are not told this time.
+	Partial bool `json:"partial,omitempty,omitzero"`
+
 	// The leader's time of day, Unix milliseconds.
 	Time uint64 `json:"time,omitempty,omitzero"`
 }
