Call the platform only after leading for the time of one holder

The platform allows no call of another holder between two of one within 3 s. Change: a leader calls the platform only after it has led for that time, which the settings give; what it settles and decides before waits.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -54,6 +54,9 @@
 	Scales bool
 	// Window is the length of a usage window; zero when usage is not reported.
 	Window time.Duration
+	// Tenure is how long this voter leads before it calls the platform: within it, the
+	// platform allows no holder of a duty between two calls of another.
+	Tenure time.Duration
 	// Exposure is the largest share of all requests that a bad version may get.
 	Exposure float64
 
--- a/internal/control/duty.go
+++ b/internal/control/duty.go
@@ -41,6 +41,21 @@
 type duty struct {
 	c      *Control
 	fenced uint64 // term in which the platform refused this node
+	tenure tenure
+}
+
+// tenure is how long this voter leads in its present term.
+type tenure struct {
+	term  uint64
+	since time.Time
+}
+
+// lasts tells whether this voter has led in a term for some time.
+func (t *tenure) lasts(now time.Time, term uint64, least time.Duration) bool {
+	if t.term != term {
+		t.term, t.since = term, now
+	}
+	return now.Sub(t.since) >= least
 }
 
 func (d *duty) run(ctx context.Context, now time.Time) {
@@ -50,7 +65,9 @@
 		return
 	}
 	d.settle(ctx, now, term, view)
-	d.report(ctx, now, term, view)
+	if d.tenure.lasts(now, term, d.c.Tenure) {
+		d.report(ctx, now, term, view)
+	}
 	d.prune(ctx, view)
 }
 
--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -45,6 +45,7 @@
 	c       *Control
 	started time.Time
 	term    uint64
+	tenure  tenure
 	mem     map[string]*fleet.CountMemory // by service
 }
 
@@ -60,6 +61,9 @@
 	if p.term != term {
 		p.term, p.mem = term, make(map[string]*fleet.CountMemory)
 	}
+	if !p.tenure.lasts(now, term, p.c.Tenure) {
+		return
+	}
 	for i := range view.Plan.Services {
 		if s := &view.Plan.Services[i]; s.Scaling != nil {
 			p.service(ctx, now, term, view, s)
--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -78,6 +78,8 @@
 	// Scales is true when the system orders upstreams from the platform.
 	Scales   bool
 	Exposure float64
+	// Tenure is how long a voter leads before it calls the platform.
+	Tenure time.Duration
 
 	// Metrics is the address of the metrics; empty for none.
 	Metrics string
@@ -165,7 +167,7 @@
 func (n *Node) openControl() error {
 	n.control = control.New(n.o.Host, n.state, n.links, n.o.Log)
 	n.control.Platform, n.control.Scales = n.o.Platform, n.o.Scales
-	n.control.Window, n.control.Exposure = n.o.Bounds.Window, n.o.Exposure
+	n.control.Window, n.control.Exposure, n.control.Tenure = n.o.Bounds.Window, n.o.Exposure, n.o.Tenure
 	n.control.Open()
 	return n.listen("control", n.o.Control, n.o.Handler(n.control))
 }
