Follow returns of failure domains in one place

Cause: internal/gateway and internal/control each noted for themselves, with the same loops, when a failure domain came back from a drain. Change: config.Returns, used by both. Conclusion: no change of behaviour.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -72,7 +72,7 @@
 func New(self string, state State, links Links, log logrus.FieldLogger) *Control {
 	c := &Control{Self: self, State: state, Links: links, Log: log, roster: roster.New(), ledger: newLedger()}
 	c.duty.c, c.mover.c, c.fleet.c = c, c, c
-	c.relay.told, c.relay.drained, c.relay.returned = make(map[string]uint64), make(map[string]bool), make(map[string]time.Time)
+	c.relay.told = make(map[string]uint64)
 	return c
 }
 
--- a/internal/control/relay.go
+++ b/internal/control/relay.go
@@ -38,10 +38,8 @@
 type relay struct {
 	mu      sync.Mutex
 	pending map[string]pendingStatus
-	// drained holds the domains that were drained when last looked at, and returned when
-	// the others came back.
-	drained  map[string]bool
-	returned map[string]time.Time
+	// returns is when each failure domain came back from a drain.
+	returns config.Returns
 	// told holds the sessions that have had all statuses. Only spread uses it.
 	told map[string]uint64
 }
@@ -59,7 +57,8 @@
 	if r.pending == nil {
 		r.pending = make(map[string]pendingStatus)
 	}
-	news := change != roster.Refreshed || changed(old, s) || now.Sub(r.returned[s.Domain]) < returnedTime
+	back, returned := r.returns.At(s.Domain)
+	news := change != roster.Refreshed || changed(old, s) || returned && now.Sub(back) < returnedTime
 	r.pending[s.ID] = pendingStatus{s, news || r.pending[s.ID].news}
 }
 
@@ -91,15 +90,7 @@
 func (r *relay) follow(now time.Time, view *config.View) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for d := range r.drained {
-		if _, still := view.DrainedDomains[d]; !still {
-			delete(r.drained, d)
-			r.returned[d] = now
-		}
-	}
-	for d := range view.DrainedDomains {
-		r.drained[d] = true
-	}
+	r.returns.Follow(now, view)
 }
 
 // Announce takes a status of an upstream. It returns once the status may be
--- a/internal/control/relay_test.go
+++ b/internal/control/relay_test.go
@@ -69,7 +69,8 @@
 		wantSequences(t, got, []uint64{1, 3, 4, 5, 6})
 	})
 	t.Run("the domain has come back from a drain", func(t *testing.T) {
-		r := &relay{drained: map[string]bool{"a": true}, returned: map[string]time.Time{}}
+		r := &relay{}
+		r.follow(now.Add(-2*time.Second), &config.View{DrainedDomains: map[string]config.Drain{"a": {}}})
 		r.follow(now.Add(-time.Second), &config.View{})
 		got := relayed(r, now, statuses(4, func(int, *wire.Status) {}))
 		wantSequences(t, got, []uint64{1, 2, 3, 4})
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -44,9 +44,8 @@
 	heard time.Time
 	// freed is closed and replaced when a place becomes free.
 	freed chan struct{}
-	// returned is when each failure domain came back from a drain.
-	returned map[string]time.Time
-	drained  map[string]bool
+	// returns is when each failure domain came back from a drain.
+	returns config.Returns
 }
 
 // unit is one start of an upstream.
@@ -61,7 +60,7 @@
 func newFleet(g *Gateway) *fleet {
 	return &fleet{
 		g: g, roster: roster.New(), ups: make(map[string]*unit), holders: make(map[string]*unit), lists: make(map[listKey]*candidates), budgets: make(map[string]*traffic.Budget),
-		freed: make(chan struct{}), returned: make(map[string]time.Time), drained: make(map[string]bool),
+		freed: make(chan struct{}),
 	}
 }
 
@@ -235,23 +234,15 @@
 	return next, func(version string) bool { return (version == move.Target) == next }
 }
 
-// followDrains notes which failure domains came back from a drain: their upstreams
-// may have turned cold meanwhile, and a status from before does not say so.
+// followDrains takes upstreams of failure domains that came back from a drain for cold:
+// they may have turned so meanwhile, and a status from before does not say it.
 func (f *fleet) followDrains(now time.Time, view *config.View, s *traffic.Service) {
-	for d := range f.drained {
-		if _, still := view.DrainedDomains[d]; !still {
-			delete(f.drained, d)
-			f.returned[d] = now
-		}
-	}
-	for d := range view.DrainedDomains {
-		f.drained[d] = true
-	}
+	f.returns.Follow(now, view)
 	if s.ColdRate <= 0 {
 		return
 	}
 	for _, u := range f.ups {
-		back, ok := f.returned[u.Domain]
+		back, ok := f.returns.At(u.Domain)
 		// A status that was sent after the return tells; it may have been on its way for
 		// one interval.
 		if ok && u.Service == s.Name && u.warmed.Before(back.Add(f.g.Bounds.Heartbeat)) {
