Space the open requests by the nodes that live

Cause: the number of nodes that decides how often the leader tells open requests counted processes that had ended, so that 72 nodes that had all restarted heard of them half as often. Neither side of answers without open requests had a test. Change: only nodes that told something lately count, with the totals they are in.

--- a/internal/control/ledger.go
+++ b/internal/control/ledger.go
@@ -39,7 +39,8 @@
 	// leader before and their first tally to this one.
 	untold map[string]float64
 	sums   sums // of all nodes that told something lately
-	added  time.Time
+	live   int  // number of these nodes
+	summed time.Time
 }
 
 type nodeKey struct {
@@ -63,7 +64,7 @@
 func newLedger() *ledger { return &ledger{} }
 
 func (l *ledger) reset(now time.Time, term uint64) {
-	l.term, l.since, l.added, l.sums = term, now, time.Time{}, newSums()
+	l.term, l.since, l.summed, l.sums = term, now, time.Time{}, newSums()
 	l.nodes, l.levels, l.untold = make(map[nodeKey]*nodeUse), make(map[string]*traffic.Bucket), make(map[string]float64)
 }
 
@@ -92,7 +93,7 @@
 	if t.Sequence > n.sequence {
 		l.record(now, plan, n, known, t)
 	}
-	l.add(now)
+	l.sumUp(now)
 	totals := wire.UseTotals{Time: uint64(now.UnixMilli())}
 	if plan != nil {
 		for i := range plan.Accounts {
@@ -104,7 +105,7 @@
 			}
 		}
 	}
-	if t.Sequence%uint64(1+len(l.nodes)/openNodes) == 0 {
+	if t.Sequence%uint64(1+l.live/openNodes) == 0 {
 		totals.Open = l.othersOpen(n)
 	} else {
 		totals.Partial = true
@@ -123,18 +124,19 @@
 	return sums{rates: make(map[string]float64), demands: make(map[string]float64), open: make(map[string]wire.UpstreamUse)}
 }
 
-// add brings the totals up to date, unless that was done a moment ago: each of some
+// sumUp brings the totals up to date, unless that was done a moment ago: each of some
 // hundred nodes asks for them several times a second.
-func (l *ledger) add(now time.Time) {
-	if now.Sub(l.added) < sumsAge {
+func (l *ledger) sumUp(now time.Time) {
+	if now.Sub(l.summed) < sumsAge {
 		return
 	}
-	l.added, l.sums = now, newSums()
+	l.summed, l.sums, l.live = now, newSums(), 0
 	for _, n := range l.nodes {
 		n.counted = newSums()
 		if now.Sub(n.at) >= tallyLife {
 			continue
 		}
+		l.live++
 		for _, part := range []sums{n.counted, l.sums} {
 			for account, rate := range n.rates {
 				part.rates[account] += rate
--- a/internal/control/ledger_test.go
+++ b/internal/control/ledger_test.go
@@ -63,6 +63,46 @@
 	}
 }
 
+// Load pattern: more nodes than one leader can tell everything in each answer, and
+// processes that have ended. Guards against totals of open requests that are told to all
+// nodes each time, and against waits that ended processes cause.
+func TestOpenRequestsAreToldLessOftenToManyNodes(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		live, ended int
+		want        int // answers with open requests, of 12
+	}{
+		{"few nodes", 72, 0, 12},
+		{"few nodes, many ended processes", 72, 500, 12},
+		{"more nodes", 150, 0, 6},
+		{"many nodes", 300, 0, 3},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			p, list := manyTallies(c.live, 40, 1)
+			l, start := newLedger(), time.Unix(1000, 0)
+			_, ended := manyTallies(c.ended, 40, 1)
+			for _, tally := range ended {
+				tally.Process = 2
+				l.take(start, 1, p, tally)
+			}
+			got := 0
+			for sequence := range uint64(12 + 1) {
+				now := start.Add(tallyLife + time.Duration(sequence)*300*time.Millisecond)
+				for i, tally := range list {
+					tally.Sequence = sequence + 1
+					totals := l.take(now, 1, p, tally)
+					if i == 0 && sequence > 0 && !totals.Partial {
+						got++
+					}
+				}
+			}
+			if got != c.want {
+				t.Errorf("got %d answers of 12 with the open requests, want %d", got, c.want)
+			}
+		})
+	}
+}
+
 // BenchmarkTally measures what the leader does for one tally: 1,000 a second come from
 // 300 nodes.
 func BenchmarkTally(b *testing.B) {
--- a/internal/gateway/ledger_test.go
+++ b/internal/gateway/ledger_test.go
@@ -1,10 +1,12 @@
 package gateway
 
 import (
+	"context"
 	"math/rand/v2"
 	"testing"
 	"time"
 
+	"github.com/jaystage/jaystage/internal/peer"
 	"github.com/jaystage/jaystage/pkg/traffic"
 	"github.com/jaystage/jaystage/pkg/wire"
 )
@@ -95,6 +97,39 @@
 	}
 }
 
+// answers is a leader that gives the answers of a test.
+type answers struct{ next wire.UseTotals }
+
+func (*answers) Handle(string, peer.Handler) {}
+
+func (a *answers) Call(_ context.Context, _, _ string, _, reply any) error {
+	*reply.(*wire.UseTotals) = a.next
+	return nil
+}
+
+func (*answers) Leader() string { return "v" }
+
+// Guards against an answer without open requests that is taken for none.
+func TestAnswerWithoutOpenRequestsKeepsTheLastOnes(t *testing.T) {
+	d, a := newDesk(t, newStand(t, sound("x"))), &answers{}
+	e := &Exchange{Gateway: d.gateway, Links: a, State: a}
+	for _, c := range []struct {
+		name   string
+		totals wire.UseTotals
+		want   int
+	}{
+		{"told", wire.UseTotals{Open: []wire.UpstreamUse{{Upstream: "u0", Open: 7}}}, 7},
+		{"not told", wire.UseTotals{Partial: true}, 7},
+		{"none", wire.UseTotals{}, 0},
+	} {
+		a.next = c.totals
+		e.tally(context.Background(), a.Leader())
+		if got := d.gateway.fleet.ups["u0"].Others; got != c.want {
+			t.Errorf("%s: got %d requests of other nodes, want %d", c.name, got, c.want)
+		}
+	}
+}
+
 // tallies plays the exchange with the leader for the nodes whose turn it is.
 func tallies(now time.Time, ms int, ledgers []*ledger, leader *traffic.Bucket, told, rates, asks, demands []float64, rate, burst float64) {
 	interval := int(tallyInterval.Milliseconds())
