Name, share and shorten what a newcomer stumbles over

Cause: reading the change once more: the client's time was parsed in two places, a number of heartbeats had no name, a comment told of the former wait of a voter, a loop stood for slices.Contains, and benchmarks gave a harness a test that does not run. Change: call.allowed, favourBeats, the comment removed, slices.Contains, a harness that takes testing.TB, a named type in a test. Conclusion: no change of behaviour.

--- a/internal/control/duty_test.go
+++ b/internal/control/duty_test.go
@@ -11,24 +11,24 @@
 	"github.com/jaystage/jaystage/pkg/wire"
 )
 
+// turn is a call of a node.
+type turn struct {
+	node string
+	at   time.Time
+}
+
 // turns records which node called the platform when.
 type turns struct {
 	now   time.Time
 	node  string
-	calls []struct {
-		node string
-		at   time.Time
-	}
+	calls []turn
 }
 
 func (p *turns) Report(context.Context, uint64, config.Usage) error { return p.call() }
 func (p *turns) Scale(context.Context, uint64, Order) error         { return p.call() }
 
 func (p *turns) call() error {
-	p.calls = append(p.calls, struct {
-		node string
-		at   time.Time
-	}{p.node, p.now})
+	p.calls = append(p.calls, turn{p.node, p.now})
 	return nil
 }
 
--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -10,6 +10,7 @@
 	"expvar"
 	"net"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -28,8 +29,7 @@
 	// the key only keeps strangers' connections apart from the system's own.
 	linkKey = "jaystage-private-network"
 	// electionTimeout is the shortest time without a heartbeat after which voters elect
-	// a leader: some hundred round trips of a region. A restarted voter votes after two
-	// of them.
+	// a leader: some hundred round trips of a region.
 	electionTimeout = 200 * time.Millisecond
 	// unreadyTime is how long a stopping node still takes requests: the balancer asks
 	// each second and needs two answers.
@@ -115,7 +115,7 @@
 	})
 	state, err := replica.Open(replica.Config{
 		Entry: config.Node{Name: o.Host, Process: process, Domain: o.Domain},
-		Voter: o.Voter, Data: o.Data, Voters: o.Seeds, Seeds: o.Seeds, JoinOnly: !o.Found || !contains(o.Seeds, o.Host),
+		Voter: o.Voter, Data: o.Data, Voters: o.Seeds, Seeds: o.Seeds, JoinOnly: !o.Found || !slices.Contains(o.Seeds, o.Host),
 		Lease: o.Lease, Size: 2*o.Tolerance + 1, Election: electionTimeout, Sole: true, Unstamped: o.Unstamped, Links: n.links, Log: o.Log,
 	})
 	if err != nil {
@@ -141,15 +141,6 @@
 	return n, nil
 }
 
-func contains(list []string, s string) bool {
-	for _, l := range list {
-		if l == s {
-			return true
-		}
-	}
-	return false
-}
-
 func (n *Node) openGateway(process uint64) error {
 	o := n.o
 	n.gateway = gateway.New(o.Host, o.Domain, o.Headers, o.Bounds, n.state, o.Log)
--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -96,8 +96,14 @@
 // for it. The route's limits are not known yet.
 func (c *call) worthWaiting() bool {
 	missing := startTime - c.start.Sub(c.g.started)
+	allowed, ok := c.allowed()
+	return ok && missing > 0 && missing <= startHold && missing <= time.Duration(startShare*float64(allowed))
+}
+
+// allowed returns the time that the client allows; false if it names none.
+func (c *call) allowed() (time.Duration, bool) {
 	ms, err := strconv.ParseFloat(c.r.Header.Get(c.g.Headers.Deadline), 64)
-	return err == nil && missing > 0 && missing <= startHold && missing.Seconds()*1000 <= startShare*ms
+	return time.Duration(ms * float64(time.Millisecond)), err == nil && ms > 0
 }
 
 // stateRetry returns when the node should have a lease: after its start it needs an
@@ -132,8 +138,8 @@
 // deadline takes the earlier of what the client and the route allow.
 func (c *call) deadline() {
 	wait := c.route.Timeout
-	if ms, err := strconv.ParseFloat(c.r.Header.Get(c.g.Headers.Deadline), 64); err == nil && ms > 0 {
-		wait = min(wait, time.Duration(ms*float64(time.Millisecond)))
+	if allowed, ok := c.allowed(); ok {
+		wait = min(wait, allowed)
 	}
 	c.limit = c.start.Add(wait)
 }
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -47,7 +47,7 @@
 
 // stand is an upstream that answers raw bytes, so that it can misbehave.
 type stand struct {
-	t       *testing.T
+	t       testing.TB
 	l       net.Listener
 	answers func(n int, r *http.Request) []step
 
@@ -64,7 +64,7 @@
 	close bool
 }
 
-func newStand(t *testing.T, answers func(n int, r *http.Request) []step) *stand {
+func newStand(t testing.TB, answers func(n int, r *http.Request) []step) *stand {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -147,7 +147,7 @@
 
 // desk is a gateway before stand-ins.
 type desk struct {
-	t       *testing.T
+	t       testing.TB
 	gateway *Gateway
 	state   *fixedView
 	server  *httptest.Server
@@ -176,7 +176,7 @@
 	return p
 }
 
-func newDesk(t *testing.T, stands ...*stand) *desk {
+func newDesk(t testing.TB, stands ...*stand) *desk {
 	t.Helper()
 	view, err := config.NewView(1, nil)
 	if err != nil {
--- a/internal/gateway/scale_test.go
+++ b/internal/gateway/scale_test.go
@@ -27,7 +27,7 @@
 func BenchmarkLearn(b *testing.B) {
 	for _, n := range []int{150, 1000, 3000} {
 		b.Run(fmt.Sprint(n, " upstreams"), func(b *testing.B) {
-			d := newDesk(&testing.T{})
+			d := newDesk(b)
 			sequence := uint64(0)
 			for b.Loop() {
 				sequence++
@@ -41,7 +41,7 @@
 func BenchmarkChoose(b *testing.B) {
 	for _, n := range []int{150, 1000, 3000} {
 		b.Run(fmt.Sprint(n, " upstreams"), func(b *testing.B) {
-			d := newDesk(&testing.T{})
+			d := newDesk(b)
 			d.gateway.Learn(time.Now(), manyStatuses(n, 1))
 			c := &call{g: d.gateway, r: httptest.NewRequest("POST", "/", nil), route: &traffic.Route{}, service: &traffic.Service{Name: "s", Engine: &traffic.Engine{}}}
 			c.prompt = placement.Request{ID: "x", Prompt: 6000, Parts: []placement.Part{{ID: "session", Tokens: 5000}, {ID: "own", Tokens: 1000}}}
--- a/pkg/raft/election.go
+++ b/pkg/raft/election.go
@@ -155,7 +155,7 @@
 	n.promise(n.reply(m, Message{Kind: KindVoteReply, Term: n.term}))
 }
 
-// favour reports whether a pre-vote may go to a candidate. For two heartbeats only one
+// favour reports whether a pre-vote may go to a candidate. For some heartbeats only one
 // gets it: two that win it at once would split the vote, above all if no more than a
 // quorum is up. It is not extended, so that one that hears no answers keeps nobody
 // else from leading.
@@ -166,7 +166,7 @@
 	if n.now.Before(n.favouredTo) {
 		return n.favoured == candidate
 	}
-	n.favoured, n.favouredTo = candidate, n.now.Add(2*n.cfg.Heartbeat)
+	n.favoured, n.favouredTo = candidate, n.now.Add(favourBeats*n.cfg.Heartbeat)
 	return true
 }
 
--- a/pkg/raft/node.go
+++ b/pkg/raft/node.go
@@ -12,6 +12,10 @@
 // askBeats is the number of heartbeats within which a pre-candidate asks again.
 const askBeats = 3
 
+// favourBeats is the number of heartbeats for which one candidate alone gets pre-votes:
+// the mean time until it asks again.
+const favourBeats = 2
+
 // Role is the part that a member plays in the present term.
 type Role uint8
 
