Bound what an upstream may send, and count only events as progress

Cause: the gateway read response heads without a limit, skipped at most 256 KiB of a late response's body and then took the rest of that body for the next response, and let every byte renew the stall timeout of a stream. Shown by tests on: a forged response inside a late body was delivered (also after a HEAD request, where the parser assumes no body); the heap grew by 200 to 270 MB for an endless status line, header, late body or comment; a stream that dribbles bytes or comments was kept for 10 s, until its deadline; a stream whose allowed pauses are above 1.5 s, and a long body that takes longer than the wait for a response, were cut.

Ruled out by the same tests: chunk extensions, trailers and informational responses were bounded already.

A stall timeout is at least twice the target for pauses. A long body that has started has the call's deadline.

Result: the tests pass, with a heap growth below 16 MB, a 502 or 504 before the deadline, and the failure counted for the upstream.

--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/jaystage/jaystage/internal/hop"
+	"github.com/jaystage/jaystage/pkg/stream"
 	"github.com/jaystage/jaystage/pkg/traffic"
 	"github.com/jaystage/jaystage/pkg/verdict"
 )
@@ -18,20 +19,20 @@
 	// full before the client gets its first byte, so that the call can still be retried
 	// if the response is cut short.
 	maxBufferedBytes = 256 << 10
+	// maxUnsizedBodyBytes bounds the body of a response that announces no length: it may
+	// be bytes that never end.
+	maxUnsizedBodyBytes = 16 << 20
 	// maxEventBytes bounds one event of a stream.
-	maxEventBytes = 1 << 20
-	// streamStallTimeout is how long a resumable stream may be silent before it is resumed
-	// on another upstream. It must be short, because clients give up after a few seconds.
+	maxEventBytes = 256 << 10
+	// streamStallTimeout is how long a resumable stream may go without a complete event
+	// before it is resumed on another upstream. It must be short, because clients give up
+	// after a few seconds. A pause of stallGapFactor times the route's target is allowed in
+	// any case.
 	streamStallTimeout = 1500 * time.Millisecond
+	stallGapFactor     = 2
 )
 
-var errEventTooLong = errors.New("event exceeds the size limit")
-
-// discardBody reads and drops the body of a stray response.
-func discardBody(resp *http.Response) error {
-	_, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxBufferedBytes))
-	return err
-}
+var errBodyTooLong = errors.New("body without a length exceeds the size limit")
 
 // forwardResponse forwards the response to the client.
 func (c *call) forwardResponse(a *attempt) *failure {
@@ -58,7 +59,24 @@
 	if len(body) < maxBufferedBytes {
 		return nil
 	}
-	if _, err := io.Copy(c.w, a.resp.Body); err != nil {
+	return c.forwardRest(a)
+}
+
+// forwardRest forwards the rest of a long body as it arrives. The response has started, so
+// only the call's own deadline applies.
+func (c *call) forwardRest(a *attempt) *failure {
+	if err := a.conn.SetReadDeadline(c.deadline.Add(deadlineGrace)); err != nil {
+		return &failure{verdict: verdict.Ran, cause: "connection", err: err}
+	}
+	rest, limit := io.Reader(a.resp.Body), int64(maxUnsizedBodyBytes)
+	if a.resp.ContentLength < 0 {
+		rest = io.LimitReader(rest, limit)
+	}
+	n, err := io.Copy(c.w, rest)
+	if err == nil && a.resp.ContentLength < 0 && n == limit {
+		err = errBodyTooLong
+	}
+	if err != nil {
 		return &failure{verdict: verdict.Ran, cause: "cut", err: err}
 	}
 	return nil
@@ -86,54 +104,62 @@
 // with the first one, so that the call can be retried until then.
 func (c *call) forwardEvents(a *attempt) *failure {
 	controller := http.NewResponseController(c.w)
-	firstEventDeadline := c.responseDeadline(a)
-	var pending []byte
+	splitter := stream.Splitter{MaxEventBytes: maxEventBytes}
+	var lastEvent time.Time // zero before the first one
 	chunk := make([]byte, readBufferBytes)
 	for {
-		if f := c.setEventDeadline(a, firstEventDeadline); f != nil {
-			return f
+		if err := a.conn.SetReadDeadline(c.eventDeadline(a, lastEvent)); err != nil {
+			return &failure{verdict: verdict.MayHaveRun, cause: "connection", err: err}
 		}
 		n, err := a.resp.Body.Read(chunk)
-		pending = append(pending, chunk[:n]...)
-		complete := completeEventsLen(pending)
-		if complete > 0 {
-			if f := c.writeEvents(a, pending[:complete], controller); f != nil {
+		events, splitErr := splitter.Feed(chunk[:n])
+		if len(events) > 0 {
+			if f := c.writeEvents(a, events, controller); f != nil {
 				return f
 			}
-			pending = append(pending[:0], pending[complete:]...)
-			firstEventDeadline = time.Time{}
+			lastEvent = time.Now()
 		}
 		switch {
-		case err == io.EOF && len(pending) == 0 && c.headersSent:
-			return nil
+		case splitErr != nil:
+			return &failure{verdict: verdict.MayHaveRun, cause: "event", err: splitErr}
 		case err == io.EOF:
-			return &failure{verdict: verdict.MayHaveRun, cause: "cut", err: io.ErrUnexpectedEOF}
+			return c.endEvents(&splitter)
 		case err != nil:
 			return &failure{verdict: verdict.MayHaveRun, cause: readCause(err), err: err}
-		case len(pending) > maxEventBytes:
-			return &failure{verdict: verdict.MayHaveRun, cause: "event", err: errEventTooLong}
 		}
 	}
 }
 
-// setEventDeadline sets the read deadline for the next bytes of the stream.
-// firstEventDeadline is zero once an event has been forwarded.
-func (c *call) setEventDeadline(a *attempt, firstEventDeadline time.Time) *failure {
-	deadline := c.deadline.Add(deadlineGrace)
-	switch {
-	case !firstEventDeadline.IsZero():
-		deadline = firstEventDeadline
-	case c.route.Resumable && c.attempts < c.route.MaxAttempts:
-		if stallDeadline := time.Now().Add(streamStallTimeout); stallDeadline.Before(deadline) {
-			deadline = stallDeadline
-		}
-	}
-	if err := a.conn.SetReadDeadline(deadline); err != nil {
-		return &failure{verdict: verdict.MayHaveRun, cause: "connection", err: err}
+// endEvents forwards the comments after the last event. A stream without any event, or one
+// that ends within an event, was cut.
+func (c *call) endEvents(splitter *stream.Splitter) *failure {
+	rest, whole := splitter.Rest()
+	if !whole || !c.headersSent {
+		return &failure{verdict: verdict.MayHaveRun, cause: "cut", err: io.ErrUnexpectedEOF}
+	}
+	if _, err := c.w.Write(rest); err != nil {
+		return &failure{verdict: verdict.Ran, cause: "client", err: err}
 	}
 	return nil
 }
 
+// eventDeadline returns when the next event must be complete. Bytes that complete no event
+// do not extend it. lastEvent is when the last event was forwarded; zero before the first.
+func (c *call) eventDeadline(a *attempt, lastEvent time.Time) time.Time {
+	end := c.deadline.Add(deadlineGrace)
+	if !c.route.Repeatable() || c.attempts >= c.route.MaxAttempts {
+		return end
+	}
+	next := c.responseDeadline(a)
+	if !lastEvent.IsZero() {
+		next = lastEvent.Add(max(streamStallTimeout, stallGapFactor*c.route.TargetGap))
+	}
+	if next.Before(end) {
+		return next
+	}
+	return end
+}
+
 // writeEvents sends complete events to the client.
 func (c *call) writeEvents(a *attempt, events []byte, controller *http.ResponseController) *failure {
 	c.recordStart(a)
@@ -152,18 +178,6 @@
 	return nil
 }
 
-// completeEventsLen returns the length of the complete events at the start of b. An event
-// ends with an empty line.
-func completeEventsLen(b []byte) int {
-	end := 0
-	for _, separator := range []string{"\n\n", "\r\n\r\n"} {
-		if i := bytes.LastIndex(b, []byte(separator)); i >= 0 {
-			end = max(end, i+len(separator))
-		}
-	}
-	return end
-}
-
 // lastEventID returns the ID of the last event that has one.
 func lastEventID(events []byte) string {
 	i := bytes.LastIndex(events, []byte("\nid:"))
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -9,7 +9,6 @@
 	"net/http"
 	"os"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/jaystage/jaystage/internal/hop"
@@ -21,15 +20,6 @@
 	// response is read. A larger one is written concurrently, because an upstream may
 	// respond early.
 	maxInlineBodyBytes = 32 << 10
-	// maxResponsesPerAttempt bounds the responses read in one attempt, including
-	// informational ones and late ones to earlier requests on the connection.
-	maxResponsesPerAttempt = 3
-	// A request that may be retried waits for its response for responseWaitFactor times
-	// the route's target latency, within the bounds below, and then goes to another
-	// upstream.
-	responseWaitFactor = 2.0
-	minResponseWait    = 600 * time.Millisecond
-	maxResponseWait    = 2 * time.Second
 	// deadlineGrace lets an upstream report an exceeded deadline itself before the
 	// gateway does.
 	deadlineGrace = 60 * time.Millisecond
@@ -128,97 +118,3 @@
 	b.WriteString("\r\n")
 	return b.Bytes()
 }
-
-// readResponseHead reads the status and headers of the response. It skips late responses
-// to earlier requests on the connection.
-func (c *call) readResponseHead(a *attempt) *failure {
-	deadline := c.responseDeadline(a)
-	if !deadline.IsZero() {
-		if err := a.conn.SetReadDeadline(deadline); err != nil {
-			return &failure{verdict: verdict.MayHaveRun, cause: "connection", err: err}
-		}
-	}
-	for range maxResponsesPerAttempt {
-		resp, err := http.ReadResponse(a.conn.reader, &http.Request{Method: c.r.Method})
-		if err != nil {
-			return &failure{verdict: verdict.MayHaveRun, cause: readCause(err), err: err}
-		}
-		if resp.StatusCode < http.StatusOK {
-			continue // informational, such as 100 Continue
-		}
-		a.resp = resp
-		if id := resp.Header.Get(c.g.Headers.Attempt); id != "" && c.id != "" && id != c.id {
-			if err := discardBody(resp); err != nil {
-				return &failure{verdict: verdict.MayHaveRun, cause: "stray", err: err}
-			}
-			continue
-		}
-		return c.checkResponseHead(a)
-	}
-	return &failure{verdict: verdict.MayHaveRun, cause: "stray", err: errors.New("received only responses to other requests")}
-}
-
-// responseDeadline returns when an attempt without a response is abandoned for a retry on
-// another upstream. It is zero if the call may not be retried.
-func (c *call) responseDeadline(a *attempt) time.Time {
-	if !c.route.Repeatable() || c.attempts >= c.route.MaxAttempts {
-		return time.Time{}
-	}
-	timeout := time.Duration(responseWaitFactor * float64(c.route.TargetLatency))
-	return a.started.Add(min(max(timeout, minResponseWait), maxResponseWait))
-}
-
-// readCause returns the cause of a failed read: "silent" after a timeout, else "read".
-func readCause(err error) string {
-	var netErr net.Error
-	if errors.As(err, &netErr) && netErr.Timeout() {
-		return "silent"
-	}
-	return "read"
-}
-
-// checkResponseHead returns nil if a response can be forwarded, judging by its status and
-// headers, and the failure otherwise.
-func (c *call) checkResponseHead(a *attempt) *failure {
-	headers, resp := c.g.Headers, a.resp
-	c.applyLoadHeader(a)
-	switch {
-	case resp.StatusCode == http.StatusMisdirectedRequest:
-		return &failure{verdict: verdict.NotRun, cause: "other-upstream", status: resp.StatusCode, otherUpstream: true}
-	case resp.Header.Get(headers.NotRun) != "":
-		return &failure{verdict: verdict.NotRun, cause: "shed", status: resp.StatusCode, overloaded: true}
-	case resp.StatusCode >= http.StatusOK && resp.StatusCode < 300 && (resp.Header.Get(headers.Signature) == "" || resp.Header.Get(headers.Attempt) != c.id):
-		return &failure{verdict: verdict.MayHaveRun, cause: "unsigned", err: errors.New("successful response without the upstream's signature")}
-	case resp.StatusCode >= http.StatusInternalServerError && c.route.Repeatable() && c.attempts < c.route.MaxAttempts:
-		return &failure{verdict: verdict.Ran, cause: "status", status: resp.StatusCode}
-	case claimsNotRun(resp.StatusCode):
-		return &failure{verdict: verdict.MayHaveRun, cause: "status", status: resp.StatusCode}
-	}
-	return nil
-}
-
-// claimsNotRun reports whether the status suggests to a client that its request did not
-// run. Such a status is not forwarded: an upstream that really did not run a request sets
-// the NotRun header.
-func claimsNotRun(status int) bool {
-	switch status {
-	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
-		return true
-	}
-	return false
-}
-
-// applyLoadHeader applies the load that the upstream reports in its response.
-func (c *call) applyLoadHeader(a *attempt) {
-	running, rest, ok := strings.Cut(a.resp.Header.Get(c.g.Headers.Load), ",")
-	waiting, _, _ := strings.Cut(rest, ",")
-	runningCount, err1 := strconv.Atoi(strings.TrimSpace(running))
-	waitingCount, err2 := strconv.Atoi(strings.TrimSpace(waiting))
-	if !ok || err1 != nil || err2 != nil {
-		return
-	}
-	set := c.g.upstreams
-	set.mu.Lock()
-	defer set.mu.Unlock()
-	a.entry.ApplyReport(time.Now(), runningCount, waitingCount)
-}
--- a/pkg/placement/choose.go
+++ b/pkg/placement/choose.go
@@ -235,7 +235,7 @@
 	if o.Connected != nil && !o.Connected(u.Address) {
 		cost += connectDelayMs
 	}
-	cost += u.failureRate(now) * failureDelayMs
+	cost += u.FailureRate(now) * failureDelayMs
 	if u.Domain != o.Domain {
 		cost += domainDelayMs
 	}
--- a/pkg/placement/health.go
+++ b/pkg/placement/health.go
@@ -61,9 +61,9 @@
 // Banned reports whether the upstream gets no requests because it was unreachable.
 func (u *Upstream) Banned(now time.Time) bool { return now.Before(u.health.bannedUntil) }
 
-// failureRate estimates the fraction of requests that fail. It adds one successful
+// FailureRate estimates the fraction of requests that fail. It adds one successful
 // request as a prior, so that a single failure does not divert all traffic.
-func (u *Upstream) failureRate(now time.Time) float64 {
+func (u *Upstream) FailureRate(now time.Time) float64 {
 	h := u.health
 	h.decay(now)
 	return h.failures / (h.successes + h.failures + 1)
