Drop clients that do not read their response

Cause: the servers set no write deadline, so a client that stops reading held its call, and the upstream connection, for as long as it liked.

Change: each request sets the write deadline of its connection to 5 s after its own deadline, so late answers are still delivered. It replaces that of the previous request on a kept connection.

--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -145,6 +145,7 @@
 		timeout = min(timeout, clientTimeout)
 	}
 	c.deadline = c.start.Add(timeout)
+	c.limitWrites(c.deadline)
 }
 
 // readPromptHeaders reads the token counts and parts of a prompt. Malformed values are
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -85,13 +85,19 @@
 	open      atomic.Int64 // requests that are being served
 	// started is when the process started.
 	started time.Time
+	// writeGrace is clientWriteGrace, or less in tests.
+	writeGrace time.Duration
 }
 
+// clientWriteGrace is how long after its deadline a call may still write to its client, so
+// that a late answer is delivered. A client that does not read is dropped then.
+const clientWriteGrace = 5 * time.Second
+
 // New returns the gateway of a node.
 func New(self, domain string, headers Headers, settings Settings, state Viewer, log logrus.FieldLogger) *Gateway {
 	g := &Gateway{
 		Self: self, Domain: domain, Headers: headers, Settings: settings, State: state, Log: log, Metrics: NewMetrics(),
-		pool: newPool(), ledger: newLedger(settings.UsageWindow), started: time.Now(),
+		pool: newPool(), ledger: newLedger(settings.UsageWindow), started: time.Now(), writeGrace: clientWriteGrace,
 	}
 	g.upstreams = newUpstreamSet(g)
 	return g
@@ -112,6 +118,8 @@
 	g.open.Add(1)
 	defer g.open.Add(-1)
 	c := &call{g: g, w: w, r: r, start: time.Now()}
+	// This replaces the deadline of the previous request on the connection.
+	c.limitWrites(c.start.Add(startupTime))
 	if g.Unready.Load() || len(r.TransferEncoding) > 0 {
 		// Close the connection on shutdown and after a chunked body. The HTTP parser
 		// accepts Content-Length together with chunked encoding, so the bytes after a
@@ -124,3 +132,10 @@
 	}
 	c.serve()
 }
+
+// limitWrites bounds the writes to a client that does not read its response, which is due
+// at a deadline.
+func (c *call) limitWrites(deadline time.Time) {
+	// Only a test's ResponseWriter does not support write deadlines.
+	_ = http.NewResponseController(c.w).SetWriteDeadline(deadline.Add(c.g.writeGrace))
+}
