Trust no response without an ID on a reused connection

Cause: a response that does not name its request was taken for the present one. On a connection that has served others it may be a late one to any of them. The test on: a late 503 or 421 without an ID made a booking that had run count as not run (503, free to be sent again), and a late 500 was forwarded to the next caller.

Ruled out: rejecting such responses on new connections too; only the present request was ever sent there.

Result: the three cases give 502 and one run.

--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -31,6 +31,11 @@
 	maxResponseWait    = 2 * time.Second
 )
 
+// errNoID is the cause of a failure when a response without an ID arrives on a connection
+// that has served other requests: it may be a late one to any of them, and its status says
+// nothing of the present request.
+var errNoID = errors.New("response without a request ID on a reused connection")
+
 // readResponseHead reads the status and headers of the response. It skips late responses
 // to earlier requests on the connection.
 func (c *call) readResponseHead(a *attempt) *failure {
@@ -49,13 +54,15 @@
 			continue // informational, such as 100 Continue
 		}
 		a.resp = resp
-		if id := resp.Header.Get(c.g.Headers.Attempt); id != "" && c.id != "" && id != c.id {
-			if err := discardBody(resp); err != nil {
-				return &failure{verdict: verdict.MayHaveRun, cause: "stray", err: err}
-			}
-			continue
+		switch id := resp.Header.Get(c.g.Headers.Attempt); {
+		case c.id == "" || id == c.id || id == "" && !a.conn.reused:
+			return c.checkResponseHead(a)
+		case id == "":
+			return &failure{verdict: verdict.MayHaveRun, cause: "stray", status: resp.StatusCode, err: errNoID}
+		}
+		if err := discardBody(resp); err != nil {
+			return &failure{verdict: verdict.MayHaveRun, cause: "stray", err: err}
 		}
-		return c.checkResponseHead(a)
 	}
 	return &failure{verdict: verdict.MayHaveRun, cause: "stray", err: errors.New("received only responses to other requests")}
 }
--- a/internal/gateway/response_test.go
+++ b/internal/gateway/response_test.go
@@ -53,6 +53,33 @@
 	}
 }
 
+// Guards against a booking that runs again, or is refused as not run, because of a late
+// response to an earlier request on the connection that does not say to which one.
+func TestResponseWithoutIDOnReusedConnectionProvesNothing(t *testing.T) {
+	for name, late := range map[string]string{
+		"not run":     "HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n",
+		"misdirected": "HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n",
+		"failure":     "HTTP/1.1 500 Broken\r\nX-Signature: s\r\nContent-Length: 4\r\n\r\nlate",
+	} {
+		t.Run(name, func(t *testing.T) {
+			script := func(n int, r *http.Request) []step {
+				if n == 1 {
+					return []step{{send: response(r, 200, "first")}}
+				}
+				return []step{{send: late + response(r, 200, "own")}}
+			}
+			u := newFakeUpstream(t, script)
+			env := newTestEnv(t, u)
+			wantBody(t, env.call("POST", "/twice/", "x"), "first")
+			res := env.call("POST", "/twice/", "x", "X-Attempt", "a2")
+			wantStatus(t, res, 502)
+			if got := u.count(); got != 2 {
+				t.Errorf("got %d requests at the upstream, want 2", got)
+			}
+		})
+	}
+}
+
 // dribble returns a script that sends an event and then one unit every pause until the
 // gateway closes the connection; a request that resumes the stream gets the rest at once.
 func dribble(unit string, pause time.Duration) func(int, *http.Request) []step {
