End only the task that panics, not the process

Cause: a panic in the handler of a message between nodes, or in a periodic task, ended the process, and a panic while a request was served kept its place at the upstream for good.

Ruled out: a recover in the voter's loop. A fault of the replicated state must stop the voter before it acknowledges anything.

A request that panics frees its place and gets 503 if nothing was sent, else 502.

--- a/internal/control/relay.go
+++ b/internal/control/relay.go
@@ -155,7 +155,7 @@
 func (c *Control) Run(ctx context.Context) <-chan struct{} {
 	done := make(chan struct{})
 	lastRelay := time.Now()
-	relayDone := periodic.Run(ctx, sessionCheckInterval, func(_ context.Context, now time.Time) {
+	relayDone := periodic.Run(ctx, c.Log, sessionCheckInterval, func(_ context.Context, now time.Time) {
 		var all, forEntryNodes []wire.Status
 		if now.Sub(lastRelay) >= relayInterval {
 			lastRelay = now
@@ -163,9 +163,9 @@
 		}
 		c.sendStatuses(now, all, forEntryNodes)
 	})
-	usageDone := periodic.Run(ctx, usageReporterInterval, c.usageReporter.run)
-	scalingDone := periodic.Run(ctx, scalingInterval, c.scaler.run)
-	movesDone := periodic.Run(ctx, moveInterval, c.mover.run)
+	usageDone := periodic.Run(ctx, c.Log, usageReporterInterval, c.usageReporter.run)
+	scalingDone := periodic.Run(ctx, c.Log, scalingInterval, c.scaler.run)
+	movesDone := periodic.Run(ctx, c.Log, moveInterval, c.mover.run)
 	go func() {
 		defer close(done)
 		<-relayDone
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -51,6 +51,7 @@
 	UsageReported    ID = 4019
 	SettingsReloaded ID = 1004
 	ShutdownCut      ID = 1005
+	TaskPanicked     ID = 1006
 	LinkUp           ID = 5001
 	LinkDown         ID = 5002
 	LinkRefused      ID = 5003
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -31,6 +31,8 @@
 	// limitRefusal is set when the account's limit refused the call.
 	limitRefusal *spendResult
 
+	// current is the attempt in progress; nil between attempts.
+	current *attempt
 	// attempts counts the attempts so far. Failed connects do not count.
 	attempts int
 	// possiblyRan is the verdict of the last attempt that ran or may have run; nil if
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -71,7 +71,7 @@
 // returns a channel that closes after that.
 func (e *Exchange) Run(ctx context.Context) <-chan struct{} {
 	lastSweep := time.Now()
-	return periodic.Run(ctx, usageReportInterval, func(ctx context.Context, now time.Time) {
+	return periodic.Run(ctx, e.Gateway.Log, usageReportInterval, func(ctx context.Context, now time.Time) {
 		if now.Sub(lastSweep) >= idleSweepInterval {
 			lastSweep = now
 			e.Gateway.pool.closeExpired(now)
--- a/internal/gateway/finish.go
+++ b/internal/gateway/finish.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/jaystage/jaystage/internal/crash"
 	"github.com/jaystage/jaystage/internal/problem"
 	"github.com/jaystage/jaystage/pkg/verdict"
 )
@@ -20,7 +21,8 @@
 		}
 		c.attempts++
 		c.upstreamID, c.upstreamVersion, c.cachedShare, c.expectedDelay = chosen.upstream.ID, chosen.upstream.Version, chosen.cachedShare, chosen.expectedDelay
-		a, f := c.send(ctx, chosen)
+		c.current = newAttempt(chosen)
+		a, f := c.current, c.send(ctx, c.current)
 		if f == nil {
 			f = c.forwardResponse(a)
 		}
@@ -37,9 +39,36 @@
 	}
 }
 
+// recoverPanic ends a call that panicked, so that its place at the upstream is freed and the
+// client gets a true verdict. net/http ends the connection of a call that is aborted.
+func (c *call) recoverPanic() {
+	p := recover()
+	switch {
+	case p == nil:
+		return
+	case p == http.ErrAbortHandler:
+		panic(p)
+	}
+	crash.Record(c.g.Log.WithField("request", c.id), "request", p)
+	if c.current != nil {
+		v := verdict.MayHaveRun
+		c.possiblyRan = &v
+		c.endAttempt(c.r.Context(), c.current, &failure{verdict: v, cause: "panic"})
+	}
+	e := &verdict.Error{Verdict: c.overallVerdict(), Code: verdict.CodeInternal, Status: http.StatusBadGateway, Detail: "the node failed to serve the request"}
+	if c.headersSent {
+		c.abort(e)
+	}
+	if e.Verdict == verdict.NotRun {
+		e.Status, e.RetryAfter = http.StatusServiceUnavailable, minStateRetryAfter
+	}
+	c.refuse(e)
+}
+
 // endAttempt returns the attempt's connection to the pool or closes it, and records the
 // end and the outcome of the attempt at the upstream.
 func (c *call) endAttempt(ctx context.Context, a *attempt, f *failure) {
+	c.current = nil
 	now := time.Now()
 	reusable := f == nil && a.resp != nil && !a.resp.Close && c.awaitBodyWritten(a)
 	if a.conn != nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -118,6 +118,7 @@
 	g.open.Add(1)
 	defer g.open.Add(-1)
 	c := &call{g: g, w: w, r: r, start: time.Now()}
+	defer c.recoverPanic()
 	// This replaces the deadline of the previous request on the connection.
 	c.limitWrites(c.start.Add(startupTime))
 	if g.Unready.Load() || len(r.TransferEncoding) > 0 {
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -52,12 +52,15 @@
 	overloaded bool
 }
 
-// send starts an attempt: it sends the request and reads the head of the response.
-func (c *call) send(ctx context.Context, chosen choice) (*attempt, *failure) {
-	a := &attempt{choice: chosen, started: time.Now(), promptPending: true}
-	upstreamConn, err := c.g.pool.get(ctx, chosen.upstream.Address)
+func newAttempt(chosen choice) *attempt {
+	return &attempt{choice: chosen, started: time.Now(), promptPending: true}
+}
+
+// send sends the request of an attempt and reads the head of the response.
+func (c *call) send(ctx context.Context, a *attempt) *failure {
+	upstreamConn, err := c.g.pool.get(ctx, a.upstream.Address)
 	if err != nil {
-		return a, &failure{verdict: verdict.NotRun, cause: "connect", err: err}
+		return &failure{verdict: verdict.NotRun, cause: "connect", err: err}
 	}
 	a.conn = upstreamConn
 	a.stopCancelWatch = context.AfterFunc(ctx, func() { _ = upstreamConn.Close() })
@@ -65,18 +68,18 @@
 	// The lease is checked again right before the request is sent, because the process
 	// may have been paused since the choice.
 	if _, ok := c.g.State.View(now); !ok {
-		return a, &failure{verdict: verdict.NotRun, cause: "lease", err: errors.New("the node's lease has expired")}
+		return &failure{verdict: verdict.NotRun, cause: "lease", err: errors.New("the node's lease has expired")}
 	}
 	if c.remaining(now) < minRemaining {
-		return a, &failure{verdict: verdict.NotRun, cause: "deadline", err: os.ErrDeadlineExceeded}
+		return &failure{verdict: verdict.NotRun, cause: "deadline", err: os.ErrDeadlineExceeded}
 	}
 	if err := upstreamConn.SetDeadline(c.deadline.Add(deadlineGrace)); err != nil {
-		return a, &failure{verdict: verdict.NotRun, cause: "connection", err: err}
+		return &failure{verdict: verdict.NotRun, cause: "connection", err: err}
 	}
 	if f := c.write(a, now); f != nil {
-		return a, f
+		return f
 	}
-	return a, c.readResponseHead(a)
+	return c.readResponseHead(a)
 }
 
 // write sends the request. The write of a large body may still be in progress when it
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -190,7 +190,7 @@
 // expireUpstreams removes upstreams that missed their heartbeats, until ctx ends. The
 // returned channel is closed after the last check.
 func (n *Node) expireUpstreams(ctx context.Context) <-chan struct{} {
-	return periodic.Run(ctx, announceInterval, func(_ context.Context, now time.Time) {
+	return periodic.Run(ctx, n.Log, announceInterval, func(_ context.Context, now time.Time) {
 		for _, e := range n.Registry.Expire(now) {
 			if e.Leaving {
 				continue // it announced that it was leaving, so its heartbeats were expected to end
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -10,6 +10,7 @@
 
 	"github.com/gorilla/websocket"
 
+	"github.com/jaystage/jaystage/internal/crash"
 	"github.com/jaystage/jaystage/internal/event"
 	"github.com/jaystage/jaystage/pkg/wire"
 )
@@ -144,7 +145,7 @@
 	handler := l.links.handlers[frame.Kind]
 	if frame.ID == 0 {
 		if handler != nil {
-			_, _ = handler(ctx, l.peerName, frame.Body)
+			_, _ = l.handle(ctx, handler, frame)
 		}
 		return
 	}
@@ -160,11 +161,26 @@
 	}
 	l.links.spawn(func(ctx context.Context) {
 		defer func() { <-l.requestSlots }()
-		result, err := handler(ctx, l.peerName, frame.Body)
+		result, err := l.handle(ctx, handler, frame)
 		l.reply(frame, result, err)
 	})
 }
 
+// errPanicked is the reply to a request whose handler panicked.
+var errPanicked = errors.New("the handler of the message failed")
+
+// handle calls a handler. A panic ends only this message, so that no message of another
+// node ends the process.
+func (l *link) handle(ctx context.Context, handler Handler, frame wire.Envelope) (result any, err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			crash.Record(l.links.config.Log.WithField("peer", l.peerName), "message "+frame.Kind, p)
+			result, err = nil, errPanicked
+		}
+	}()
+	return handler(ctx, l.peerName, frame.Body)
+}
+
 // reply sends the reply to a request. A reply that cannot be queued is dropped; the call
 // on the other side then fails when its context is done.
 func (l *link) reply(request wire.Envelope, result any, failure error) {
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -47,6 +47,7 @@
 		}
 		return from + ":" + s, nil
 	})
+	l.Handle("panic", func(context.Context, string, []byte) (any, error) { panic("asked to panic") })
 	server := httptest.NewServer(l.Handler())
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
--- a/internal/periodic/periodic.go
+++ b/internal/periodic/periodic.go
@@ -4,11 +4,24 @@
 import (
 	"context"
 	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/jaystage/jaystage/internal/crash"
 )
 
 // Run starts a goroutine that calls f once per interval until ctx ends. The returned
-// channel is closed after the last call has returned.
-func Run(ctx context.Context, interval time.Duration, f func(ctx context.Context, now time.Time)) <-chan struct{} {
+// channel is closed after the last call has returned. A panic ends only the present call
+// and is logged.
+func Run(ctx context.Context, log logrus.FieldLogger, interval time.Duration, f func(ctx context.Context, now time.Time)) <-chan struct{} {
+	call := func(now time.Time) {
+		defer func() {
+			if p := recover(); p != nil {
+				crash.Record(log, "periodic task", p)
+			}
+		}()
+		f(ctx, now)
+	}
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
@@ -19,7 +32,7 @@
 			case <-ctx.Done():
 				return
 			case now := <-ticker.C:
-				f(ctx, now)
+				call(now)
 			}
 		}
 	}()
--- a/internal/rollouts/controller.go
+++ b/internal/rollouts/controller.go
@@ -97,7 +97,7 @@
 // Run sends reports, and evaluates rollouts while the node is the leader, until ctx is
 // done. The returned channel is closed when it has stopped.
 func (c *Controller) Run(ctx context.Context) <-chan struct{} {
-	return periodic.Run(ctx, stepInterval, func(ctx context.Context, _ time.Time) {
+	return periodic.Run(ctx, c.Log, stepInterval, func(ctx context.Context, _ time.Time) {
 		c.sendReport(ctx)
 		c.evaluate(ctx)
 	})
