Answer requests that have arrived when a server stops

Cause: http.Server.Shutdown closes the listener with the connections that the kernel has accepted, and closes idle connections on which the next request has arrived but was not read.

Ruled out: serving longer after readiness fails; the load balancer goes on sending when less than half of a failure domain is in rotation, so the backlog is never known to be empty.

Change: internal/listener accepts what is in the backlog (for 0.5 s at most), and ends idle connections by a read deadline, which, unlike a close, does not discard bytes that were read; connections with unread bytes are left to the server. Both assemblies of the node use it. Also, Run of internal/node no longer hangs when a listener fails while its context lives: the expiry of upstreams ended with that context only.

--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -20,6 +20,7 @@
 	"github.com/jaystage/jaystage/internal/control"
 	"github.com/jaystage/jaystage/internal/event"
 	"github.com/jaystage/jaystage/internal/gateway"
+	"github.com/jaystage/jaystage/internal/listener"
 	"github.com/jaystage/jaystage/internal/peer"
 	"github.com/jaystage/jaystage/internal/replica"
 )
@@ -101,6 +102,7 @@
 	control      *control.Control
 	servers      []*server
 	clientServer *server
+	clients      *listener.Listener // of clientServer
 }
 
 type server struct {
@@ -156,6 +158,8 @@
 	}
 	n.clientServer = n.servers[len(n.servers)-1]
 	n.clientServer.IdleTimeout = idleTimeout
+	n.clients = listener.New(n.clientServer.listener)
+	n.clientServer.listener, n.clientServer.ConnState = n.clients, n.clients.ConnState
 	return n.listen("readiness", o.ReadinessAddress, o.ReadinessHandler(func() bool { return n.gateway.Ready(time.Now()) }))
 }
 
@@ -257,9 +261,9 @@
 	time.Sleep(unreadyDuration)
 	shutdownCtx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
-	if err := n.clientServer.Shutdown(shutdownCtx); err != nil {
+	if err := n.clients.Drain(shutdownCtx); err != nil {
 		event.With(n.options.Log, event.ShutdownCut).WithField("open", n.gateway.Open()).WithError(err).
 			Warn("grace period is over; closing connections with open requests")
-		_ = n.clientServer.Close()
 	}
+	_ = n.clientServer.Close() // the listener is closed already, and without an error so are the connections
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -16,6 +16,7 @@
 	"github.com/jaystage/jaystage/internal/caller"
 	"github.com/jaystage/jaystage/internal/cell"
 	"github.com/jaystage/jaystage/internal/event"
+	"github.com/jaystage/jaystage/internal/listener"
 	"github.com/jaystage/jaystage/internal/operator"
 	"github.com/jaystage/jaystage/internal/peer"
 	"github.com/jaystage/jaystage/internal/periodic"
@@ -48,13 +49,13 @@
 	Callers     *caller.API
 	Cell        *cell.Cell
 	Rollouts    *rollouts.Controller
-	listeners   []listener // for clients, upstreams and operators, in this order
-	peers       *listener  // nil when the node has no listener for other nodes
+	listeners   []endpoint // for clients, upstreams and operators, in this order
+	peers       *endpoint  // nil when the node has no listener for other nodes
 	incarnation uint64     // start time of this process, in nanoseconds since 1970
 }
 
-type listener struct {
-	net.Listener
+type endpoint struct {
+	*listener.Listener
 	server *http.Server
 }
 
@@ -103,8 +104,9 @@
 	if err != nil {
 		return eris.Wrapf(err, "cannot listen on %s %q; choose a free address", key, address)
 	}
-	n.listeners = append(n.listeners, listener{l, &http.Server{
-		ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+	tracked := listener.New(l)
+	n.listeners = append(n.listeners, endpoint{tracked, &http.Server{
+		ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: tracked.ConnState,
 	}})
 	return nil
 }
@@ -137,10 +139,10 @@
 	for _, l := range n.listeners {
 		go func() { serveErrs <- l.server.Serve(l.Listener) }()
 	}
-	expiryDone := n.expireUpstreams(ctx)
 	cellCtx, stopCell := context.WithCancel(context.WithoutCancel(ctx))
 	cellDone, rolloutsDone := n.Cell.Run(cellCtx), n.Rollouts.Run(cellCtx)
 	maintenanceCtx, stopMaintenance := context.WithCancel(context.WithoutCancel(ctx))
+	expiryDone := n.expireUpstreams(maintenanceCtx)
 	maintenanceDone := n.Callers.StartMaintenance(maintenanceCtx)
 	event.With(n.Log, event.NodeStarted).WithField("callers", n.CallersAddress()).WithField("node", n.Settings.Node.Name).Info("node started")
 	var err error
@@ -180,9 +182,10 @@
 	closeCtx, cancelClose := context.WithTimeout(ctx, closeTimeout)
 	defer cancelClose()
 	for _, l := range n.listeners {
-		if err := l.server.Shutdown(closeCtx); err != nil {
-			errs = errors.Join(errs, eris.Wrap(err, "close listener"), l.server.Close())
+		if err := l.Drain(closeCtx); err != nil {
+			errs = errors.Join(errs, eris.Wrap(err, "close listener"))
 		}
+		errs = errors.Join(errs, l.server.Close())
 	}
 	return errs
 }
