Ask a quorum before each call to the platform

Cause: the leader checked a flag and its own lease of 3.75 s before it called the platform. A voter that was paused for 3.5 s could call after its successor, which waits for the 3 s within which holders must not take turns; only platforms that check the fencing token would have stopped it. With the check taken out, the tests "replaced while paused" and "paused after the question" make the call.

Ruled out: a shorter lease of the voters' own sessions; it ends service at entry nodes for the same reason.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -13,6 +13,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/jaystage/jaystage/internal/boottime"
 	"github.com/jaystage/jaystage/internal/config"
 	"github.com/jaystage/jaystage/internal/event"
 	"github.com/jaystage/jaystage/internal/peer"
@@ -29,6 +30,9 @@
 	Change(ctx context.Context, c wire.Change) (wire.Changed, error)
 	// Leading returns the current term and reports whether this voter leads in it.
 	Leading() (term uint64, ok bool)
+	// ConfirmLeading returns nil if a quorum has confirmed, after the call began, that this
+	// voter leads in term.
+	ConfirmLeading(term uint64) error
 	// Leader returns the name of the leader; empty when unknown.
 	Leader() string
 }
@@ -65,6 +69,9 @@
 	// MaxExposure is the largest share of all requests that a faulty version may receive.
 	MaxExposure float64
 
+	// bootTime returns the time since the start of the VM, with the time that it was
+	// suspended. It is replaced in tests.
+	bootTime      func() time.Time
 	roster        *roster.Roster
 	relay         relay
 	ledger        *ledger
@@ -75,7 +82,7 @@
 
 // New returns the control plane of a voter.
 func New(self string, state State, links Links, log logrus.FieldLogger) *Control {
-	c := &Control{Self: self, State: state, Links: links, Log: log, roster: roster.New(), ledger: newLedger()}
+	c := &Control{Self: self, State: state, Links: links, Log: log, roster: roster.New(), ledger: newLedger(), bootTime: boottime.Now}
 	c.usageReporter.c, c.mover.c, c.scaler.c = c, c, c
 	c.relay.synced = make(map[string]uint64)
 	return c
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -25,6 +25,20 @@
 	term      uint64
 	staleView *config.View // outdated view that View returns, if set
 	failing   bool         // calls that need a quorum fail
+	// onConfirm runs before a leadership is confirmed, if set.
+	onConfirm func()
+}
+
+func (s *fakeState) ConfirmLeading(term uint64) error {
+	if s.onConfirm != nil {
+		s.onConfirm()
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.failing || s.term != term {
+		return errNoQuorum
+	}
+	return nil
 }
 
 func (s *fakeState) view() *config.View {
--- a/internal/control/scaler.go
+++ b/internal/control/scaler.go
@@ -149,9 +149,9 @@
 }
 
 func (s *scaler) order(ctx context.Context, now time.Time, term uint64, service string, running map[fleet.OfferKey]int, order fleet.CountOrder, memory *fleet.CountMemory) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	err := s.c.Platform.Scale(ctx, term, Order{Service: service, Domain: order.Domain, Reclaimable: order.Reclaimable, Count: order.Count})
+	err := s.c.callPlatform(ctx, term, func(ctx context.Context) error {
+		return s.c.Platform.Scale(ctx, term, Order{Service: service, Domain: order.Domain, Reclaimable: order.Reclaimable, Count: order.Count})
+	})
 	event.With(s.c.Log, event.UpstreamsOrdered).WithFields(logrus.Fields{
 		"service": service, "domain": order.Domain, "reclaimable": order.Reclaimable, "count": order.Count, "running": running[order.OfferKey], "term": term,
 	}).WithError(err).Info("upstreams ordered")
--- a/internal/control/usage_reporter.go
+++ b/internal/control/usage_reporter.go
@@ -119,9 +119,7 @@
 		if usage.Sent {
 			continue
 		}
-		ctx, cancel := context.WithTimeout(ctx, callTimeout)
-		err := r.c.Platform.Report(ctx, term, usage)
-		cancel()
+		err := r.c.callPlatform(ctx, term, func(ctx context.Context) error { return r.c.Platform.Report(ctx, term, usage) })
 		event.With(r.c.Log, event.UsageReported).WithFields(logrus.Fields{
 			"window": usage.Window, "term": term, "age_ms": now.Sub(time.Unix(0, int64(usage.Window+1)*int64(r.c.UsageWindow))).Milliseconds(),
 		}).WithError(err).Info("usage window reported")
@@ -133,8 +131,8 @@
 			return
 		}
 		usage.Sent = true
-		ctx, cancel = context.WithTimeout(context.WithoutCancel(ctx), callTimeout)
-		err = r.c.overwrite(ctx, config.PrefixUsage+key, usage)
+		recordCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), callTimeout)
+		err = r.c.overwrite(recordCtx, config.PrefixUsage+key, usage)
 		cancel()
 		if err != nil {
 			r.c.Log.WithError(err).Warn("could not record that a usage window was reported; the report will be repeated")
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -258,6 +258,25 @@
 	return term, term > 0
 }
 
+// ErrNotLeading is returned when this node does not lead the group in the given term.
+var ErrNotLeading = errors.New("this node does not lead the group in this term")
+
+// ConfirmLeading returns nil if this node led the group in a term at some moment after
+// the call began: a quorum of the voters has confirmed it since.
+func (r *Replica) ConfirmLeading(term uint64) error {
+	if r.voter == nil {
+		return ErrNotLeading
+	}
+	var current uint64
+	if err := r.voter.linearizableRead(func(l *leaderState) { current = l.term }); err != nil {
+		return fmt.Errorf("%w: %w", ErrNotLeading, err)
+	}
+	if current != term {
+		return ErrNotLeading
+	}
+	return nil
+}
+
 // Leader returns the name of the current leader as far as this node knows.
 func (r *Replica) Leader() string { return *r.leader.Load() }
 
