Bound what a node reads before the other side is known

Ruled out: the body and head of the platform's replies; the library bounds heads to 10 MB and we read 1 KiB of the body. The bound is 64 KiB now.

Change: internal/bounded.Reader, which the gateway's connections use too, limits a dialed connection to 64 KiB until the handshake is done.

--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -3,8 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"errors"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -14,6 +12,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/jaystage/jaystage/internal/bounded"
 )
 
 const (
@@ -39,7 +39,7 @@
 	net.Conn
 	// reader reads from limit, which reads from Conn.
 	reader *bufio.Reader
-	limit  *readLimit
+	limit  *bounded.Reader
 	// reused is true once a response has been read from the connection.
 	reused      bool
 	lastUsed    time.Time
@@ -74,34 +74,15 @@
 	if err != nil {
 		return nil, err
 	}
-	limit := &readLimit{source: raw}
+	limit := &bounded.Reader{Source: raw}
 	return &conn{Conn: raw, reader: bufio.NewReaderSize(limit, readBufferBytes), limit: limit, idleTimeout: defaultIdleTimeout}, nil
 }
 
-var errHeadTooLong = errors.New("response head exceeds the size limit")
-
-// readLimit makes reads fail once more than remaining bytes were read while it is active.
-type readLimit struct {
-	source    io.Reader
-	active    bool
-	remaining int
-}
-
-// Read implements io.Reader.
-func (l *readLimit) Read(b []byte) (int, error) {
-	if l.active && l.remaining <= 0 {
-		return 0, errHeadTooLong
-	}
-	n, err := l.source.Read(b)
-	l.remaining -= n
-	return n, err
-}
-
 // readHead reads the status line and headers of a response to a request with this method,
 // at most maxHeadBytes and a read buffer.
 func (c *conn) readHead(method string) (*http.Response, error) {
-	c.limit.active, c.limit.remaining = true, maxHeadBytes
-	defer func() { c.limit.active = false }()
+	c.limit.Limit(maxHeadBytes)
+	defer c.limit.Lift()
 	return http.ReadResponse(c.reader, &http.Request{Method: method})
 }
 
--- a/internal/peer/dial.go
+++ b/internal/peer/dial.go
@@ -11,6 +11,7 @@
 
 	"github.com/gorilla/websocket"
 
+	"github.com/jaystage/jaystage/internal/bounded"
 	"github.com/jaystage/jaystage/internal/event"
 )
 
@@ -112,7 +113,15 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	dialer := websocket.Dialer{TLSClientConfig: l.config.TLS, HandshakeTimeout: dialTimeout}
+	var raw *handshakeConn
+	dialer := websocket.Dialer{TLSClientConfig: l.config.TLS, HandshakeTimeout: dialTimeout, NetDialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := (&net.Dialer{}).DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		raw = newHandshakeConn(c)
+		return raw, nil
+	}}
 	conn, resp, err := dialer.DialContext(ctx, endpoint.String(), nil)
 	if resp != nil && resp.Body != nil {
 		_ = resp.Body.Close()
@@ -124,10 +133,30 @@
 		_ = conn.Close()
 		return err
 	}
+	raw.limit.Lift()
 	l.startLink(name, conn, true)
 	return nil
 }
 
+// maxHandshakeBytes bounds what is read from a connection before its other side has proved
+// to be a node: another program may have taken over the address.
+const maxHandshakeBytes = 64 << 10
+
+// handshakeConn is a connection with a limit on the bytes that are read from it.
+type handshakeConn struct {
+	net.Conn
+	limit *bounded.Reader
+}
+
+func newHandshakeConn(c net.Conn) *handshakeConn {
+	limit := &bounded.Reader{Source: c}
+	limit.Limit(maxHandshakeBytes)
+	return &handshakeConn{c, limit}
+}
+
+// Read implements net.Conn.
+func (c *handshakeConn) Read(b []byte) (int, error) { return c.limit.Read(b) }
+
 func isLoopback(address string) bool {
 	host, _, err := net.SplitHostPort(address)
 	if err != nil {
