Extend the lease when a push has overtaken a renewal's changes

Cause: a renewal's reply with changes up to version 39 was an error at a node that a push had brought to version 40 meanwhile: "cannot apply configuration changes; lease not extended".

Ruled out: a lease that is too long: it counts from the sending of the renewal, as before, and the node holds more than the leader granted on.

Change: changes that are not newer than those in force are left out.

Result: the new test fails before and passes after.

--- a/internal/replica/view.go
+++ b/internal/replica/view.go
@@ -75,13 +75,13 @@
 
 // extend applies the changes that came with a renewal and extends the lease, which
 // counts from the time the renewal was sent. If the changes cannot be applied, the
-// lease is not extended.
+// lease is not extended. Changes that a push has overtaken are in force already.
 func (v *viewer) extend(sent boottime.Moment, d *wire.Delta) error {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	old := v.lease.Load()
 	view := old.view
-	if d != nil && d.Version != view.Version {
+	if d != nil && d.Version > view.Version {
 		next, err := v.apply(*d, view.Version)
 		if err != nil {
 			return err
--- a/internal/replica/view_test.go
+++ b/internal/replica/view_test.go
@@ -65,3 +65,22 @@
 		t.Errorf("a configuration that cannot be read extended the lease: %v", err)
 	}
 }
+
+// Load pattern: changes follow each other closely, as when many nodes start sessions, so a
+// push overtakes the changes of a renewal. Guards against a lease that is not extended.
+func TestRenewalOvertakenByPushExtendsLease(t *testing.T) {
+	v := newViewer(hooks{}, time.Hour)
+	item := func(version uint64) []wire.Item {
+		return []wire.Item{{Key: "domain/x", Value: []byte(`{"name":"x"}`), Version: version}}
+	}
+	if applied, err := v.applyPush(wire.Delta{From: 0, Version: 3, Items: item(3)}); !applied || err != nil {
+		t.Fatalf("got %v, %v, want the push applied", applied, err)
+	}
+	now := boottime.ReadClocks()
+	if err := v.extend(now, &wire.Delta{From: 0, Version: 2, Items: item(2)}); err != nil {
+		t.Errorf("got %v, want the lease extended", err)
+	}
+	if view, valid := v.get(now); !valid || view.Version != 3 {
+		t.Errorf("got version %d, lease %v, want version 3 and a lease", view.Version, valid)
+	}
+}
