Do not renew at every start of another node's session

Cause: each session start changes the list of nodes. The leader pushes such changes to all nodes every 20 ms, and each push, as each renewal that brought changes, made the node renew at once to report them.

Change: changes of nodes alone, which no one waits for, are not reported before the next regular renewal, and are pushed to entry nodes every 20 ms or 0.2 ms for each node, whichever is longer; voters, which greet new sessions with the statuses of upstreams, get them as before. A push that contains known changes is applied instead of left to the next renewal.

--- a/internal/replica/handlers.go
+++ b/internal/replica/handlers.go
@@ -163,13 +163,16 @@
 	return nil, nil
 }
 
-// applyPush puts pushed changes in force at once and triggers the renewal that reports
-// this to the leader.
+// applyPush puts pushed changes in force at once. It triggers the renewal that reports this
+// to the leader, unless only nodes have changed: if every node of a large fleet renewed for
+// every start of a session, the leader would have no time left for the starts.
 func (r *Replica) applyPush(delta wire.Delta) {
 	if _, err := r.view.applyPush(delta); err != nil {
 		event.With(r.config.Log, event.ViewFailed).WithError(err).Error("cannot apply pushed configuration changes")
 	}
-	r.session.wakeUp()
+	if isUrgent(delta) {
+		r.session.wakeUp()
+	}
 }
 
 // logLeaseChange logs whether the lease was lost or gained since the last call.
--- a/internal/replica/leader.go
+++ b/internal/replica/leader.go
@@ -3,12 +3,14 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
 	"github.com/jaystage/jaystage/internal/boottime"
 	"github.com/jaystage/jaystage/internal/config"
 	"github.com/jaystage/jaystage/internal/event"
+	"github.com/jaystage/jaystage/pkg/raft"
 	"github.com/jaystage/jaystage/pkg/state"
 	"github.com/jaystage/jaystage/pkg/wire"
 )
@@ -16,10 +18,14 @@
 // endRetryInterval is the interval between proposals to end the same session.
 const endRetryInterval = 500 * time.Millisecond
 
-// nodePushInterval is the minimum time between two pushes that contain only changes of
-// nodes. All nodes of a deployment may start sessions within a tenth of a second, and
-// each push goes to all of them and causes a renewal.
-const nodePushInterval = 20 * time.Millisecond
+// nodePushInterval is the minimum time between two pushes to the voters that contain only
+// changes of nodes. nodePushTimeEach is the part of that time for pushes to the other nodes
+// that each of them adds: all may start sessions within a tenth of a second, and each push
+// goes to all of them. With 300 nodes, 60 ms pass between two pushes.
+const (
+	nodePushInterval = 20 * time.Millisecond
+	nodePushTimeEach = 200 * time.Microsecond
+)
 
 // leaderState is what a leader knows about the sessions. It is not replicated: a new
 // leader waits for the longest lease that an earlier leader can have granted. Only the
@@ -39,7 +45,8 @@
 	// lastContact holds when each voter last answered this leader.
 	lastContact map[string]time.Time
 	waiters     []waiter
-	push        pendingPush
+	// voterPush and nodePush are the changes to push to the voters and to other nodes.
+	voterPush, nodePush pendingPush
 }
 
 // pendingPush describes what has changed since the last push.
@@ -98,8 +105,12 @@
 	if v.machine.Space.Version > oldVersion {
 		l.recordChanges(oldVersion)
 	}
-	if from, due := l.push.due(now); due {
-		l.pushChanges(from)
+	if from, due := l.voterPush.due(now, nodePushInterval); due {
+		l.pushChanges(from, true)
+	}
+	interval := max(nodePushInterval, time.Duration(len(l.sessions))*nodePushTimeEach)
+	if from, due := l.nodePush.due(now, interval); due {
+		l.pushChanges(from, false)
 	}
 	if now.Sub(l.lastScan) < tickInterval/2 {
 		return
@@ -163,11 +174,15 @@
 
 // recordChanges adds the changes of the key space since oldVersion to the pending push.
 func (l *leaderState) recordChanges(oldVersion uint64) {
-	urgent := false
-	for _, item := range l.v.machine.Space.Delta(oldVersion).Items {
-		urgent = urgent || !strings.HasPrefix(item.Key, config.PrefixNode)
-	}
-	l.push.record(oldVersion, urgent)
+	urgent := isUrgent(l.v.machine.Space.Delta(oldVersion))
+	l.voterPush.record(oldVersion, urgent)
+	l.nodePush.record(oldVersion, urgent)
+}
+
+// isUrgent reports whether changes contain more than changes of nodes. Those are not waited
+// for by anyone, and come in hundreds when all nodes start.
+func isUrgent(d wire.Delta) bool {
+	return slices.ContainsFunc(d.Items, func(i wire.Item) bool { return !strings.HasPrefix(i.Key, config.PrefixNode) })
 }
 
 // record adds the changes since oldVersion.
@@ -178,9 +193,10 @@
 	p.urgent = p.urgent || urgent
 }
 
-// due reports whether changes have to be pushed now, and since which version.
-func (p *pendingPush) due(now time.Time) (from uint64, due bool) {
-	if !p.pending || !p.urgent && now.Sub(p.lastPush) < nodePushInterval {
+// due reports whether changes have to be pushed now, and since which version. Changes of
+// nodes alone are pushed once per nodeInterval.
+func (p *pendingPush) due(now time.Time, nodeInterval time.Duration) (from uint64, due bool) {
+	if !p.pending || !p.urgent && now.Sub(p.lastPush) < nodeInterval {
 		return 0, false
 	}
 	from = p.from
@@ -188,8 +204,9 @@
 	return from, true
 }
 
-// pushChanges sends the changes since a version to all nodes with a session.
-func (l *leaderState) pushChanges(from uint64) {
+// pushChanges sends the changes since a version to all voters, or to all other nodes, that
+// have a session.
+func (l *leaderState) pushChanges(from uint64, toVoters bool) {
 	v := l.v
 	delta := v.machine.Space.Delta(from)
 	encoded, err := wire.Marshal(delta)
@@ -198,6 +215,10 @@
 		return
 	}
 	for name := range v.machine.Sessions() {
+		isVoter := slices.ContainsFunc(v.status.Members, func(m raft.Member) bool { return m.Name == name })
+		if isVoter != toVoters {
+			continue
+		}
 		if name == v.r.config.Entry.Name {
 			v.r.applyPush(delta)
 			continue
--- a/internal/replica/leader_test.go
+++ b/internal/replica/leader_test.go
@@ -17,7 +17,7 @@
 		if ms < 100 {
 			p.record(uint64(ms), false)
 		}
-		if from, due := p.due(now); due {
+		if from, due := p.due(now, nodePushInterval); due {
 			if from != pushed {
 				t.Fatalf("got a push of the changes since %d, want since %d", from, pushed)
 			}
@@ -29,10 +29,10 @@
 	}
 	later := start.Add(time.Second)
 	p.record(100, false)
-	p.due(later)
+	p.due(later, nodePushInterval)
 	p.record(101, false)
 	p.record(102, true)
-	if from, due := p.due(later.Add(time.Millisecond)); !due || from != 101 {
+	if from, due := p.due(later.Add(time.Millisecond), nodePushInterval); !due || from != 101 {
 		t.Errorf("got a push %v since %d right after a change of the plan, want one since 101", due, from)
 	}
 }
--- a/internal/replica/session.go
+++ b/internal/replica/session.go
@@ -147,8 +147,8 @@
 		return err
 	}
 	s.r.logLeaseChange()
-	if s.r.view.version() != version {
-		s.wakeUp() // report to the leader that the new version is in force here
+	if grant.Delta != nil && isUrgent(*grant.Delta) {
+		s.wakeUp() // report to the leader that the changes are in force here
 	}
 	return nil
 }
--- a/internal/replica/view.go
+++ b/internal/replica/view.go
@@ -96,12 +96,13 @@
 }
 
 // applyPush applies changes that arrive between two renewals. It returns false if
-// they do not follow the current version.
+// changes between them and the current version are missing, or they are not newer. Changes
+// that start before the current version, which a renewal may have brought, contain it.
 func (v *viewer) applyPush(d wire.Delta) (bool, error) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	old := v.lease.Load()
-	if d.Full || d.From != old.view.Version || d.Version <= d.From {
+	if d.Full || d.From > old.view.Version || d.Version <= old.view.Version {
 		return false, nil
 	}
 	view, err := v.apply(d, old.view.Version)
