Let a voter that was removed while it was down join again

Cause: a newcomer takes the place of any voter that does not answer. When it took that of one that was only down, that one came back with a log that says that it is a voter, heard nothing, and never asked: the group kept a lost voter in its place and bore one loss less.

Change: a voter that has heard of no leader for 1 s asks to be added, as one with an empty directory does; the leader refuses while it is a member.

--- a/internal/replica/join.go
+++ b/internal/replica/join.go
@@ -21,23 +21,32 @@
 	// replace it. It is longer than the restart of a process or the resume of a VM
 	// usually takes, so that a voter that returns with its disk stays a member.
 	replaceAfter = 2500 * time.Millisecond
+	// unheardAfter is how long a voter hears of no leader before it asks to be added
+	// although its own log says that it is a voter. Elections take less.
+	unheardAfter = time.Second
 )
 
 // Join makes this voter a full member of the group and keeps checking until ctx ends.
 // It requests to be added under the incarnation of its data directory, and to be promoted
-// once it holds everything that is committed. A voter that is already a member need
-// not call it.
+// once it holds everything that is committed. A voter that was removed while it was down
+// does not know it, because nobody sends it the log any more: it asks too once it has heard
+// of no leader for unheardAfter, and the leader refuses if it is still a member.
 func (r *Replica) Join(ctx context.Context) {
 	ticker := time.NewTicker(joinInterval)
 	defer ticker.Stop()
+	lastHeard := time.Now()
 	for {
+		var now time.Time
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case now = <-ticker.C:
 		}
 		own, ok := r.voter.ownMembership(ctx)
-		if !ok || own.voter {
+		if own.leaderKnown {
+			lastHeard = now
+		}
+		if !ok || own.voter && now.Sub(lastHeard) < unheardAfter {
 			continue
 		}
 		step := wire.Voters{Verb: VerbAdd, Name: r.config.Entry.Name, Incarnation: own.incarnation}
@@ -57,12 +66,14 @@
 type membership struct {
 	incarnation    uint64
 	learner, voter bool
+	// leaderKnown is true while the voter hears of a leader, or leads.
+	leaderKnown bool
 }
 
 func (v *voter) ownMembership(ctx context.Context) (membership, bool) {
 	answer := make(chan membership, 1)
 	run := func() {
-		own := membership{incarnation: v.log.Identity().Incarnation}
+		own := membership{incarnation: v.log.Identity().Incarnation, leaderKnown: v.status.Leader != ""}
 		for _, m := range v.status.Members {
 			if m.Name == v.r.config.Entry.Name && m.Incarnation == own.incarnation {
 				own.learner, own.voter = m.Learner, !m.Learner
--- a/internal/replica/replace_test.go
+++ b/internal/replica/replace_test.go
@@ -176,3 +176,23 @@
 		}
 	}
 }
+
+// Guards against a voter that was removed while it was down and is lost to the group: its
+// own log says that it is a voter, and nobody tells it otherwise. Seen in TestReplacedVoter
+// when the newcomer took the place of the voter that came back.
+func TestVoterRemovedWhileDownJoinsAgain(t *testing.T) {
+	c := newCluster(t, "a", "b", "c")
+	c.joiners, c.groupSize = []string{"d"}, 3
+	c.start("a", "b", "c")
+	c.ready("a", "b", "c")
+	c.kill("c")
+	time.Sleep(replaceAfter)
+	c.start("d")
+	c.join("d")
+	c.wantGroup("a", "a", "b", "d")
+	c.kill("b")
+	c.start("c")
+	c.join("c")
+	c.wantGroup("a", "a", "c", "d")
+	c.wantOneLeader("a", "c", "d")
+}
