Log one line when a node learns of many upstreams at once

Cause: an entry node logs at most 250 lines a second, and one that starts wrote a line for each upstream.

Change: more than 20 changes in one message give one line with their count; the voters, where upstreams report, still log each.

Result: TestStartInLargeFleetLogsOneLine; tests of gateway and event pass.

--- a/internal/gateway/scale_test.go
+++ b/internal/gateway/scale_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/jaystage/jaystage/pkg/placement"
 	"github.com/jaystage/jaystage/pkg/traffic"
 	"github.com/jaystage/jaystage/pkg/wire"
@@ -56,3 +58,27 @@
 		})
 	}
 }
+
+// lineCounter counts log lines.
+type lineCounter struct{ lines int }
+
+func (c *lineCounter) Write(b []byte) (int, error) {
+	c.lines++
+	return len(b), nil
+}
+
+// Load pattern: a node starts in a fleet of hundreds of upstreams, and learns of all at
+// once. Guards against lines about upstreams that crowd out those of the first requests.
+func TestStartInLargeFleetLogsOneLine(t *testing.T) {
+	for _, c := range []struct{ upstreams, want int }{{1, 1}, {maxChangeLines, maxChangeLines}, {169, 1}, {3000, 1}} {
+		env := newTestEnv(t)
+		var counter lineCounter
+		log := logrus.New()
+		log.SetOutput(&counter)
+		env.gateway.Log = log
+		env.gateway.ApplyStatuses(time.Now(), manyStatuses(c.upstreams, 1))
+		if counter.lines != c.want {
+			t.Errorf("%d upstreams: got %d lines, want %d", c.upstreams, counter.lines, c.want)
+		}
+	}
+}
--- a/internal/gateway/upstreams.go
+++ b/internal/gateway/upstreams.go
@@ -71,18 +71,31 @@
 	return len(s.byID) > 0
 }
 
+// maxChangeLines is the number of changed upstreams of one message up to which each gets a
+// log line. A node that starts learns of hundreds at once, and their lines would crowd out
+// those of its first requests.
+const maxChangeLines = 20
+
 // ApplyStatuses updates the upstreams from received statuses.
 func (g *Gateway) ApplyStatuses(now time.Time, list []wire.Status) {
+	var changed []wire.Status
 	for _, s := range list {
 		change := g.upstreams.roster.Apply(now, s)
 		g.upstreams.applyStatus(now, s, change)
 		if change == roster.Joined || change == roster.Left {
-			event.With(g.Log, event.UpstreamChanged).WithFields(map[string]any{
-				"upstream": s.ID, "service": s.Service, "domain": s.Domain, "address": s.Address, "born": s.Born,
-				"sequence": s.Sequence, "leaving": s.Leaving, "gone": s.Gone, "cold_ms": s.Cold,
-			}).Info("upstream changed")
+			changed = append(changed, s)
 		}
 	}
+	if len(changed) > maxChangeLines {
+		event.With(g.Log, event.UpstreamChanged).WithField("count", len(changed)).Info("many upstreams changed")
+		return
+	}
+	for _, s := range changed {
+		event.With(g.Log, event.UpstreamChanged).WithFields(map[string]any{
+			"upstream": s.ID, "service": s.Service, "domain": s.Domain, "address": s.Address, "born": s.Born,
+			"sequence": s.Sequence, "leaving": s.Leaving, "gone": s.Gone, "cold_ms": s.Cold,
+		}).Info("upstream changed")
+	}
 }
 
 func (s *upstreamSet) applyStatus(now time.Time, status wire.Status, change roster.Change) {
