--- a/internal/gateway/response_test.go
+++ b/internal/gateway/response_test.go
@@ -154,7 +154,7 @@
 // response has passed.
 func TestSlowLongBodyIsNotCut(t *testing.T) {
 	part := strings.Repeat("x", maxBufferedBytes)
-	u := newFakeUpstream(t, func(_ int, r *http.Request) []step {
+	u := newFakeUpstream(t, func(int, *http.Request) []step {
 		head := fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Attempt: a1\r\nX-Signature: s\r\nContent-Length: %d\r\n\r\n", 2*len(part))
 		return []step{{send: head + part, pause: minResponseWait + 300*time.Millisecond}, {send: part}}
 	})
