Greet a new node with all statuses from two voters only

Ruled out: one greeter; a voter that was just lost would leave new nodes without most upstreams until the statuses are refreshed, 3.6 s later.

Change: the first two voters in an order by hash of node and voter send the whole list. The others send what upstreams reported to them within a second, which may not have reached the greeters yet.

--- a/internal/control/relay.go
+++ b/internal/control/relay.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/jaystage/jaystage/internal/config"
 	"github.com/jaystage/jaystage/internal/event"
 	"github.com/jaystage/jaystage/internal/gateway"
@@ -34,10 +36,21 @@
 // relayed to entry nodes: they show which upstreams turned cold during the drain.
 const postDrainTime = 4 * time.Second
 
+// greeters is the number of voters that send all statuses to a node with a new session. The
+// others send those that they received within recentTime, which the greeters may not have
+// got yet. Full lists from all voters would fill the link of a small VM for a tenth of a
+// second, and hundreds of nodes may start together.
+const (
+	greeters   = 2
+	recentTime = time.Second
+)
+
 // relay collects the statuses to send to the other nodes.
 type relay struct {
 	mu      sync.Mutex
 	pending map[string]pendingStatus
+	// recent holds when upstreams last reported to this voter, within about recentTime.
+	recent map[string]time.Time
 	// drainEnds records when the drain of each failure domain last ended.
 	drainEnds config.DrainEnds
 	// synced holds, by node, the session to which all statuses were sent. Only
@@ -58,6 +71,10 @@
 	if r.pending == nil {
 		r.pending = make(map[string]pendingStatus)
 	}
+	if r.recent == nil {
+		r.recent = make(map[string]time.Time)
+	}
+	r.recent[s.ID] = now
 	drainEnd, ended := r.drainEnds.At(s.Domain)
 	forEntryNodes := change != roster.Refreshed || entryNodesNeed(old, s) || ended && now.Sub(drainEnd) < postDrainTime
 	r.pending[s.ID] = pendingStatus{s, forEntryNodes || r.pending[s.ID].forEntryNodes}
@@ -87,6 +104,36 @@
 	return all, forEntryNodes
 }
 
+// recentReporters returns the upstreams that reported to this voter within recentTime.
+func (r *relay) recentReporters(now time.Time) map[string]bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	reporters := make(map[string]bool)
+	for id, at := range r.recent {
+		if now.Sub(at) > recentTime {
+			delete(r.recent, id)
+			continue
+		}
+		reporters[id] = true
+	}
+	return reporters
+}
+
+// greets reports whether a voter sends all statuses to a new node: whether it is among the
+// first greeters of the known voters in an order by hash. A voter that knows only some of
+// the others ranks no lower, so the first ones of all voters always greet.
+func greets(self, node string, voters []string) bool {
+	rank, own := 0, greetingOrder(self, node)
+	for _, v := range voters {
+		if v != self && greetingOrder(v, node) < own {
+			rank++
+		}
+	}
+	return rank < greeters
+}
+
+func greetingOrder(voter, node string) uint64 { return xxhash.Sum64String(node + "\x00" + voter) }
+
 // trackDrains records the failure domains whose drain has ended.
 func (r *relay) trackDrains(now time.Time, view *config.View) {
 	r.mu.Lock()
@@ -186,25 +233,42 @@
 
 // sendStatuses sends new statuses to the other nodes: all of them to voters, and
 // forEntryNodes to entry nodes. A node with a new session gets the current status of every
-// upstream instead.
+// upstream instead, or of those that reported to this voter recently if others greet it.
 func (c *Control) sendStatuses(now time.Time, all, forEntryNodes []wire.Status) {
 	view, _ := c.State.View(now)
 	c.relay.trackDrains(now, view)
-	var current []wire.Status
+	var current, recent []wire.Status
+	var voters []string
+	newNodes := false
 	for name, node := range view.Nodes {
-		if name != c.Self && c.relay.synced[name] != node.Incarnation {
-			current = c.currentStatuses(now)
-			break
+		if node.Voter {
+			voters = append(voters, name)
+		}
+		newNodes = newNodes || name != c.Self && c.relay.synced[name] != node.Incarnation
+	}
+	if newNodes {
+		current = c.currentStatuses(now)
+		reporters := c.relay.recentReporters(now)
+		for _, s := range current {
+			if reporters[s.ID] {
+				recent = append(recent, s)
+			}
 		}
 	}
-	voterMessage, entryMessage, newNodeMessage := c.encodeStatuses(all), c.encodeStatuses(forEntryNodes), c.encodeStatuses(current)
+	voterMessage, entryMessage := c.encodeStatuses(all), c.encodeStatuses(forEntryNodes)
+	newNodeMessage, recentMessage := c.encodeStatuses(current), c.encodeStatuses(recent)
 	for name, node := range view.Nodes {
 		message := entryMessage
 		switch {
 		case name == c.Self:
 			continue
-		case c.relay.synced[name] != node.Incarnation:
+		case c.relay.synced[name] != node.Incarnation && (node.Voter || greets(c.Self, name, voters)):
 			message = newNodeMessage
+		case c.relay.synced[name] != node.Incarnation:
+			message = recentMessage
+			if message == nil {
+				c.relay.synced[name] = node.Incarnation
+			}
 		case node.Voter:
 			message = voterMessage
 		}
--- a/internal/control/relay_test.go
+++ b/internal/control/relay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -113,3 +114,100 @@
 		t.Errorf("got version %d, want %d: the drain is recorded already", got, want)
 	}
 }
+
+// Load pattern: hundreds of nodes start together. Guards against full lists from all voters
+// to each of them, against a node that no voter greets because the voters know different
+// sets of each other, and against one voter that greets most nodes.
+func TestTwoVotersGreetEachNode(t *testing.T) {
+	voters := []string{"10.1.0.1", "10.2.0.1", "10.3.0.1", "10.4.0.1", "10.5.0.1"}
+	const nodes = 300
+	greetings := make(map[string]int)
+	for i := range nodes {
+		node := fmt.Sprint("10.1.1.", i)
+		count := 0
+		for _, v := range voters {
+			if greets(v, node, voters) {
+				count++
+				greetings[v]++
+			}
+		}
+		if count != greeters {
+			t.Fatalf("%s: got %d greeters, want %d", node, count, greeters)
+		}
+		partial := 0
+		for k, v := range voters {
+			if greets(v, node, voters[:k]) { // each voter knows only those before it
+				partial++
+			}
+		}
+		if partial < greeters {
+			t.Fatalf("%s: got %d greeters with partial knowledge, want at least %d", node, partial, greeters)
+		}
+	}
+	for _, v := range voters {
+		if mean := nodes * greeters / len(voters); greetings[v] < mean/2 || greetings[v] > 2*mean {
+			t.Errorf("%s greets %d nodes, want about %d", v, greetings[v], mean)
+		}
+	}
+}
+
+// countingLinks counts the statuses sent to each node.
+type countingLinks struct {
+	discardLinks
+	t        *testing.T
+	statuses map[string]int
+}
+
+func (l countingLinks) Send(to, _ string, message any) error {
+	var m wire.Statuses
+	if err := wire.Unmarshal(message.(wire.Encoded), &m); err != nil {
+		l.t.Fatal(err)
+	}
+	l.statuses[to] += len(m.List)
+	return nil
+}
+
+// Guards against a new node that misses what an upstream has just reported to a voter that
+// does not greet it, and against a node that gets everything from every voter.
+func TestVoterThatDoesNotGreetSendsRecentReports(t *testing.T) {
+	now := time.Unix(1000, 0)
+	const upstreams = 50
+	for _, self := range []string{"v0", "v1", "v2", "v3", "v4"} {
+		s := newFakeState()
+		view, err := config.NewView(0, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var voters []string
+		for i := range 5 {
+			voters = append(voters, fmt.Sprint("v", i))
+			view.Nodes[voters[i]] = config.Node{Name: voters[i], Voter: true, Incarnation: 1}
+		}
+		view.Nodes["n"] = config.Node{Name: "n", Incarnation: 1}
+		s.staleView = view
+		links := countingLinks{t: t, statuses: make(map[string]int)}
+		c := New(self, s, links, newControl(s).Log)
+		for i := range upstreams {
+			status := wire.Status{ID: fmt.Sprint("u", i), Service: "s", Domain: "d", Address: fmt.Sprint("10.0.0.", i, ":80"), Born: 1, Slots: 8, Sequence: 1}
+			if i == 0 {
+				if err := c.HandleStatus(context.Background(), now, status); err != nil {
+					t.Fatal(err)
+				}
+				continue
+			}
+			c.roster.Apply(now, status) // relayed by another voter
+		}
+		c.sendStatuses(now, nil, nil)
+		want := 1
+		if greets(self, "n", voters) {
+			want = upstreams
+		}
+		if got := links.statuses["n"]; got != want {
+			t.Errorf("%s sent %d statuses, want %d", self, got, want)
+		}
+		c.sendStatuses(now, nil, nil)
+		if got := links.statuses["n"]; got != want {
+			t.Errorf("%s sent %d statuses in two rounds, want %d", self, got, want)
+		}
+	}
+}
