Do not order without a platform, and drop two unread fields

Cause: settings that allow orders without a platform made the leader panic at each step (TestScalerWithoutPlatformDoesNothing, which did before the change). bytesSent and upstreamVersion of the gateway were written and never read; both were open since the wording of the code.

--- a/internal/control/duty_test.go
+++ b/internal/control/duty_test.go
@@ -66,3 +66,21 @@
 		t.Errorf("got %v, want %v", err, errPaused)
 	}
 }
+
+// Guards against settings that allow orders and name no platform: a leader would panic at
+// each step.
+func TestScalerWithoutPlatformDoesNothing(t *testing.T) {
+	s := newFakeState()
+	c := newControl(s)
+	if err := c.PutPlan(context.Background(), scaledPlan()); err != nil {
+		t.Fatal(err)
+	}
+	now := time.Unix(1000, 0)
+	c.ScalingEnabled, c.scaler.startedAt = true, now.Add(-time.Minute)
+	for i := range 6 {
+		c.roster.Apply(now, wire.Status{ID: fmt.Sprint("u", i), Service: "s", Domain: "d", Born: 1, Slots: 8, Sequence: 1})
+	}
+	for range 2 { // the first step records the nominal size
+		c.scaler.run(context.Background(), now)
+	}
+}
--- a/internal/control/scaler.go
+++ b/internal/control/scaler.go
@@ -57,7 +57,7 @@
 	if s.startedAt.IsZero() {
 		s.startedAt = now
 	}
-	if !leads || !valid || !s.c.ScalingEnabled || view.Plan == nil || now.Sub(s.startedAt) < scalingWarmup {
+	if !leads || !valid || !s.c.ScalingEnabled || s.c.Platform == nil || view.Plan == nil || now.Sub(s.startedAt) < scalingWarmup {
 		return
 	}
 	if s.term != term {
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -46,13 +46,12 @@
 	candidates int
 	exclusions map[string]int
 
-	headersSent     bool          // the status and headers were sent to the client
-	lastEventID     string        // of the last event with an ID that was sent to the client
-	upstreamVersion string        // of the last upstream chosen
-	upstreamID      string        // of the last upstream chosen
-	cachedShare     float64       // estimated share of the shared prompt in its cache
-	expectedDelay   time.Duration // estimated delay at that upstream
-	firstByteAt     time.Time     // when an upstream first started to respond
+	headersSent   bool          // the status and headers were sent to the client
+	lastEventID   string        // of the last event with an ID that was sent to the client
+	upstreamID    string        // of the last upstream chosen
+	cachedShare   float64       // estimated share of the shared prompt in its cache
+	expectedDelay time.Duration // estimated delay at that upstream
+	firstByteAt   time.Time     // when an upstream first started to respond
 }
 
 // priority returns the call's priority; 0 is the highest.
--- a/internal/gateway/finish.go
+++ b/internal/gateway/finish.go
@@ -20,7 +20,7 @@
 			return
 		}
 		c.attempts++
-		c.upstreamID, c.upstreamVersion, c.cachedShare, c.expectedDelay = chosen.upstream.ID, chosen.upstream.Version, chosen.cachedShare, chosen.expectedDelay
+		c.upstreamID, c.cachedShare, c.expectedDelay = chosen.upstream.ID, chosen.cachedShare, chosen.expectedDelay
 		c.current = newAttempt(chosen)
 		a, f := c.current, c.send(ctx, c.current)
 		if f == nil {
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -33,7 +33,6 @@
 	stopCancelWatch func() bool // stops the hook that closes conn when the client disconnects
 	started         time.Time
 	bodyWritten     chan error // result of a body that is written concurrently
-	bytesSent       bool       // some bytes of the request were sent
 	promptPending   bool       // the entry's PendingTokens still count the prompt
 }
 
@@ -88,7 +87,6 @@
 	head := c.requestHead(a, now)
 	if len(c.body) <= maxInlineBodyBytes {
 		n, err := a.conn.Write(append(head, c.body...))
-		a.bytesSent = n > 0
 		if err != nil {
 			v := verdict.MayHaveRun
 			if n == 0 {
@@ -98,7 +96,7 @@
 		}
 		return nil
 	}
-	a.bytesSent, a.bodyWritten = true, make(chan error, 1)
+	a.bodyWritten = make(chan error, 1)
 	go func() {
 		_, err := (&net.Buffers{head, c.body}).WriteTo(a.conn.Conn)
 		a.bodyWritten <- err
