Ignore chunks without choices, and count a gone upstream as left

A chunk whose choices are "[ ]" ended a continued stream by a panic (index out of range); a first status that says that an upstream is gone counted as one that joined, so it was logged so and relayed as new.

Change: an empty list of choices is ignored like "[]"; gone implies leaving.

Result: the two tests fail before and pass after; pkg/stream and roster pass.

--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -60,6 +60,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.sweep(now)
+	s.Leaving = s.Leaving || s.Gone
 	old, known := r.entries[s.ID]
 	sameIncarnation := known && old.Born == s.Born
 	switch {
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -27,6 +27,7 @@
 		{"report of an earlier incarnation", []wire.Status{status("a", "x", 2, 1), status("a", "x", 1, 9)}, []Change{Joined, Outdated}},
 		{"report of an upstream whose address was taken over", []wire.Status{status("a", "x", 1, 1), status("b", "x", 2, 1), status("a", "x", 1, 2)}, []Change{Joined, Joined, Outdated}},
 		{"report after leaving", []wire.Status{leaving(status("a", "x", 1, 2)), status("a", "x", 1, 3)}, []Change{Left, Refreshed}},
+		{"first report says that the upstream is gone", []wire.Status{gone(status("a", "x", 1, 1))}, []Change{Left}},
 		{"report after the upstream is gone", []wire.Status{status("a", "x", 1, 2), gone(status("a", "", 1, 0)), status("a", "x", 1, 3)}, []Change{Joined, Left, Outdated}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/pkg/stream/transcript.go
+++ b/pkg/stream/transcript.go
@@ -193,6 +193,9 @@
 	if err := json.Unmarshal(c.Choices, &list); err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrMalformed, err)
 	}
+	if len(list) == 0 {
+		return nil, nil
+	}
 	role := false
 	for i := range list {
 		if list[i].Index < 0 || list[i].Index >= t.Request.choices {
--- a/pkg/stream/transcript_test.go
+++ b/pkg/stream/transcript_test.go
@@ -237,3 +237,22 @@
 		})
 	}
 }
+
+// Guards against a chunk without choices, written with a space, that panics on a later
+// attempt.
+func TestChunkWithoutChoicesIsIgnored(t *testing.T) {
+	request, err := ParseRequest(Chat, []byte(`{"model":"m","stream":true,"max_tokens":4,"messages":[{"role":"user","content":"p"}]}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	tr := NewTranscript(request, "js-a")
+	for _, id := range []string{"js-a.1", "js-a.2"} {
+		if _, err := tr.StartAttempt(id, Options{}); err != nil {
+			t.Fatal(err)
+		}
+		got, err := tr.HandleEvent([]byte(`{"id":"` + id + `","object":"chat.completion.chunk","choices":[ ]}`))
+		if len(got) != 0 || err != nil {
+			t.Errorf("%s: got %q, %v, want nothing", id, got, err)
+		}
+	}
+}
