Say "may have run" after a panic at the end of an attempt too

Cause: read in the diff: a panic while an attempt is being ended, after the upstream has answered, found no attempt in progress, so the request would have been refused as not run.

Change: after any attempt, a panic counts as "may have run".

Result: TestPanicEndsOnlyItsRequest passes.

--- a/internal/gateway/finish.go
+++ b/internal/gateway/finish.go
@@ -50,9 +50,11 @@
 		panic(p)
 	}
 	crash.Record(c.g.Log.WithField("request", c.id), "request", p)
+	v := verdict.MayHaveRun
+	if c.attempts > 0 && c.possiblyRan == nil {
+		c.possiblyRan = &v // also if the panic came after the attempt had ended
+	}
 	if c.current != nil {
-		v := verdict.MayHaveRun
-		c.possiblyRan = &v
 		c.endAttempt(c.r.Context(), c.current, &failure{verdict: v, cause: "panic"})
 	}
 	e := &verdict.Error{Verdict: c.overallVerdict(), Code: verdict.CodeInternal, Status: http.StatusBadGateway, Detail: "the node failed to serve the request"}
