Name the full list of statuses for what it is

Cause: read as a newcomer, "greet" is no term of the field.

Change: fullSyncVoters, sendsFullSync, syncOrder and the texts around them; no behaviour.

--- a/internal/control/relay.go
+++ b/internal/control/relay.go
@@ -36,13 +36,13 @@
 // relayed to entry nodes: they show which upstreams turned cold during the drain.
 const postDrainTime = 4 * time.Second
 
-// greeters is the number of voters that send all statuses to a node with a new session. The
-// others send those that they received within recentTime, which the greeters may not have
-// got yet. Full lists from all voters would fill the link of a small VM for a tenth of a
-// second, and hundreds of nodes may start together.
+// fullSyncVoters is the number of voters that send all statuses to a node with a new
+// session. The others send what upstreams reported to them within recentTime, which may not
+// have been relayed to the first ones yet. Full lists from all voters would fill the link of
+// a small VM for a tenth of a second, and hundreds of nodes may start together.
 const (
-	greeters   = 2
-	recentTime = time.Second
+	fullSyncVoters = 2
+	recentTime     = time.Second
 )
 
 // relay collects the statuses to send to the other nodes.
@@ -119,20 +119,20 @@
 	return reporters
 }
 
-// greets reports whether a voter sends all statuses to a new node: whether it is among the
-// first greeters of the known voters in an order by hash. A voter that knows only some of
-// the others ranks no lower, so the first ones of all voters always greet.
-func greets(self, node string, voters []string) bool {
-	rank, own := 0, greetingOrder(self, node)
+// sendsFullSync reports whether a voter sends all statuses to a new node: whether it is among
+// the first fullSyncVoters of the known voters in an order by hash (rendezvous hashing). A
+// voter that knows only some of the others ranks no lower, so the first ones always do.
+func sendsFullSync(self, node string, voters []string) bool {
+	rank, own := 0, syncOrder(self, node)
 	for _, v := range voters {
-		if v != self && greetingOrder(v, node) < own {
+		if v != self && syncOrder(v, node) < own {
 			rank++
 		}
 	}
-	return rank < greeters
+	return rank < fullSyncVoters
 }
 
-func greetingOrder(voter, node string) uint64 { return xxhash.Sum64String(node + "\x00" + voter) }
+func syncOrder(voter, node string) uint64 { return xxhash.Sum64String(node + "\x00" + voter) }
 
 // trackDrains records the failure domains whose drain has ended.
 func (r *relay) trackDrains(now time.Time, view *config.View) {
@@ -233,7 +233,8 @@
 
 // sendStatuses sends new statuses to the other nodes: all of them to voters, and
 // forEntryNodes to entry nodes. A node with a new session gets the current status of every
-// upstream instead, or of those that reported to this voter recently if others greet it.
+// upstream instead, or of those that reported to this voter recently if other voters send
+// all.
 func (c *Control) sendStatuses(now time.Time, all, forEntryNodes []wire.Status) {
 	view, _ := c.State.View(now)
 	c.relay.trackDrains(now, view)
@@ -262,7 +263,7 @@
 		switch {
 		case name == c.Self:
 			continue
-		case c.relay.synced[name] != node.Incarnation && (node.Voter || greets(c.Self, name, voters)):
+		case c.relay.synced[name] != node.Incarnation && (node.Voter || sendsFullSync(c.Self, name, voters)):
 			message = newNodeMessage
 		case c.relay.synced[name] != node.Incarnation:
 			message = recentMessage
--- a/internal/control/relay_test.go
+++ b/internal/control/relay_test.go
@@ -116,37 +116,37 @@
 }
 
 // Load pattern: hundreds of nodes start together. Guards against full lists from all voters
-// to each of them, against a node that no voter greets because the voters know different
-// sets of each other, and against one voter that greets most nodes.
-func TestTwoVotersGreetEachNode(t *testing.T) {
+// to each of them, against a node to which no voter sends the list because the voters know
+// different sets of each other, and against one voter that sends to most nodes.
+func TestTwoVotersSyncEachNodeInFull(t *testing.T) {
 	voters := []string{"10.1.0.1", "10.2.0.1", "10.3.0.1", "10.4.0.1", "10.5.0.1"}
 	const nodes = 300
-	greetings := make(map[string]int)
+	fullSyncs := make(map[string]int)
 	for i := range nodes {
 		node := fmt.Sprint("10.1.1.", i)
 		count := 0
 		for _, v := range voters {
-			if greets(v, node, voters) {
+			if sendsFullSync(v, node, voters) {
 				count++
-				greetings[v]++
+				fullSyncs[v]++
 			}
 		}
-		if count != greeters {
-			t.Fatalf("%s: got %d greeters, want %d", node, count, greeters)
+		if count != fullSyncVoters {
+			t.Fatalf("%s: got the full list from %d voters, want %d", node, count, fullSyncVoters)
 		}
 		partial := 0
 		for k, v := range voters {
-			if greets(v, node, voters[:k]) { // each voter knows only those before it
+			if sendsFullSync(v, node, voters[:k]) { // each voter knows only those before it
 				partial++
 			}
 		}
-		if partial < greeters {
-			t.Fatalf("%s: got %d greeters with partial knowledge, want at least %d", node, partial, greeters)
+		if partial < fullSyncVoters {
+			t.Fatalf("%s: got the full list from %d voters with partial knowledge, want at least %d", node, partial, fullSyncVoters)
 		}
 	}
 	for _, v := range voters {
-		if mean := nodes * greeters / len(voters); greetings[v] < mean/2 || greetings[v] > 2*mean {
-			t.Errorf("%s greets %d nodes, want about %d", v, greetings[v], mean)
+		if mean := nodes * fullSyncVoters / len(voters); fullSyncs[v] < mean/2 || fullSyncs[v] > 2*mean {
+			t.Errorf("%s sends the full list to %d nodes, want about %d", v, fullSyncs[v], mean)
 		}
 	}
 }
@@ -168,8 +168,8 @@
 }
 
 // Guards against a new node that misses what an upstream has just reported to a voter that
-// does not greet it, and against a node that gets everything from every voter.
-func TestVoterThatDoesNotGreetSendsRecentReports(t *testing.T) {
+// does not send it the full list, and against a node that gets everything from every voter.
+func TestOtherVotersSendRecentReports(t *testing.T) {
 	now := time.Unix(1000, 0)
 	const upstreams = 50
 	for _, self := range []string{"v0", "v1", "v2", "v3", "v4"} {
@@ -199,7 +199,7 @@
 		}
 		c.sendStatuses(now, nil, nil)
 		want := 1
-		if greets(self, "n", voters) {
+		if sendsFullSync(self, "n", voters) {
 			want = upstreams
 		}
 		if got := links.statuses["n"]; got != want {
