Test limits and blocked parts across nodes

Change: the tests as they were written; the other upstream of TestAnsweredRequestIsNotSuspected closes its connections, and the loop is bounded. Conclusion: tests only.

--- a/internal/caller/limit_test.go
+++ b/internal/caller/limit_test.go
@@ -5,13 +5,16 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/jaystage/jaystage/internal/config"
+	"github.com/jaystage/jaystage/internal/upstream"
 	"github.com/jaystage/jaystage/pkg/pace"
 	"github.com/jaystage/jaystage/pkg/routing"
+	"github.com/jaystage/jaystage/pkg/wire"
 )
 
 // cellViewer shows a node the other nodes of its cell.
@@ -134,6 +137,37 @@
 	}
 }
 
+// Guards against a node that learns of a limit, or of its end, only from its own answers.
+func TestLimitsAreSentToTheCell(t *testing.T) {
+	now := time.Now()
+	self := routing.Node{Name: "n0", Incarnation: 1}
+	s := NewSlots(now, self, slotPolicy())
+	var sent []pace.Limit
+	s.SendLimits = func(limits []pace.Limit) { sent = append(sent, limits...) }
+	target := upstream.Entry{Announce: wire.Announce{ID: "u", Incarnation: 3}}
+	wantSent := func(when string, want ...float64) {
+		t.Helper()
+		var got []float64
+		for _, l := range sent {
+			got = append(got, l.Rate)
+		}
+		if !slices.Equal(got, want) {
+			t.Errorf("limits sent %s: got %v, want %v", when, got, want)
+		}
+		sent = nil
+	}
+	s.recordLimit(now, target, 0)
+	wantSent("without a limit")
+	s.recordLimit(now, target, 2)
+	wantSent("at once", 2)
+	s.recordLimit(now.Add(time.Millisecond), target, 2)
+	wantSent("without a change")
+	s.Tick(now.Add(limitsInterval + time.Millisecond))
+	wantSent("again for nodes that missed it", 2)
+	s.recordLimit(now.Add(2*limitsInterval), target, 0)
+	wantSent("when it has ended", 0)
+}
+
 // lookup sends a lookup to the node and returns the status; zero if there was no response.
 func (n *linkedNode) lookup(t *testing.T) int {
 	req, err := http.NewRequest(http.MethodGet, n.url+"/s/booking/availability", nil)
--- a/internal/caller/parts_test.go
+++ b/internal/caller/parts_test.go
@@ -81,6 +81,51 @@
 	}
 }
 
+// Guards against a part that a node blocks although requests with it were answered at
+// another, before or after the crashes.
+func TestAnswersAtOtherNodesClearParts(t *testing.T) {
+	const part poison.Part = 7
+	for _, c := range []struct {
+		name     string
+		answered bool
+	}{{"answered", true}, {"not answered", false}} {
+		t.Run(c.name, func(t *testing.T) {
+			now := time.Now()
+			other, p := NewParts(), NewParts()
+			if c.answered {
+				other.recordAnswer(now, []poison.Part{part})
+			}
+			p.Broadcast = func(crashes []poison.Record) { p.Merge(now, nil, other.Merge(now, crashes, nil)) }
+			for i := range 3 {
+				at := now.Add(time.Duration(i) * 200 * time.Millisecond)
+				p.table.RecordCrash(at, poison.NewUpstream("u", fmt.Sprint(i)), at.Add(-time.Millisecond), []poison.Part{part})
+			}
+			for i := range 3 {
+				p.update(now.Add(2*time.Second + time.Duration(i)*blockInterval))
+			}
+			if got, want := p.isBlocked([]poison.Part{part}), !c.answered; got != want {
+				t.Errorf("blocked: got %v, want %v", got, want)
+			}
+		})
+	}
+	t.Run("an answered chat proves its messages", func(t *testing.T) {
+		f := newFixture(t, nil)
+		f.addModel(t, "m1", fastModel(), nil)
+		nodes := newLinkedNodes(t, f, 1)
+		resp := nodes[0].chat(t, "shared", "own")
+		if _, _, err := readTokens(resp.Body, nil); err != nil {
+			t.Fatal(err)
+		}
+		message := poison.NewPart("chat", `messages{"role":"user","content":"shared"}`)
+		eventually(t, "the message is proven", func() bool {
+			nodes[0].api.Parts.mu.Lock()
+			defer nodes[0].api.Parts.mu.Unlock()
+			_, proven := nodes[0].api.Parts.table.Proven(time.Now(), message)
+			return proven
+		})
+	})
+}
+
 // chat sends a chat with the given messages to the node.
 func (n *linkedNode) chat(t *testing.T, messages ...string) *http.Response {
 	t.Helper()
--- a/internal/control/parts_test.go
+++ b/internal/control/parts_test.go
@@ -94,7 +94,10 @@
 		wantBlockedParts(t, s, "bad")
 		third := newControl(s)
 		s.term++
-		third.handleUsageReport(now, "a", answerReport("a", 11))
+		// An answer to a request that was open still has to release the part.
+		if got, want := third.handleUsageReport(now, "a", answerReport("a", 11)).Watched, []uint64{badPart}; !slices.Equal(got, want) {
+			t.Errorf("watched parts at a leader without records: got %v, want %v", got, want)
+		}
 		third.parts.run(ctx, now)
 		wantBlockedParts(t, s, "bad")
 	})
--- a/internal/gateway/parts_test.go
+++ b/internal/gateway/parts_test.go
@@ -57,6 +57,41 @@
 	}
 }
 
+// block blocks a part of prompts for model "m" from now on.
+func (s *testState) block(part string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	view := *s.view
+	view.BlockedParts = map[poison.Part]config.BlockedPart{poison.NewPart("m", part): {Name: part, Since: time.Now().UnixMilli()}}
+	s.view = &view
+}
+
+// Guards against a client account that pays for requests that no upstream may get.
+func TestBlockedRequestIsNotCharged(t *testing.T) {
+	env := newTestEnv(t, newFakeUpstream(t, respondOK("x")))
+	env.state.block("bad")
+	small := []string{"Authorization", "Bearer k2", "X-Model", "m"} // the account has a burst of 2
+	for range 5 {
+		wantStatus(t, env.call("GET", "/look/", "", append(small, "X-Parts", "bad:10,own:5")...), http.StatusServiceUnavailable)
+	}
+	wantStatus(t, env.call("GET", "/look/", "", append(small, "X-Parts", "y:10,own:5")...), http.StatusOK)
+}
+
+// Guards against a retry of a request whose part was blocked after its first attempt.
+func TestPartBlockedBetweenAttemptsStopsRetry(t *testing.T) {
+	var env *testEnv
+	fail := func(_ int, r *http.Request) []step {
+		env.state.block("bad")
+		return []step{{send: response(r, 500, "x")}}
+	}
+	upstreams := []*fakeUpstream{newFakeUpstream(t, fail), newFakeUpstream(t, fail)}
+	env = newTestEnv(t, upstreams...)
+	wantStatus(t, env.prompt("x:10,bad:10,own:5"), http.StatusBadGateway)
+	if got := upstreams[0].count() + upstreams[1].count(); got != 1 {
+		t.Errorf("requests at the upstreams: got %d, want 1", got)
+	}
+}
+
 // crashingUpstreams returns upstreams whose processes end at their first request with the
 // part "bad"; other requests are answered.
 func crashingUpstreams(t *testing.T, n int) []*fakeUpstream {
@@ -125,6 +160,24 @@
 	wantCrashes(t, env, 3)
 }
 
+// Guards against a request that stays suspected, and is not retried at the next outage,
+// although it was answered.
+func TestAnsweredRequestIsNotSuspected(t *testing.T) {
+	var crashing *fakeUpstream
+	crashing = newFakeUpstream(t, breakOff(func() { _ = crashing.listener.Close() }))
+	// The other upstream keeps no connection, which would attract all requests.
+	env := newTestEnv(t, crashing, newFakeUpstream(t, func(_ int, r *http.Request) []step {
+		return []step{{send: response(r, 200, "x"), close: true}}
+	}))
+	for i := 0; crashing.count() == 0 && i < 200; i++ { // the first ones may go to the other upstream
+		wantStatus(t, env.call("GET", "/look/x", "", "X-Attempt", fmt.Sprint("a", i)), http.StatusOK)
+	}
+	wantCrashes(t, env, 1)
+	if env.gateway.parts.table.HasCrashes(poison.NewRequest("one", "GET", "/look/x", nil)) {
+		t.Error("suspected after an answer: got true, want false")
+	}
+}
+
 // Guards against an answer that clears a part although it may end with its upstream's crash,
 // and against a failure that clears it.
 func TestOnlyWholeAnswersProveParts(t *testing.T) {
