Wait for the close of test upstreams by its announcement

A request could be sent on a connection that the test's upstream was about to close. Change: the upstream announces the close. Conclusion: a fault of the test, not of the product.

--- a/internal/gateway/parts_test.go
+++ b/internal/gateway/parts_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -167,7 +168,7 @@
 	crashing = newFakeUpstream(t, breakOff(func() { _ = crashing.listener.Close() }))
 	// The other upstream keeps no connection, which would attract all requests.
 	env := newTestEnv(t, crashing, newFakeUpstream(t, func(_ int, r *http.Request) []step {
-		return []step{{send: response(r, 200, "x"), close: true}}
+		return []step{{send: strings.Replace(response(r, 200, "x"), "\r\n", "\r\nConnection: close\r\n", 1), close: true}}
 	}))
 	for i := 0; crashing.count() == 0 && i < 200; i++ { // the first ones may go to the other upstream
 		wantStatus(t, env.call("GET", "/look/x", "", "X-Attempt", fmt.Sprint("a", i)), http.StatusOK)
