Connect to upstreams from the VM's own address

On loopback all nodes connected from the same address, so that no stand-in could tell them apart. Change: the pool binds its connections to the node's address, as firewalls on multi-homed VMs expect; IP_BIND_ADDRESS_NO_PORT keeps ports shared between upstreams. Measured: go test ./internal/gateway passes. Conclusion: no change of behaviour on VMs with one address.

--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -149,6 +149,7 @@
 
 func (n *Node) openGateway(incarnation uint64) error {
 	o := n.options
+	o.GatewaySettings.LocalIP = net.ParseIP(o.Host)
 	n.gateway = gateway.New(o.Host, o.Domain, o.Headers, o.GatewaySettings, n.state, o.Log)
 	expvar.Publish("gateway", n.gateway.Metrics)
 	n.exchange = &gateway.Exchange{Gateway: n.gateway, Links: n.links, State: n.state, Incarnation: incarnation}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -5,6 +5,7 @@
 package gateway
 
 import (
+	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -69,6 +70,8 @@
 	Heartbeat time.Duration
 	// UsageWindow is the length of a usage window; zero when usage is not counted.
 	UsageWindow time.Duration
+	// LocalIP is the source address of connections to upstreams; nil lets the kernel choose.
+	LocalIP net.IP
 }
 
 // Gateway serves the clients of one node. Create it with New and set the exported
@@ -103,7 +106,7 @@
 func New(self, domain string, headers Headers, settings Settings, state Viewer, log logrus.FieldLogger) *Gateway {
 	g := &Gateway{
 		Self: self, Domain: domain, Headers: headers, Settings: settings, State: state, Log: log, Metrics: NewMetrics(),
-		pool: newPool(), ledger: newLedger(settings.UsageWindow), parts: newPartRecords(), started: time.Now(), writeGrace: clientWriteGrace,
+		pool: newPool(settings.LocalIP), ledger: newLedger(settings.UsageWindow), parts: newPartRecords(), started: time.Now(), writeGrace: clientWriteGrace,
 	}
 	g.upstreams = newUpstreamSet(g)
 	return g
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -48,11 +48,16 @@
 
 // pool keeps idle connections to upstreams. The most recently used one is reused first.
 type pool struct {
+	// localIP is the source address of new connections; nil lets the kernel choose.
+	localIP net.IP
+
 	mu   sync.Mutex
 	idle map[string][]*conn
 }
 
-func newPool() *pool { return &pool{idle: make(map[string][]*conn)} }
+func newPool(localIP net.IP) *pool {
+	return &pool{localIP: localIP, idle: make(map[string][]*conn)}
+}
 
 // get returns a healthy idle connection, or a new one.
 func (p *pool) get(ctx context.Context, address string) (*conn, error) {
@@ -74,7 +79,10 @@
 func (p *pool) dial(ctx context.Context, address string) (*conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	d := net.Dialer{KeepAlive: -1, Control: setUserTimeout}
+	d := net.Dialer{KeepAlive: -1, Control: setSocketOptions}
+	if p.localIP != nil {
+		d.LocalAddr = &net.TCPAddr{IP: p.localIP}
+	}
 	raw, err := d.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
@@ -91,9 +99,12 @@
 	return http.ReadResponse(c.reader, &http.Request{Method: method})
 }
 
-// setUserTimeout sets TCP_USER_TIMEOUT on a new socket.
-func setUserTimeout(_, _ string, c syscall.RawConn) error {
+// setSocketOptions sets the options of a new socket.
+func setSocketOptions(_, _ string, c syscall.RawConn) error {
 	return c.Control(func(fd uintptr) {
+		// The port is chosen at the connect, so that connections to different upstreams can
+		// share it. Without the option there are fewer ports, but still enough.
+		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_IP, unix.IP_BIND_ADDRESS_NO_PORT, 1)
 		// If this fails, a dead peer is detected later, at the deadline of the request.
 		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(tcpUserTimeout.Milliseconds()))
 	})
