Add a failing test for nodes without a path to upstreams

A node whose connections to all upstreams fail refuses its clients, although other nodes reach the upstreams. Change: the soak's upstreams make the connections of some hosts fail: silent, reset, or only new ones reset. Ruled out: dropping packets by a socket filter, which this kernel does not support.

--- a/internal/soak/crash_test.go
+++ b/internal/soak/crash_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -64,6 +63,8 @@
 	t       testing.TB
 	record  *crashRecord
 	address string
+	// cut drops the traffic of nodes that have lost their path.
+	cut *cutListener
 
 	mu       sync.Mutex
 	starts   int
@@ -82,11 +83,12 @@
 	if u.ended {
 		return
 	}
-	l, err := net.Listen("tcp", u.address)
+	l, err := listenCut(u.address)
 	if err != nil {
 		u.t.Errorf("start of upstream: %v", err)
 		return
 	}
+	u.cut = l
 	u.starts, u.born, u.sequence = u.starts+1, time.Now().UnixMilli(), 0
 	server := &http.Server{Handler: u.handler(u.id())}
 	u.server = server
@@ -143,6 +145,11 @@
 			w.Header().Set("Server-Limit", fmt.Sprint(u.limit))
 		}
 		u.mu.Unlock()
+		if strings.HasPrefix(r.URL.Path, "/book/") {
+			time.Sleep(workTime)
+			_, _ = io.WriteString(w, "booked "+attempt)
+			return
+		}
 		(&upstream{}).stream(w, r, attempt)
 	}
 }
