Connect nodes to upstreams through other nodes

A node without a path to the upstreams has no other way to them. Change: nodes open streams to each other, with the handshake of links; internal/tunnel copies the bytes of a connection to an upstream over one. The node that asks decides, counts and answers its requests as before, so a detour adds no second copy of a request and no circle. A stream that ends without a close frame was broken off, so that the loss of the node in between never looks like the end of a response. Conclusion: nothing uses it yet.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -21,6 +21,7 @@
 	RequestsEnded    ID = 2007
 	RequestEnded     ID = 2008
 	UpstreamFailed   ID = 2009
+	RequestRelayed   ID = 2010
 	UpstreamJoined   ID = 3001
 	UpstreamLeaving  ID = 3002
 	UpstreamExpired  ID = 3003
@@ -33,6 +34,9 @@
 	PartBlocked      ID = 3010
 	PartReleased     ID = 3011
 	UpstreamLimited  ID = 3012
+	PathLost         ID = 3013
+	PathRegained     ID = 3014
+	TunnelOpened     ID = 3015
 	ConfigApplied    ID = 4001
 	LeaseLost        ID = 4002
 	LeaseGained      ID = 4003
--- a/internal/peer/dial.go
+++ b/internal/peer/dial.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"syscall"
 	"time"
 
 	"github.com/gorilla/websocket"
@@ -22,21 +23,30 @@
 func (l *Links) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc(Path, l.accept)
+	mux.HandleFunc(streamPath+"{kind}", l.acceptStream)
 	return mux
 }
 
 func (l *Links) accept(w http.ResponseWriter, r *http.Request) {
+	if name, conn := l.acceptConn(w, r); conn != nil {
+		l.startLink(name, conn, false)
+	}
+}
+
+// acceptConn accepts a connection and returns the name of the node that opened it; nil after
+// a failed handshake.
+func (l *Links) acceptConn(w http.ResponseWriter, r *http.Request) (string, *websocket.Conn) {
 	upgrader := websocket.Upgrader{HandshakeTimeout: handshakeTimeout, CheckOrigin: func(*http.Request) bool { return true }}
 	conn, err := upgrader.Upgrade(w, r, nil)
 	if err != nil {
-		return
+		return "", nil
 	}
 	name, err := l.acceptHandshake(conn)
 	if err != nil {
 		l.rejectConn(conn, r.RemoteAddr, err)
-		return
+		return "", nil
 	}
-	l.startLink(name, conn, false)
+	return name, conn
 }
 
 // rejectConn closes a connection after a failed handshake and sends the reason to the
@@ -100,14 +110,24 @@
 }
 
 func (l *Links) dialOnce(ctx context.Context, name string) error {
+	conn, err := l.dialConn(ctx, name, Path)
+	if err != nil {
+		return err
+	}
+	l.startLink(name, conn, true)
+	return nil
+}
+
+// dialConn opens a connection to a node at a path and completes the handshake.
+func (l *Links) dialConn(ctx context.Context, name, path string) (*websocket.Conn, error) {
 	address, ok := l.config.Address(name)
 	if !ok {
-		return errors.New("address of the node is unknown")
+		return nil, errors.New("address of the node is unknown")
 	}
-	endpoint := url.URL{Scheme: "wss", Host: address, Path: Path}
+	endpoint := url.URL{Scheme: "wss", Host: address, Path: path}
 	if l.config.TLS == nil {
 		if !l.config.PrivateNetwork && !isLoopback(address) {
-			return errors.New("plain text is allowed on loopback only; set security.cert, key and ca")
+			return nil, errors.New("plain text is allowed on loopback only; set security.cert, key and ca")
 		}
 		endpoint.Scheme = "ws"
 	}
@@ -127,15 +147,14 @@
 		_ = resp.Body.Close()
 	}
 	if err != nil {
-		return err
+		return nil, err
 	}
 	if err := l.dialHandshake(conn, name); err != nil {
 		_ = conn.Close()
-		return err
+		return nil, err
 	}
 	raw.limit.Lift()
-	l.startLink(name, conn, true)
-	return nil
+	return conn, nil
 }
 
 // maxHandshakeBytes bounds what is read from a connection before its other side has proved
@@ -154,6 +173,14 @@
 	return &handshakeConn{c, limit}
 }
 
+// SyscallConn implements syscall.Conn.
+func (c *handshakeConn) SyscallConn() (syscall.RawConn, error) {
+	if raw, ok := c.Conn.(syscall.Conn); ok {
+		return raw.SyscallConn()
+	}
+	return nil, errors.ErrUnsupported
+}
+
 // Read implements net.Conn.
 func (c *handshakeConn) Read(b []byte) (int, error) { return c.limit.Read(b) }
 
--- a/internal/peer/links.go
+++ b/internal/peer/links.go
@@ -88,6 +88,7 @@
 type Links struct {
 	config   Config
 	handlers map[string]Handler
+	streams  map[string]StreamHandler
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -112,7 +113,7 @@
 func New(config Config) *Links {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Links{
-		config: config, handlers: make(map[string]Handler), ctx: ctx, cancel: cancel,
+		config: config, handlers: make(map[string]Handler), streams: make(map[string]StreamHandler), ctx: ctx, cancel: cancel,
 		exited: make(chan struct{}), peers: make(map[string]*peerState),
 	}
 }
--- /dev/null
+++ b/internal/tunnel/tunnel.go
@@ -0,0 +1,196 @@
+// Package tunnel connects a node to an upstream through another node. The node that asks
+// sends its requests over the connection as if it were its own; the other one only copies
+// bytes. So each request is decided, counted and answered at one node.
+//
+// A tunnel is a stream between the nodes. The first frames are a request and a reply in CBOR.
+// Then binary frames carry the bytes of both directions. A close frame tells that the
+// upstream ended the connection; a stream that ends without one was broken off. Text frames
+// carry notices: from the node that asks the ID of the request that it sends next, and from
+// the other one that it is about to leave.
+package tunnel
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/gorilla/websocket"
+	"github.com/rotisserie/eris"
+
+	"github.com/jaystage/jaystage/pkg/wire"
+)
+
+// Kind is the kind of the streams between nodes that carry tunnels.
+const Kind = "tunnel"
+
+// Outcomes of a request for a tunnel.
+const (
+	outcomeOpen      = "open"
+	outcomeUnreached = "unreached"
+	outcomeHelpless  = "helpless"
+)
+
+// openTimeout bounds the request for a tunnel: the handshake between the nodes and a connect
+// to the upstream.
+const openTimeout = 500 * time.Millisecond
+
+var (
+	// ErrUnreached means that the other node does not reach the upstream either.
+	ErrUnreached = errors.New("the other node does not reach the upstream")
+	// ErrHelpless means that the other node cannot help at present, or does not answer.
+	ErrHelpless = errors.New("the other node cannot help")
+)
+
+// Streams opens streams to other nodes.
+type Streams interface {
+	OpenStream(ctx context.Context, to, kind string) (*websocket.Conn, error)
+}
+
+// Open opens a connection to an upstream through a node, for the request with an ID. The
+// error wraps ErrUnreached or ErrHelpless.
+func Open(ctx context.Context, streams Streams, node, address, requestID string) (*Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, openTimeout)
+	defer cancel()
+	stream, err := streams.OpenStream(ctx, node, Kind)
+	if err != nil {
+		return nil, errors.Join(ErrHelpless, err)
+	}
+	if err := request(ctx, stream, wire.TunnelRequest{Address: address, Request: requestID}); err != nil {
+		_ = stream.Close()
+		return nil, err
+	}
+	return &Conn{stream: stream}, nil
+}
+
+func request(ctx context.Context, stream *websocket.Conn, message wire.TunnelRequest) error {
+	deadline, _ := ctx.Deadline()
+	if err := stream.SetReadDeadline(deadline); err != nil {
+		return errors.Join(ErrHelpless, err)
+	}
+	if err := writeMessage(stream, message); err != nil {
+		return errors.Join(ErrHelpless, err)
+	}
+	_, data, err := stream.ReadMessage()
+	if err != nil {
+		return errors.Join(ErrHelpless, err)
+	}
+	var reply wire.TunnelReply
+	if err := wire.Unmarshal(data, &reply); err != nil {
+		return errors.Join(ErrHelpless, err)
+	}
+	switch reply.Outcome {
+	case outcomeOpen:
+		return stream.SetReadDeadline(time.Time{})
+	case outcomeUnreached:
+		return eris.Wrap(ErrUnreached, reply.Reason)
+	}
+	return eris.Wrap(ErrHelpless, reply.Reason)
+}
+
+func writeMessage(stream *websocket.Conn, message any) error {
+	data, err := wire.Marshal(message)
+	if err != nil {
+		return err
+	}
+	return stream.WriteMessage(websocket.BinaryMessage, data)
+}
+
+// Conn is a connection to an upstream through another node. It implements net.Conn.
+type Conn struct {
+	stream  *websocket.Conn
+	frame   io.Reader // the rest of the frame that is being read; nil between frames
+	leaving atomic.Bool
+}
+
+// Leaving reports whether the other node is about to leave. The connection serves the
+// present request, but no further one.
+func (c *Conn) Leaving() bool { return c.leaving.Load() }
+
+// Announce tells the other node, for its log, the ID of the request that is sent next.
+func (c *Conn) Announce(requestID string) error {
+	return c.stream.WriteMessage(websocket.TextMessage, []byte(requestID))
+}
+
+// Read implements net.Conn. It returns io.EOF only if the upstream ended the connection.
+func (c *Conn) Read(b []byte) (int, error) {
+	for {
+		if c.frame == nil {
+			if err := c.nextFrame(); err != nil {
+				return 0, err
+			}
+		}
+		n, err := c.frame.Read(b)
+		if err == io.EOF {
+			c.frame, err = nil, nil
+		}
+		if n > 0 || err != nil {
+			return n, err
+		}
+	}
+}
+
+func (c *Conn) nextFrame() error {
+	for {
+		kind, frame, err := c.stream.NextReader()
+		switch {
+		case websocket.IsCloseError(err, websocket.CloseNormalClosure):
+			return io.EOF
+		case websocket.IsUnexpectedCloseError(err):
+			return io.ErrUnexpectedEOF
+		case err != nil:
+			return err
+		case kind == websocket.TextMessage:
+			c.leaving.Store(true)
+		default:
+			c.frame = frame
+			return nil
+		}
+	}
+}
+
+// Write implements net.Conn.
+func (c *Conn) Write(b []byte) (int, error) {
+	written := 0
+	for len(b) > 0 {
+		part := b[:min(len(b), bufferBytes)]
+		if err := c.stream.WriteMessage(websocket.BinaryMessage, part); err != nil {
+			// Bytes of the frame may have arrived.
+			return max(1, written), err
+		}
+		written += len(part)
+		b = b[len(part):]
+	}
+	return written, nil
+}
+
+// Close implements net.Conn.
+func (c *Conn) Close() error { return c.stream.Close() }
+
+// LocalAddr implements net.Conn.
+func (c *Conn) LocalAddr() net.Addr { return c.stream.LocalAddr() }
+
+// RemoteAddr implements net.Conn; it is the address of the other node.
+func (c *Conn) RemoteAddr() net.Addr { return c.stream.RemoteAddr() }
+
+// SetDeadline implements net.Conn.
+func (c *Conn) SetDeadline(t time.Time) error {
+	return errors.Join(c.stream.SetReadDeadline(t), c.stream.SetWriteDeadline(t))
+}
+
+// SetReadDeadline implements net.Conn.
+func (c *Conn) SetReadDeadline(t time.Time) error { return c.stream.SetReadDeadline(t) }
+
+// SetWriteDeadline implements net.Conn.
+func (c *Conn) SetWriteDeadline(t time.Time) error { return c.stream.SetWriteDeadline(t) }
+
+// SyscallConn implements syscall.Conn.
+func (c *Conn) SyscallConn() (syscall.RawConn, error) {
+	if raw, ok := c.stream.NetConn().(syscall.Conn); ok {
+		return raw.SyscallConn()
+	}
+	return nil, errors.ErrUnsupported
+}
--- a/pkg/wire/peer.go
+++ b/pkg/wire/peer.go
@@ -47,3 +47,24 @@
 	// Hello corresponds to the JSON schema field "hello".
 	Hello *Hello `json:"hello,omitempty,omitzero"`
 }
+
+// TunnelReply tells whether the connection stands.
+type TunnelReply struct {
+	// "open"; "unreached" if the node cannot connect to the upstream either;
+	// "helpless" if it has lost its own path, is full, shuts down or does not know
+	// the upstream.
+	Outcome string `json:"outcome"`
+
+	// Reason why the connection does not stand.
+	Reason string `json:"reason,omitempty,omitzero"`
+}
+
+// TunnelRequest is the first frame of a node that asks another one for a
+// connection to an upstream.
+type TunnelRequest struct {
+	// Host and port of the upstream.
+	Address string `json:"address"`
+
+	// ID of the request that needs the connection.
+	Request string `json:"request,omitempty,omitzero"`
+}
