Reach upstreams through other nodes when the own path is lost

Cause: such a node sent only over its own connections, banned one upstream after the other, and lost bookings on kept connections that were dead. Class of fault: a node's local failure is taken for the failure of what it fails to reach. Change: the gateway records failed connects, resets of new connections and silence of all upstreams (pkg/reach), asks another node for a connection when several upstreams fail together, and sends everything that way once two were reached so. It lifts the bans of upstreams then, closes kept direct connections, and probes the path twice a second. Failures on a doubtful path no longer count against versions, health or parts of prompts; an upstream that refuses this node but not others has not crashed. A stopping node waits for the tunnels of others.

--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -23,6 +23,7 @@
 	"github.com/jaystage/jaystage/internal/listener"
 	"github.com/jaystage/jaystage/internal/peer"
 	"github.com/jaystage/jaystage/internal/replica"
+	"github.com/jaystage/jaystage/internal/tunnel"
 )
 
 const (
@@ -103,6 +104,7 @@
 	servers      []*server
 	clientServer *server
 	clients      *listener.Listener // of clientServer
+	tunnels      *tunnel.Server     // nil on a node that only votes
 }
 
 type server struct {
@@ -154,6 +156,8 @@
 	expvar.Publish("gateway", n.gateway.Metrics)
 	n.exchange = &gateway.Exchange{Gateway: n.gateway, Links: n.links, State: n.state, Incarnation: incarnation}
 	n.exchange.RegisterHandlers()
+	n.gateway.Relay, n.tunnels = relay{n.links}, n.gateway.NewTunnelServer()
+	n.links.HandleStream(tunnel.Kind, n.tunnels.Serve)
 	if err := n.listen("clients", o.ClientAddress, n.gateway); err != nil {
 		return err
 	}
@@ -172,6 +176,14 @@
 	return n.listen("control", n.options.ControlAddress, n.options.ControlHandler(n.control))
 }
 
+// relay opens connections to upstreams over the links between nodes.
+type relay struct{ links *peer.Links }
+
+// Open implements gateway.Relay.
+func (r relay) Open(ctx context.Context, node, address, requestID string) (*tunnel.Conn, error) {
+	return tunnel.Open(ctx, r.links, node, address, requestID)
+}
+
 func (n *Node) listen(purpose, address string, h http.Handler) error {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
@@ -237,7 +249,7 @@
 func (n *Node) startBackground(ctx context.Context) []<-chan struct{} {
 	var tasks []<-chan struct{}
 	if n.exchange != nil {
-		tasks = append(tasks, n.exchange.Run(ctx))
+		tasks = append(tasks, n.exchange.Run(ctx), n.exchange.RunProbes(ctx))
 	}
 	if n.control != nil {
 		tasks = append(tasks, n.control.Run(ctx))
@@ -262,8 +274,11 @@
 	time.Sleep(unreadyDuration)
 	shutdownCtx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
-	if err := n.clients.Drain(shutdownCtx); err != nil {
-		event.With(n.options.Log, event.ShutdownCut).WithField("open", n.gateway.Open()).WithError(err).
+	tunnelsDone := make(chan error, 1)
+	go func() { tunnelsDone <- n.tunnels.Drain(shutdownCtx) }()
+	err := n.clients.Drain(shutdownCtx)
+	if err = errors.Join(err, <-tunnelsDone); err != nil {
+		event.With(n.options.Log, event.ShutdownCut).WithField("open", n.gateway.Open()).WithField("tunnels", n.tunnels.Open()).WithError(err).
 			Warn("grace period is over; closing connections with open requests")
 	}
 	_ = n.clientServer.Close() // the listener is closed already, and without an error so are the connections
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -53,6 +53,7 @@
 	headersSent   bool          // the status and headers were sent to the client
 	lastEventID   string        // of the last event with an ID that was sent to the client
 	upstreamID    string        // of the last upstream chosen
+	via           string        // node through which it was reached; empty if directly
 	cachedShare   float64       // estimated share of the shared prompt in its cache
 	expectedDelay time.Duration // estimated delay at that upstream
 	firstByteAt   time.Time     // when an upstream first started to respond
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/jaystage/jaystage/internal/event"
+	"github.com/jaystage/jaystage/internal/tunnel"
 	"github.com/jaystage/jaystage/pkg/verdict"
 )
 
@@ -58,7 +59,7 @@
 		return false
 	}
 	if first {
-		probe.refused = g.refusesConnections(a.upstream.Address)
+		probe.refused = g.refusesConnections(a)
 		if !probe.refused {
 			set.mu.Lock()
 			a.entry.probe = nil
@@ -73,7 +74,7 @@
 // detectCrash reports whether the upstream's process ended during the attempt: it broke off
 // the response and has crashed.
 func (c *call) detectCrash(ctx context.Context, a *attempt, f *failure) bool {
-	if f == nil || !f.brokenOff() || ctx.Err() != nil || !c.g.hasCrashed(a) {
+	if f == nil || !f.brokenOff() || ctx.Err() != nil || c.g.paths.blameless(time.Now(), a) || !c.g.hasCrashed(a) {
 		return false
 	}
 	event.With(c.g.Log, event.UpstreamCrashed).WithFields(map[string]any{
@@ -84,16 +85,25 @@
 	return true
 }
 
-// refusesConnections reports whether no process listens at the address. A connection that is
-// accepted is kept for the next request.
-func (g *Gateway) refusesConnections(address string) bool {
+// refusesConnections reports whether no process listens at the address of an attempt, as
+// seen on the path that the attempt took. A connection that is accepted is kept for the next
+// request.
+func (g *Gateway) refusesConnections(a *attempt) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), crashProbeTimeout)
 	defer cancel()
+	address := a.upstream.Address
+	if a.conn.via != "" {
+		opened, err := g.openRelayed(ctx, address, "")
+		if err == nil {
+			g.pool.put(address, opened)
+		}
+		return errors.Is(err, tunnel.ErrUnreached)
+	}
 	opened, err := g.pool.dial(ctx, address)
 	if err == nil {
 		g.pool.put(address, opened)
 	}
-	return errors.Is(err, syscall.ECONNREFUSED)
+	return errors.Is(err, syscall.ECONNREFUSED) && !g.reachedByOthers(ctx, address)
 }
 
 // partIDs lists the parts of the call's prompt.
--- a/internal/gateway/finish.go
+++ b/internal/gateway/finish.go
@@ -130,6 +130,9 @@
 		c.g.ledger.countOutcome(c, a, true, c.responseTime(a, now))
 	case ctx.Err() != nil || f.cause == "client" || f.cause == "lease" || f.cause == "deadline":
 		// Not caused by the upstream.
+	case f.cause != "connect" && f.status == 0 && c.g.paths.blameless(now, a):
+		// The path to the upstream may be at fault.
+		c.g.pool.closeIdle(a.upstream.Address)
 	case f.otherUpstream:
 		entry.Leaving = true // another upstream process has its address
 	case f.overloaded:
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -123,6 +123,9 @@
 				return f
 			}
 			lastEvent = time.Now()
+			if a.conn.via == "" {
+				c.g.paths.heard.Store(lastEvent.UnixNano())
+			}
 		}
 		switch {
 		case splitErr != nil:
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -84,6 +84,8 @@
 	State        Viewer
 	Log          logrus.FieldLogger
 	Metrics      *Metrics
+	// Relay reaches upstreams through other nodes; nil if there are none.
+	Relay Relay
 	// Unready is set once the node starts to shut down.
 	Unready atomic.Bool
 
@@ -91,6 +93,7 @@
 	pool      *pool
 	ledger    *ledger
 	parts     *partRecords
+	paths     *paths
 	open      atomic.Int64 // requests that are being served
 	// started is when the process started.
 	started time.Time
@@ -108,7 +111,7 @@
 		Self: self, Domain: domain, Headers: headers, Settings: settings, State: state, Log: log, Metrics: NewMetrics(),
 		pool: newPool(settings.LocalIP), ledger: newLedger(settings.UsageWindow), parts: newPartRecords(), started: time.Now(), writeGrace: clientWriteGrace,
 	}
-	g.upstreams = newUpstreamSet(g)
+	g.upstreams, g.paths = newUpstreamSet(g), newPaths(g)
 	return g
 }
 
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -41,6 +41,12 @@
 	if c.upstreamID != "" {
 		fields["expected_ms"], fields["held"] = millis(c.expectedDelay), c.cachedShare
 	}
+	if c.via != "" {
+		fields["via"] = c.via
+	}
+	if lost := c.g.paths.lostFor(now); lost > 0 {
+		fields["path_lost_ms"] = millis(lost)
+	}
 	if c.lastEventID != "" {
 		fields["event"] = c.lastEventID
 	}
@@ -74,6 +80,12 @@
 		"load": a.upstream.Load(a.started), "open": a.upstream.Open, "others": a.upstream.OtherNodesOpen, "reported": a.upstream.ReportedLoad,
 		"report_age_ms": millis(a.started.Sub(a.upstream.ReportedAt)), "seen_age_ms": millis(now.Sub(a.entry.lastStatus)), "expected_ms": millis(a.expectedDelay),
 	}
+	if a.conn != nil && a.conn.via != "" {
+		fields["via"] = a.conn.via
+	}
+	if lost := c.g.paths.lostFor(now); lost > 0 {
+		fields["path_lost_ms"] = millis(lost)
+	}
 	if failed.err != nil {
 		fields["error"] = failed.err.Error()
 	}
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/jaystage/jaystage/internal/bounded"
+	"github.com/jaystage/jaystage/internal/tunnel"
 )
 
 const (
@@ -41,7 +42,11 @@
 	reader *bufio.Reader
 	limit  *bounded.Reader
 	// reused is true once a response has been read from the connection.
-	reused      bool
+	reused bool
+	// via is the node through which the connection goes; empty for a direct one.
+	via string
+	// opened is when a connect was started.
+	opened      time.Time
 	lastUsed    time.Time
 	idleTimeout time.Duration
 }
@@ -59,23 +64,23 @@
 	return &pool{localIP: localIP, idle: make(map[string][]*conn)}
 }
 
-// get returns a healthy idle connection, or a new one.
-func (p *pool) get(ctx context.Context, address string) (*conn, error) {
+// getIdle returns a healthy idle connection, direct or through another node; nil if there is
+// none. It closes those of the other kind, since the path was lost or is back.
+func (p *pool) getIdle(address string, relayed bool) *conn {
 	now := time.Now()
 	for {
 		idle := p.take(address)
 		if idle == nil {
-			break
+			return nil
 		}
-		if now.Sub(idle.lastUsed) < idle.idleTimeout && idle.healthy() {
-			return idle, nil
+		if (idle.via != "") == relayed && now.Sub(idle.lastUsed) < idle.idleTimeout && idle.healthy() {
+			return idle
 		}
 		_ = idle.Close()
 	}
-	return p.dial(ctx, address)
 }
 
-// dial returns a new connection.
+// dial returns a new direct connection.
 func (p *pool) dial(ctx context.Context, address string) (*conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
@@ -83,12 +88,26 @@
 	if p.localIP != nil {
 		d.LocalAddr = &net.TCPAddr{IP: p.localIP}
 	}
+	opened := time.Now()
 	raw, err := d.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
+	c := newConn(raw, "")
+	c.opened = opened
+	return c, nil
+}
+
+// newConn returns an open connection through a node, or a direct one.
+func newConn(raw net.Conn, via string) *conn {
 	limit := &bounded.Reader{Source: raw}
-	return &conn{Conn: raw, reader: bufio.NewReaderSize(limit, readBufferBytes), limit: limit, idleTimeout: defaultIdleTimeout}, nil
+	return &conn{Conn: raw, reader: bufio.NewReaderSize(limit, readBufferBytes), limit: limit, via: via, idleTimeout: defaultIdleTimeout}
+}
+
+// leaving reports whether the node in between is about to leave.
+func (c *conn) leaving() bool {
+	t, ok := c.Conn.(*tunnel.Conn)
+	return ok && t.Leaving()
 }
 
 // readHead reads the status line and headers of a response to a request with this method,
@@ -145,7 +164,7 @@
 // put returns a connection to the pool, or closes it if it has buffered bytes, which
 // belong to no request.
 func (p *pool) put(address string, c *conn) {
-	if c.reader.Buffered() > 0 {
+	if c.reader.Buffered() > 0 || c.leaving() {
 		_ = c.Close()
 		return
 	}
@@ -178,7 +197,8 @@
 	for address, list := range p.idle {
 		kept := list[:0]
 		for _, c := range list {
-			if now.Sub(c.lastUsed) < c.idleTimeout {
+			// The node in between of a relayed connection waits for its end when it leaves.
+			if now.Sub(c.lastUsed) < c.idleTimeout && (c.via == "" || c.healthy()) {
 				kept = append(kept, c)
 			} else {
 				expired = append(expired, c)
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/jaystage/jaystage/internal/hop"
+	"github.com/jaystage/jaystage/internal/tunnel"
 	"github.com/jaystage/jaystage/pkg/verdict"
 )
 
@@ -60,11 +61,11 @@
 
 // send sends the request of an attempt and reads the head of the response.
 func (c *call) send(ctx context.Context, a *attempt) *failure {
-	upstreamConn, err := c.g.pool.get(ctx, a.upstream.Address)
+	upstreamConn, err := c.g.connect(ctx, a.upstream.Address, c.id)
 	if err != nil {
 		return &failure{verdict: verdict.NotRun, cause: "connect", err: err}
 	}
-	a.conn = upstreamConn
+	a.conn, c.via = upstreamConn, upstreamConn.via
 	a.stopCancelWatch = context.AfterFunc(ctx, func() { _ = upstreamConn.Close() })
 	now := time.Now()
 	// The lease is checked again right before the request is sent, because the process
@@ -78,9 +79,17 @@
 	if err := upstreamConn.SetDeadline(c.deadline.Add(deadlineGrace)); err != nil {
 		return &failure{verdict: verdict.NotRun, cause: "connection", err: err}
 	}
+	if t, ok := upstreamConn.Conn.(*tunnel.Conn); ok {
+		if err := t.Announce(c.id); err != nil {
+			return &failure{verdict: verdict.NotRun, cause: "hop", err: err}
+		}
+	}
 	if f := c.write(a, now); f != nil {
 		return f
 	}
+	if f := c.watchSilence(a); f != nil {
+		return f
+	}
 	return c.readResponseHead(a)
 }
 
--- a/pkg/placement/health.go
+++ b/pkg/placement/health.go
@@ -58,6 +58,9 @@
 	u.health.bannedUntil = now.Add(u.health.banDuration)
 }
 
+// ForgetUnreachable takes RecordUnreachable back: the node's own path was at fault.
+func (u *Upstream) ForgetUnreachable() { u.health.banDuration, u.health.bannedUntil = 0, time.Time{} }
+
 // Banned reports whether the upstream gets no requests because it was unreachable.
 func (u *Upstream) Banned(now time.Time) bool { return now.Before(u.health.bannedUntil) }
 
