Give requests without an ID connections of their own

The gateway tells them apart by the ID; a client's request without one took any response. Change: such a request gets a new connection, on which no late response can arrive. With IDs the gateway was right before: TestRepeatedRefusalIsNotTaken passed. Conclusion: requests without an ID are rare; they pay for a connection.

--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -55,6 +55,7 @@
 	mu       sync.Mutex
 	requests []*http.Request
 	bodies   []string
+	accepted int
 }
 
 // step is a part of a response: bytes to send, a pause, and optionally a reset or close of
@@ -88,6 +89,9 @@
 
 func (u *fakeUpstream) serve(c net.Conn) {
 	defer c.Close()
+	u.mu.Lock()
+	u.accepted++
+	u.mu.Unlock()
 	r := bufio.NewReader(c)
 	for {
 		request, err := http.ReadRequest(r)
@@ -123,6 +127,12 @@
 	return len(u.requests)
 }
 
+func (u *fakeUpstream) connections() int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.accepted
+}
+
 func (u *fakeUpstream) request(i int) *http.Request {
 	u.mu.Lock()
 	defer u.mu.Unlock()
--- a/internal/gateway/path.go
+++ b/internal/gateway/path.go
@@ -107,8 +107,11 @@
 // another node if the own path to it is lost.
 func (g *Gateway) connect(ctx context.Context, address, requestID string) (*conn, error) {
 	relayed := g.paths.relayed(time.Now(), address)
-	if kept := g.pool.getIdle(address, relayed); kept != nil {
-		return kept, nil
+	// A late response on a kept connection can be told from the own one only by its ID.
+	if requestID != "" {
+		if kept := g.pool.getIdle(address, relayed); kept != nil {
+			return kept, nil
+		}
 	}
 	if relayed {
 		if c, err := g.openRelayed(ctx, address, requestID); err == nil {
