Do not continue a broken stream with an error

A stream broke off and the next upstream answered with an error, or another success, in the form of events: the client found its text in the stream, which then ended as complete. Change: once a response has begun, one with another status fails the call, which breaks the client's connection off. Measured: TestErrorAfterBrokenStreamIsNotForwarded failed in 3 of 6 forms before and passes now; TestCutHeadIsNoResponse (heads cut after each byte) passed before.

--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -36,6 +36,10 @@
 
 // forwardResponse forwards the response to the client.
 func (c *call) forwardResponse(a *attempt) *failure {
+	if c.headersSent && a.resp.StatusCode != c.status {
+		// The stream of an earlier attempt cannot be continued with this response.
+		return &failure{verdict: verdict.Ran, cause: "no-stream", status: a.resp.StatusCode}
+	}
 	if c.route.Kind == traffic.Stream && strings.HasPrefix(a.resp.Header.Get("Content-Type"), "text/event-stream") {
 		return c.forwardEvents(a)
 	}
