Do not take a refusal without ID on a reused connection

An upstream sent an earlier refusal once more on a kept connection: clients of the product's own path got 503 or 429, 'not run', for requests that ran. Change: a 429 or 503 without a request ID on a connection that has served other requests fails as may-have-run, and the connection is closed. One with the ID of another request was discarded before.

--- a/internal/upstream/transport.go
+++ b/internal/upstream/transport.go
@@ -40,6 +40,16 @@
 // another request.
 var ErrMismatchedAnswer = errors.New("the answer carries the id of another request")
 
+// ErrUnattributedRefusal is the cause of a failure when a refusal without a request id
+// arrives on a connection that has served other requests: it may be a late one to any of
+// them.
+var ErrUnattributedRefusal = errors.New("refusal without a request id on a reused connection")
+
+// claimsNotRun reports whether the status says that a request did not run.
+func claimsNotRun(status int) bool {
+	return status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable
+}
+
 // Transport sends requests to upstreams. It never retries a request.
 type Transport struct {
 	pooled   *http.Transport
@@ -78,8 +88,8 @@
 // net/http retries a request when a reused connection fails and the body is empty or can be
 // rewound, so Do clears GetBody and replaces an empty body. With newConn set, the request
 // also gets a connection of its own, because a kept-alive connection can fail after the
-// upstream has read the request. A response with the id of another request is discarded and
-// its connection is closed.
+// upstream has read the request. A response with the id of another request, and a refusal
+// without an id on a reused connection, are discarded and their connection is closed.
 func (t *Transport) Do(req *http.Request, newConn bool) (*http.Response, error) {
 	var written writeTracker
 	req.GetBody = nil
@@ -94,12 +104,16 @@
 	resp, err := client.RoundTrip(req.WithContext(ctx))
 	if err == nil {
 		id := resp.Header.Get(RequestIDHeader)
-		if id == "" || id == req.Header.Get(RequestIDHeader) {
+		switch {
+		case id == "" && written.reused.Load() && claimsNotRun(resp.StatusCode):
+			err = ErrUnattributedRefusal
+		case id == "" || id == req.Header.Get(RequestIDHeader):
 			return resp, nil
+		default:
+			err = ErrMismatchedAnswer
 		}
 		_ = resp.Body.Close()
 		written.closeConn()
-		err = ErrMismatchedAnswer
 	}
 	outcome := verdict.MayHaveRun
 	if !written.wroteAny() {
@@ -158,6 +172,7 @@
 type writeTracker struct {
 	conn          atomic.Pointer[countingConn]
 	writtenBefore atomic.Int64 // bytes written to conn before the request
+	reused        atomic.Bool  // the connection has served other requests
 	assumeWritten atomic.Bool  // the request wrote to an earlier connection, or conn is not a countingConn
 }
 
@@ -165,6 +180,7 @@
 	if w.wroteAny() {
 		w.assumeWritten.Store(true)
 	}
+	w.reused.Store(info.Reused)
 	conn, ok := info.Conn.(*countingConn)
 	if !ok {
 		w.assumeWritten.Store(true)
