Do not continue a stream with an error on the product's path

Cause: report of another operator. After a stream broke off, the next upstream's answer with status 206, 302, 400 or 404 was copied into the client's stream, and the call counted as answered. Change: once the response has begun, another status fails the attempt like an error status. Measured: TestErrorAfterBrokenStreamIsNotForwarded failed in 4 of 6 forms before and passes now; TestCutHeadIsNoResponse passed before.

--- a/internal/caller/relay.go
+++ b/internal/caller/relay.go
@@ -9,6 +9,7 @@
 
 	"github.com/jaystage/jaystage/internal/hop"
 	"github.com/jaystage/jaystage/pkg/stream"
+	"github.com/jaystage/jaystage/pkg/verdict"
 )
 
 const (
@@ -28,6 +29,12 @@
 func (a *API) relay(w http.ResponseWriter, c *call, at *attempt, resp *http.Response) error {
 	defer resp.Body.Close()
 	switch {
+	case c.responseStarted && resp.StatusCode != http.StatusOK:
+		// The stream of an earlier attempt cannot be continued with this response.
+		return &verdict.Error{
+			Verdict: verdict.Ran, Code: verdict.CodeUpstreamFailed, Status: http.StatusBadGateway,
+			Detail: "the upstream answered " + resp.Status, Cause: errUpstreamStatus,
+		}
 	case c.transcript == nil || resp.StatusCode != http.StatusOK:
 		return a.relayResponse(w, c, at, resp)
 	case c.transcript.Request.Unstreamed():
