Follow what upstreams ask for in their answers

Nothing read these headers. Change: a leaving upstream gets no new requests until its next start. One that answers 503 with Retry-After gets none for so long; if that holds for all candidates, clients are refused at once and told when to come back. While upstreams of a service are brittle, none may wait there, each node keeps to its share of the slots (the shares add up to the slots), and leaves an upstream that turned a request away alone for longer the more nodes there are. Answers without the header end it. A node tells the node in between of a tunnel what it heard.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -37,6 +37,7 @@
 	PathLost         ID = 3013
 	PathRegained     ID = 3014
 	TunnelOpened     ID = 3015
+	UpstreamAdvice   ID = 3016
 	ConfigApplied    ID = 4001
 	LeaseLost        ID = 4002
 	LeaseGained      ID = 4003
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -49,6 +49,9 @@
 	// those that could not be chosen, by reason.
 	candidates int
 	exclusions map[string]int
+	// heldUntil is when the first candidate may get requests again, if all of them wanted
+	// none at the last choice; else zero.
+	heldUntil time.Time
 
 	headersSent   bool          // the status and headers were sent to the client
 	lastEventID   string        // of the last event with an ID that was sent to the client
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -54,6 +54,9 @@
 		if found {
 			return chosen, nil
 		}
+		if after, held := c.heldFor(now); held && now.Add(after).After(until) {
+			return choice{}, refusal(http.StatusServiceUnavailable, verdict.CodeOverloaded, after+c.retryAfter()/2, "all upstreams want no requests for a while")
+		}
 		if !now.Before(until) {
 			return choice{}, refusal(http.StatusServiceUnavailable, verdict.CodeOverloaded, c.retryAfter(), "no upstream has a free place")
 		}
@@ -69,6 +72,11 @@
 	}
 }
 
+// heldFor returns how long all upstreams at the last choice want no requests.
+func (c *call) heldFor(now time.Time) (time.Duration, bool) {
+	return c.heldUntil.Sub(now), !c.heldUntil.IsZero()
+}
+
 // retryAfter returns the Retry-After of a refused call. The delay depends on the request
 // ID, so that clients that were refused together do not retry together.
 func (c *call) retryAfter() time.Duration {
@@ -82,7 +90,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	candidates := s.candidates(now, c, view)
-	c.candidates, c.exclusions = len(candidates.upstreams), nil
+	c.candidates, c.exclusions, c.heldUntil = len(candidates.upstreams), nil, time.Time{}
 	if len(candidates.upstreams) == 0 {
 		return choice{}, s.capacityFreed, false
 	}
@@ -90,6 +98,7 @@
 	chosen, ok := placement.Choose(now, c.prompt, options, candidates.upstreams)
 	if !ok {
 		c.exclusions = placement.Exclusions(now, c.prompt, options, candidates.upstreams)
+		c.heldUntil, _ = heldUntil(now, candidates.upstreams)
 		return choice{}, s.capacityFreed, false
 	}
 	chosen.RecordSend(now, options)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -37,6 +37,11 @@
 	// Limit is the number of requests per second that the upstream takes from all nodes
 	// together, a decimal number. A response without it ends the limit.
 	Limit string
+	// Leaving is set if the upstream is about to leave.
+	Leaving string
+	// Brittle is the number of requests that the upstream can turn away in a second without
+	// falling over. A response without it means that the upstream is not brittle.
+	Brittle string
 	// Tokens holds the number of prompt tokens and the maximum number of output tokens,
 	// separated by a comma.
 	Tokens string
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -21,7 +21,7 @@
 
 var testHeaders = Headers{
 	Attempt: "X-Attempt", Deadline: "X-Deadline", Expect: "X-Expect", Account: "X-Account", Signature: "X-Signature", NotRun: "X-Not-Run",
-	Load: "X-Load", Limit: "X-Limit", Tokens: "X-Tokens", Model: "X-Model", Parts: "X-Parts", Priority: "X-Priority", Resume: "Last-Event-Id", Reserved: []string{"X-Secret"},
+	Load: "X-Load", Limit: "X-Limit", Leaving: "X-Leaving", Brittle: "X-Brittle", Tokens: "X-Tokens", Model: "X-Model", Parts: "X-Parts", Priority: "X-Priority", Resume: "Last-Event-Id", Reserved: []string{"X-Secret"},
 }
 
 // testState is a node state whose lease a test can expire.
@@ -214,6 +214,11 @@
 	return env
 }
 
+// announceAgain reports a later start of the upstream with the index 0.
+func (env *testEnv) announceAgain(u *fakeUpstream, born uint64) {
+	env.gateway.ApplyStatuses(time.Now(), []wire.Status{{ID: "u0", Service: "s", Address: u.listener.Addr().String(), Domain: "a", Slots: 4, Born: born, Sequence: 1}})
+}
+
 // clientResult is what a client received.
 type clientResult struct {
 	status int
--- a/internal/gateway/path.go
+++ b/internal/gateway/path.go
@@ -320,6 +320,7 @@
 func (g *Gateway) NewTunnelServer() *tunnel.Server {
 	s := tunnel.NewServer()
 	s.Known, s.Suspected, s.Log = g.upstreams.knowsAddress, g.paths.suspected, g.Log
+	s.Advised = g.upstreams.advise
 	s.Dial = func(ctx context.Context, address string) (net.Conn, error) {
 		c, err := g.pool.dial(ctx, address)
 		if err != nil {
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -116,6 +116,7 @@
 	headers, resp := c.g.Headers, a.resp
 	c.applyLoadHeader(a)
 	c.applyLimitHeader(a)
+	c.applyAdvice(a)
 	switch {
 	case resp.StatusCode == http.StatusMisdirectedRequest:
 		return &failure{verdict: verdict.NotRun, cause: "other-upstream", status: resp.StatusCode, otherUpstream: true}
--- a/internal/soak/crash_test.go
+++ b/internal/soak/crash_test.go
@@ -75,6 +75,8 @@
 	// limit is named in each answer; zero for none. arrivals records the requests since.
 	limit    float64
 	arrivals []arrival
+	// advise is called for each request; it may answer it and return true.
+	advise func(w http.ResponseWriter, attempt string) (answered bool)
 }
 
 func (u *crashingUpstream) start() {
@@ -138,6 +140,12 @@
 			u.runCrashing(attempt)
 			return
 		}
+		u.mu.Lock()
+		advise := u.advise
+		u.mu.Unlock()
+		if advise != nil && advise(w, attempt) {
+			return
+		}
 		w.Header().Set("X-Runner-Signature", id)
 		u.mu.Lock()
 		u.arrivals = append(u.arrivals, arrival{attempt: attempt, at: time.Now()})
--- a/internal/tunnel/server.go
+++ b/internal/tunnel/server.go
@@ -39,7 +39,10 @@
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// Suspected reports whether this node may have lost its own path to upstreams.
 	Suspected func(now time.Time) bool
-	Log       logrus.FieldLogger
+	// Advised applies what an upstream asked for over a tunnel: that it leaves, or wants no
+	// requests for a time.
+	Advised func(address string, leaving bool, hold time.Duration)
+	Log     logrus.FieldLogger
 
 	mu      sync.Mutex
 	open    map[*tunnel]bool
@@ -203,6 +206,10 @@
 			return
 		}
 		if kind == websocket.TextMessage {
+			if leaving, hold, ok := parseAdvice(string(data)); ok {
+				s.Advised(t.address, leaving, hold)
+				continue
+			}
 			event.With(s.Log, event.RequestRelayed).WithFields(logrus.Fields{
 				"request": string(data), "node_from": t.from, "address": t.address,
 			}).Info("request of another node relayed")
--- a/internal/tunnel/tunnel.go
+++ b/internal/tunnel/tunnel.go
@@ -5,13 +5,14 @@
 // A tunnel is a stream between the nodes. The first frames are a request and a reply in CBOR.
 // Then binary frames carry the bytes of both directions. A close frame tells that the
 // upstream ended the connection; a stream that ends without one was broken off. Text frames
-// carry notices: from the node that asks the ID of the request that it sends next, and from
-// the other one that it is about to leave.
+// carry notices: from the node that asks the ID of the request that it sends next and what the
+// upstream has asked for, and from the other one that it is about to leave.
 package tunnel
 
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"sync/atomic"
@@ -115,6 +116,22 @@
 	return c.stream.WriteMessage(websocket.TextMessage, []byte(requestID))
 }
 
+// adviceFormat is the text of a frame with the advice of an upstream: whether it leaves, and
+// for how many milliseconds it wants no requests.
+const adviceFormat = "advice %t %d"
+
+// Advise tells the other node what the upstream has asked for: that it leaves, or wants no
+// requests for a time from the node that is connected to it.
+func (c *Conn) Advise(leaving bool, hold time.Duration) error {
+	return c.stream.WriteMessage(websocket.TextMessage, fmt.Appendf(nil, adviceFormat, leaving, hold.Milliseconds()))
+}
+
+func parseAdvice(text string) (leaving bool, hold time.Duration, ok bool) {
+	var ms int64
+	n, err := fmt.Sscanf(text, adviceFormat, &leaving, &ms)
+	return leaving, time.Duration(ms) * time.Millisecond, err == nil && n == 2
+}
+
 // Read implements net.Conn. It returns io.EOF only if the upstream ended the connection.
 func (c *Conn) Read(b []byte) (int, error) {
 	for {
--- a/pkg/placement/choose.go
+++ b/pkg/placement/choose.go
@@ -98,6 +98,9 @@
 	// MaxWaiting is the maximum number of requests that may wait on one upstream beyond
 	// its slots.
 	MaxWaiting int
+	// Brittle is true if upstreams of the service fall over when they have to turn many
+	// requests away. Each node then keeps to its share of their slots.
+	Brittle bool
 	// Allowed reports whether an upstream's own limit allows a request now; nil if none has
 	// a limit.
 	Allowed func(u *Upstream) bool
@@ -181,6 +184,7 @@
 	ExcludedFull        = "full"
 	ExcludedCold        = "cold"
 	ExcludedLimited     = "limited"
+	ExcludedHeld        = "held"
 )
 
 // exclusion returns why the upstream cannot get the request now, or an empty string if
@@ -193,7 +197,9 @@
 		return ExcludedUnreachable
 	case slices.Contains(r.Tried, u.ID):
 		return ExcludedTried
-	case u.Load(now) >= u.Slots+o.MaxWaiting:
+	case now.Before(u.HoldUntil):
+		return ExcludedHeld
+	case u.Load(now) >= u.Slots+o.MaxWaiting || o.Brittle && u.Open >= u.ownSlots(o):
 		return ExcludedFull
 	case now.Before(u.ColdUntil) && o.ColdRate > 0 && !u.allowsColdRequest(now, u.nodeColdRate(o)):
 		return ExcludedCold
--- a/pkg/placement/cold.go
+++ b/pkg/placement/cold.go
@@ -54,6 +54,18 @@
 // share of the other nodes is zero.
 func NodeColdRate(upstream, self string, nodes []string, rate float64) float64 {
 	sharing := max(1, min(len(nodes), int(rate*coldRateUtilization/minNodeColdRate)))
+	if rank := nodeRank(upstream, self, nodes); rank < 0 || rank >= sharing {
+		return 0
+	}
+	return rate * coldRateUtilization / float64(sharing)
+}
+
+// nodeRank returns this node's place in the order of nodes by a hash, which differs between
+// upstreams and is the same on all nodes; -1 if the list does not have the node.
+func nodeRank(upstream, self string, nodes []string) int {
+	if !slices.Contains(nodes, self) {
+		return -1
+	}
 	key := append([]byte(upstream), 0)
 	ownHash := xxhash.Sum64(append(key, self...))
 	rank := 0
@@ -62,10 +74,7 @@
 			rank++
 		}
 	}
-	if rank >= sharing || !slices.Contains(nodes, self) {
-		return 0
-	}
-	return rate * coldRateUtilization / float64(sharing)
+	return rank
 }
 
 // allowsColdRequest reports whether this node may send a request to the cold upstream
--- a/pkg/placement/placement_test.go
+++ b/pkg/placement/placement_test.go
@@ -338,3 +338,41 @@
 		t.Errorf("got a mean wait of %.0f ms and a p99 of %.0f ms, want at most %.0f ms and %.0f ms", mean, p99, 0.6*random, 0.7*randomP99)
 	}
 }
+
+// Load pattern: brittle upstreams under more requests than they have slots for. Guards against
+// nodes that together send more than the slots, and against slots that no node may use.
+func TestBrittleSlotsAreSharedExactly(t *testing.T) {
+	for _, c := range []struct{ nodes, slots int }{{1, 6}, {3, 16}, {8, 6}, {72, 6}, {72, 64}, {295, 24}} {
+		var nodes []string
+		for i := range c.nodes {
+			nodes = append(nodes, fmt.Sprint("n", i))
+		}
+		sent := 0
+		for _, self := range nodes {
+			u := &Upstream{ID: "u", Slots: c.slots}
+			o := Options{Self: self, Nodes: nodes, Brittle: true}
+			for range c.slots + 1 {
+				if got, ok := Choose(now, Request{}, o, []*Upstream{u}); ok {
+					got.RecordSend(now, o)
+					sent++
+				}
+			}
+		}
+		if sent != c.slots {
+			t.Errorf("%d nodes: got %d requests at once, want %d", c.nodes, sent, c.slots)
+		}
+	}
+}
+
+// Guards against many nodes that each have a request turned away as soon as they may send one
+// again.
+func TestBrittleHoldGrowsWithNodes(t *testing.T) {
+	for _, c := range []struct {
+		limit, nodes int
+		want         time.Duration
+	}{{4, 8, 2 * time.Second}, {8, 1, minBrittleHold}, {2, 295, maxBrittleHold}, {0, 1, time.Second}} {
+		if got := BrittleHold(c.limit, c.nodes); got != c.want {
+			t.Errorf("limit %d, %d nodes: got %v, want %v", c.limit, c.nodes, got, c.want)
+		}
+	}
+}
--- a/pkg/placement/upstream.go
+++ b/pkg/placement/upstream.go
@@ -24,6 +24,12 @@
 	// Leaving is true once it has announced its shutdown; it gets no new requests.
 	Leaving bool
 
+	// HoldUntil is the time until which it gets no requests, because it asked for that or is
+	// brittle and turned one away.
+	HoldUntil time.Time
+	// BrittleLimit is the number of requests that it can turn away in a second without
+	// falling over; zero if it is not brittle.
+	BrittleLimit int
 	// Open is the number of open requests that this node has sent to it.
 	Open int
 	// OtherNodesOpen is the number of open requests of the other nodes, as last reported
@@ -47,6 +53,7 @@
 
 	health Health
 	cold   coldPacer
+	own    nodeSlots
 	idHash uint64 // hash of ID; zero until first use
 }
 
