--- a/internal/upstream/transport.go
+++ b/internal/upstream/transport.go
@@ -52,20 +52,24 @@
 
 // Transport sends requests to upstreams. It never retries a request.
 type Transport struct {
+	// Dial opens a connection to an upstream. It is replaced in tests.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
 	pooled   *http.Transport
 	unpooled *http.Transport
 }
 
 // NewTransport returns a transport with its own connection pool.
 func NewTransport() *Transport {
-	return &Transport{pooled: newHTTPTransport(false), unpooled: newHTTPTransport(true)}
+	t := &Transport{Dial: (&net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive}).DialContext}
+	t.pooled, t.unpooled = t.newHTTPTransport(false), t.newHTTPTransport(true)
+	return t
 }
 
-func newHTTPTransport(disableKeepAlives bool) *http.Transport {
-	dialer := &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive}
+func (t *Transport) newHTTPTransport(disableKeepAlives bool) *http.Transport {
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
-			conn, err := dialer.DialContext(ctx, network, addr)
+			conn, err := t.Dial(ctx, network, addr)
 			if err != nil {
 				return nil, err
 			}
