Separate lost paths from crashes, and share the detour

Change: a suspicion alone excuses nothing; only a path that another node has shown to be lost does. A reset of a new connection counts against the path only if the process has not ended. A node that merely doubts its path is asked, and is not left out afterwards. internal/detour holds what opens connections, so that the product's own path can use it too.

--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -156,7 +156,7 @@
 	expvar.Publish("gateway", n.gateway.Metrics)
 	n.exchange = &gateway.Exchange{Gateway: n.gateway, Links: n.links, State: n.state, Incarnation: incarnation}
 	n.exchange.RegisterHandlers()
-	n.gateway.Relay, n.tunnels = relay{n.links}, n.gateway.NewTunnelServer()
+	n.gateway.Detour.Streams, n.tunnels = n.links, n.gateway.NewTunnelServer()
 	n.links.HandleStream(tunnel.Kind, n.tunnels.Serve)
 	if err := n.listen("clients", o.ClientAddress, n.gateway); err != nil {
 		return err
@@ -176,14 +176,6 @@
 	return n.listen("control", n.options.ControlAddress, n.options.ControlHandler(n.control))
 }
 
-// relay opens connections to upstreams over the links between nodes.
-type relay struct{ links *peer.Links }
-
-// Open implements gateway.Relay.
-func (r relay) Open(ctx context.Context, node, address, requestID string) (*tunnel.Conn, error) {
-	return tunnel.Open(ctx, r.links, node, address, requestID)
-}
-
 func (n *Node) listen(purpose, address string, h http.Handler) error {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -11,6 +11,7 @@
 
 	"github.com/jaystage/jaystage/internal/event"
 	"github.com/jaystage/jaystage/internal/tunnel"
+	"github.com/jaystage/jaystage/pkg/reach"
 	"github.com/jaystage/jaystage/pkg/verdict"
 )
 
@@ -74,7 +75,7 @@
 // detectCrash reports whether the upstream's process ended during the attempt: it broke off
 // the response and has crashed.
 func (c *call) detectCrash(ctx context.Context, a *attempt, f *failure) bool {
-	if f == nil || !f.brokenOff() || ctx.Err() != nil || c.g.paths.blameless(time.Now(), a) || !c.g.hasCrashed(a) {
+	if f == nil || !f.brokenOff() || ctx.Err() != nil || !c.g.hasCrashed(a) {
 		return false
 	}
 	event.With(c.g.Log, event.UpstreamCrashed).WithFields(map[string]any{
@@ -93,17 +94,17 @@
 	defer cancel()
 	address := a.upstream.Address
 	if a.conn.via != "" {
-		opened, err := g.openRelayed(ctx, address, "")
-		if err == nil {
-			g.pool.put(address, opened)
-		}
-		return errors.Is(err, tunnel.ErrUnreached)
+		return errors.Is(g.openRelayed(ctx, address), tunnel.ErrUnreached)
 	}
 	opened, err := g.pool.dial(ctx, address)
 	if err == nil {
 		g.pool.put(address, opened)
 	}
-	return errors.Is(err, syscall.ECONNREFUSED) && !g.reachedByOthers(ctx, address)
+	if !errors.Is(err, syscall.ECONNREFUSED) {
+		return false
+	}
+	g.Detour.RecordFailure(time.Now(), address, reach.NoConnection)
+	return g.openRelayed(ctx, address) != nil
 }
 
 // partIDs lists the parts of the call's prompt.
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -69,7 +69,9 @@
 
 // RunProbes probes paths to upstreams that the node has lost until ctx ends. It returns a
 // channel that closes after that.
-func (e *Exchange) RunProbes(ctx context.Context) <-chan struct{} { return e.Gateway.serveProbes(ctx) }
+func (e *Exchange) RunProbes(ctx context.Context) <-chan struct{} {
+	return e.Gateway.Detour.RunProbes(ctx, e.Gateway.probe)
+}
 
 // Run reports usage to the leader and closes expired idle connections until ctx ends. It
 // returns a channel that closes after that.
--- a/internal/gateway/finish.go
+++ b/internal/gateway/finish.go
@@ -26,8 +26,12 @@
 		if f == nil {
 			f = c.forwardResponse(a)
 		}
-		if c.detectCrash(ctx, a, f) {
+		switch {
+		case c.detectCrash(ctx, a, f):
 			f.suspected = c.g.parts.recordCrash(time.Now(), a, c)
+		case f != nil && f.cause == "read" && a.conn.via == "" && !a.conn.reused && a.resp == nil && ctx.Err() == nil:
+			// A new connection was reset, but the upstream's process has not ended.
+			c.suspectPath(a)
 		}
 		c.endAttempt(ctx, a, f)
 		if f == nil {
@@ -130,7 +134,7 @@
 		c.g.ledger.countOutcome(c, a, true, c.responseTime(a, now))
 	case ctx.Err() != nil || f.cause == "client" || f.cause == "lease" || f.cause == "deadline":
 		// Not caused by the upstream.
-	case f.cause != "connect" && f.status == 0 && c.g.paths.blameless(now, a):
+	case f.cause != "connect" && f.status == 0 && c.g.blameless(now, a):
 		// The path to the upstream may be at fault.
 		c.g.pool.closeIdle(a.upstream.Address)
 	case f.otherUpstream:
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -128,7 +128,7 @@
 			}
 			lastEvent = time.Now()
 			if a.conn.via == "" {
-				c.g.paths.heard.Store(lastEvent.UnixNano())
+				c.g.heard.Store(lastEvent.UnixNano())
 			}
 		}
 		switch {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -13,6 +13,8 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/jaystage/jaystage/internal/config"
+	"github.com/jaystage/jaystage/internal/detour"
+	"github.com/jaystage/jaystage/pkg/reach"
 )
 
 // Headers names the headers that clients, the gateway and upstreams exchange about a
@@ -89,8 +91,8 @@
 	State        Viewer
 	Log          logrus.FieldLogger
 	Metrics      *Metrics
-	// Relay reaches upstreams through other nodes; nil if there are none.
-	Relay Relay
+	// Detour opens connections to upstreams, through other nodes if it knows any.
+	Detour *detour.Detour
 	// Unready is set once the node starts to shut down.
 	Unready atomic.Bool
 
@@ -98,8 +100,9 @@
 	pool      *pool
 	ledger    *ledger
 	parts     *partRecords
-	paths     *paths
-	open      atomic.Int64 // requests that are being served
+	// heard is when a byte last arrived over a direct connection, Unix time in nanoseconds.
+	heard atomic.Int64
+	open  atomic.Int64 // requests that are being served
 	// started is when the process started.
 	started time.Time
 	// writeGrace is clientWriteGrace, or less in tests.
@@ -116,7 +119,9 @@
 		Self: self, Domain: domain, Headers: headers, Settings: settings, State: state, Log: log, Metrics: NewMetrics(),
 		pool: newPool(settings.LocalIP), ledger: newLedger(settings.UsageWindow), parts: newPartRecords(), started: time.Now(), writeGrace: clientWriteGrace,
 	}
-	g.upstreams, g.paths = newUpstreamSet(g), newPaths(g)
+	g.upstreams, g.Detour = newUpstreamSet(g), detour.New()
+	g.Detour.Self, g.Detour.Nodes = reach.Node{Name: self, Domain: domain}, g.entryNodesOf
+	g.Detour.Log, g.Detour.Metrics, g.Detour.PathChanged = log, g.Metrics, g.upstreams.forgetUnreachable
 	return g
 }
 
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -44,7 +44,7 @@
 	if c.via != "" {
 		fields["via"] = c.via
 	}
-	if lost := c.g.paths.lostFor(now); lost > 0 {
+	if lost := c.g.Detour.LostFor(now); lost > 0 {
 		fields["path_lost_ms"] = millis(lost)
 	}
 	if c.lastEventID != "" {
@@ -83,7 +83,7 @@
 	if a.conn != nil && a.conn.via != "" {
 		fields["via"] = a.conn.via
 	}
-	if lost := c.g.paths.lostFor(now); lost > 0 {
+	if lost := c.g.Detour.LostFor(now); lost > 0 {
 		fields["path_lost_ms"] = millis(lost)
 	}
 	if failed.err != nil {
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -50,6 +50,12 @@
 	m.counters[name]++
 }
 
+// CountPath implements detour.Metrics.
+func (m *Metrics) CountPath(name string) { m.count(name) }
+
+// RecordHop implements detour.Metrics.
+func (m *Metrics) RecordHop(took time.Duration) { m.record("", "", "hop", took) }
+
 func (m *Metrics) record(account, route, measure string, d time.Duration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/gateway/path.go
+++ b/internal/gateway/path.go
@@ -2,17 +2,11 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"net/http"
-	"sync"
-	"sync/atomic"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
-	"github.com/jaystage/jaystage/internal/event"
-	"github.com/jaystage/jaystage/internal/periodic"
+	"github.com/jaystage/jaystage/internal/config"
 	"github.com/jaystage/jaystage/internal/tunnel"
 	"github.com/jaystage/jaystage/pkg/reach"
 	"github.com/jaystage/jaystage/pkg/verdict"
@@ -23,174 +17,69 @@
 	// node's own path is suspected. Sound upstreams of a busy node are rarely all silent for
 	// so long, and a wrong suspicion costs only a detour.
 	silenceLimit = 400 * time.Millisecond
-	// probeTick is how often the node looks whether a probe of a lost path is due, and
-	// probeTimeout bounds the answer to one.
-	probeTick    = 250 * time.Millisecond
+	// probeTimeout bounds the answer to a probe of a lost path.
 	probeTimeout = 500 * time.Millisecond
 )
 
-// Relay opens connections to upstreams through other nodes; see tunnel.Open.
-type Relay interface {
-	Open(ctx context.Context, node, address, requestID string) (*tunnel.Conn, error)
-}
-
-// paths is the node's record of its own paths to upstreams.
-type paths struct {
-	g *Gateway
-	// heard is when a byte last arrived over a direct connection, Unix time in nanoseconds.
-	heard atomic.Int64
-
-	mu    sync.Mutex
-	reach *reach.Paths
-}
-
-func newPaths(g *Gateway) *paths { return &paths{g: g, reach: reach.New()} }
-
-// relayed reports whether a connection to the address goes through another node.
-func (p *paths) relayed(now time.Time, address string) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.g.Relay != nil && p.reach.Relayed(now, address)
+// entryNodesOf lists the entry nodes that may relay connections.
+func (g *Gateway) entryNodesOf(now time.Time) []reach.Node {
+	view, ok := g.State.View(now)
+	if !ok {
+		return nil
+	}
+	return RelayNodes(view)
 }
 
-// suspected reports whether the node may have lost its path to upstreams.
-func (p *paths) suspected(now time.Time) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.reach.Suspected(now)
+// RelayNodes lists the nodes of a view that serve clients.
+func RelayNodes(view *config.View) (nodes []reach.Node) {
+	for _, n := range view.SortedNodes() {
+		if !n.Voter {
+			nodes = append(nodes, reach.Node{Name: n.Name, Domain: n.Domain})
+		}
+	}
+	return nodes
 }
 
 // blameless reports whether a failure of an attempt says nothing of its upstream: the node's
 // own path, or the node in between, may be at fault.
-func (p *paths) blameless(now time.Time, a *attempt) bool {
-	if a.conn != nil && a.conn.via != "" {
-		return true
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.g.Relay != nil && p.reach.Blameless(now, a.upstream.Address)
-}
-
-// recordFailure records that the node itself failed to reach an upstream, and reports whether
-// other nodes should be asked for it.
-func (p *paths) recordFailure(now time.Time, address string, kind reach.Failure) (ask bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.reach.RecordFailure(now, address, kind)
-	return p.g.Relay != nil && p.reach.ShouldAsk(now, address)
-}
-
-// recordAnswer records that bytes arrived over a direct connection.
-func (p *paths) recordAnswer(now time.Time, c *conn, address string) {
-	p.heard.Store(now.UnixNano())
-	p.mu.Lock()
-	since, _ := p.reach.Lost()
-	regained := p.reach.RecordAnswer(c.opened, address)
-	p.mu.Unlock()
-	if regained {
-		p.g.Metrics.count("path regained")
-		event.With(p.g.Log, event.PathRegained).WithField("address", address).WithField("lost_ms", millis(now.Sub(since))).Info("path to upstreams is back")
-	}
+func (g *Gateway) blameless(now time.Time, a *attempt) bool {
+	return a.conn != nil && a.conn.via != "" || g.Detour.Blameless(now, a.upstream.Address)
 }
 
-// lostFor returns how long the path to all upstreams has been lost; zero if it is not.
-func (p *paths) lostFor(now time.Time) time.Duration {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if since, lost := p.reach.Lost(); lost {
-		return now.Sub(since)
+// recordBytes records that bytes of a response arrived over a direct connection.
+func (g *Gateway) recordBytes(now time.Time, c *conn, address string) {
+	if c.via == "" {
+		g.heard.Store(now.UnixNano())
+		g.Detour.RecordAnswer(now, c.opened, address)
 	}
-	return 0
 }
 
 // connect returns a connection to an upstream: a kept one, a new direct one, or one through
 // another node if the own path to it is lost.
 func (g *Gateway) connect(ctx context.Context, address, requestID string) (*conn, error) {
-	relayed := g.paths.relayed(time.Now(), address)
 	// A late response on a kept connection can be told from the own one only by its ID.
 	if requestID != "" {
-		if kept := g.pool.getIdle(address, relayed); kept != nil {
+		if kept := g.pool.getIdle(address, g.Detour.Relayed(time.Now(), address)); kept != nil {
 			return kept, nil
 		}
 	}
-	if relayed {
-		if c, err := g.openRelayed(ctx, address, requestID); err == nil {
-			return c, nil
-		}
-	}
-	c, err := g.pool.dial(ctx, address)
-	if err == nil || ctx.Err() != nil {
-		return c, err
-	}
-	if g.paths.recordFailure(time.Now(), address, reach.NoConnection) && !relayed {
-		if c, relayErr := g.openRelayed(ctx, address, requestID); relayErr == nil {
-			return c, nil
-		}
-	}
-	return nil, err
-}
-
-var errNoNode = errors.New("no other node can be asked")
-
-// openRelayed opens a connection to an upstream through another node.
-func (g *Gateway) openRelayed(ctx context.Context, address, requestID string) (*conn, error) {
-	now := time.Now()
-	view, ok := g.State.View(now)
-	if !ok {
-		return nil, errNoNode
-	}
-	var nodes []reach.Node
-	for _, n := range view.SortedNodes() {
-		if !n.Voter {
-			nodes = append(nodes, reach.Node{Name: n.Name, Domain: n.Domain})
-		}
-	}
-	g.paths.mu.Lock()
-	order := g.paths.reach.Order(now, reach.Node{Name: g.Self, Domain: g.Domain}, nodes, address)
-	g.paths.mu.Unlock()
-	err := errNoNode
-	for _, node := range order {
-		var opened *tunnel.Conn
-		opened, err = g.Relay.Open(ctx, node, address, requestID)
-		if err == nil {
-			g.recordRelayed(now, address, node)
-			return newConn(opened, node), nil
-		}
-		if ctx.Err() != nil || g.recordUnrelayed(address, node, err) {
-			break
-		}
+	raw, via, err := g.Detour.Connect(ctx, address, requestID, func(ctx context.Context, address string) (net.Conn, error) { return g.pool.dial(ctx, address) })
+	if err != nil {
+		return nil, err
 	}
-	return nil, err
-}
-
-// recordRelayed records that another node reached an upstream.
-func (g *Gateway) recordRelayed(asked time.Time, address, node string) {
-	now := time.Now()
-	g.paths.mu.Lock()
-	lost := g.paths.reach.RecordRelayed(now, address)
-	g.paths.mu.Unlock()
-	g.Metrics.count("connection relayed")
-	g.Metrics.record("", "", "hop", now.Sub(asked))
-	if !lost {
-		return
+	if direct, ok := raw.(*conn); ok {
+		return direct, nil
 	}
-	g.Metrics.count("path lost")
-	event.With(g.Log, event.PathLost).WithFields(logrus.Fields{"address": address, "via": node}).Warn("path to upstreams is lost; requests go through other nodes")
-	g.upstreams.forgetUnreachable()
+	return newConn(raw, via), nil
 }
 
-// recordUnrelayed records why another node did not open a connection. It reports whether
-// further nodes are not worth asking.
-func (g *Gateway) recordUnrelayed(address, node string, err error) (final bool) {
-	now := time.Now()
-	g.paths.mu.Lock()
-	defer g.paths.mu.Unlock()
-	if errors.Is(err, tunnel.ErrUnreached) {
-		g.paths.reach.RecordUnreached(now, address)
-		return true
+// openRelayed opens a connection to an upstream through another node and keeps it.
+func (g *Gateway) openRelayed(ctx context.Context, address string) error {
+	raw, via, err := g.Detour.Open(ctx, address, "")
+	if err == nil {
+		g.pool.put(address, newConn(raw, via))
 	}
-	g.paths.reach.RecordHelpless(now, node)
-	return false
+	return err
 }
 
 // forgetUnreachable lifts the bans of upstreams that the node could not connect to.
@@ -210,19 +99,6 @@
 	return s.byAddress[address] != nil
 }
 
-// reachedByOthers reports whether another node connects to an upstream that refuses this one.
-func (g *Gateway) reachedByOthers(ctx context.Context, address string) bool {
-	if g.Relay == nil {
-		return false
-	}
-	g.paths.recordFailure(time.Now(), address, reach.NoConnection)
-	c, err := g.openRelayed(ctx, address, "")
-	if err == nil {
-		g.pool.put(address, c)
-	}
-	return err == nil
-}
-
 // watchSilence waits up to silenceLimit for the first byte of a response. If by then no
 // upstream has sent anything to the node since the request, the path is suspected.
 func (c *call) watchSilence(a *attempt) *failure {
@@ -242,9 +118,9 @@
 	}
 	_, err := a.conn.reader.Peek(1)
 	if err == nil {
-		c.g.paths.recordAnswer(time.Now(), a.conn, a.upstream.Address)
+		c.g.recordBytes(time.Now(), a.conn, a.upstream.Address)
 	}
-	if readCause(err) == "silent" && c.g.paths.heard.Load() < a.started.UnixNano() {
+	if readCause(err) == "silent" && c.g.heard.Load() < a.started.UnixNano() {
 		c.suspectPath(a)
 	}
 	if err := a.conn.SetReadDeadline(c.deadline.Add(deadlineGrace)); err != nil {
@@ -256,27 +132,12 @@
 // suspectPath records that an upstream is silent. Kept connections to it may be dead as well.
 func (c *call) suspectPath(a *attempt) {
 	now := time.Now()
-	c.g.paths.recordFailure(now, a.upstream.Address, reach.NoAnswer)
-	if c.g.paths.suspected(now) {
+	c.g.Detour.RecordFailure(now, a.upstream.Address, reach.NoAnswer)
+	if c.g.Detour.Suspected(now) {
 		c.g.pool.closeIdle(a.upstream.Address)
 	}
 }
 
-// serveProbes probes lost paths until ctx ends. It returns a channel that closes after that.
-func (g *Gateway) serveProbes(ctx context.Context) <-chan struct{} {
-	return periodic.Run(ctx, g.Log, probeTick, func(ctx context.Context, now time.Time) {
-		g.paths.mu.Lock()
-		address, due := g.paths.reach.Probe(now)
-		g.paths.mu.Unlock()
-		if !due {
-			return
-		}
-		if err := g.probe(ctx, address); err != nil {
-			g.paths.recordFailure(time.Now(), address, reach.NoConnection)
-		}
-	})
-}
-
 // probe checks the health of an upstream over a new direct connection. Any response shows
 // that the path is back.
 func (g *Gateway) probe(ctx context.Context, address string) error {
@@ -299,7 +160,7 @@
 	if _, err := c.readHead(http.MethodGet); err != nil {
 		return err
 	}
-	g.paths.recordAnswer(time.Now(), c, address)
+	g.recordBytes(time.Now(), c, address)
 	return nil
 }
 
@@ -319,12 +180,12 @@
 // NewTunnelServer returns the server of other nodes that have lost their path.
 func (g *Gateway) NewTunnelServer() *tunnel.Server {
 	s := tunnel.NewServer()
-	s.Known, s.Suspected, s.Log = g.upstreams.knowsAddress, g.paths.suspected, g.Log
-	s.Advised = g.upstreams.advise
+	s.Known, s.Suspected, s.Lost = g.upstreams.knowsAddress, g.Detour.Suspected, g.Detour.Lost
+	s.Advised, s.Log = g.upstreams.advise, g.Log
 	s.Dial = func(ctx context.Context, address string) (net.Conn, error) {
 		c, err := g.pool.dial(ctx, address)
 		if err != nil {
-			g.paths.recordFailure(time.Now(), address, reach.NoConnection)
+			g.Detour.RecordFailure(time.Now(), address, reach.NoConnection)
 			return nil, err
 		}
 		return c.Conn, nil
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -48,14 +48,9 @@
 	for range maxResponsesPerAttempt {
 		resp, err := a.conn.readHead(c.r.Method)
 		if err != nil {
-			if a.conn.via == "" && !a.conn.reused && readCause(err) == "read" {
-				c.suspectPath(a)
-			}
 			return &failure{verdict: verdict.MayHaveRun, cause: readCause(err), err: err}
 		}
-		if a.conn.via == "" {
-			c.g.paths.recordAnswer(time.Now(), a.conn, a.upstream.Address)
-		}
+		c.g.recordBytes(time.Now(), a.conn, a.upstream.Address)
 		if resp.StatusCode < http.StatusOK {
 			continue // informational, such as 100 Continue
 		}
--- a/internal/tunnel/server.go
+++ b/internal/tunnel/server.go
@@ -37,8 +37,10 @@
 	Known func(address string) bool
 	// Dial opens a direct connection to an upstream.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
-	// Suspected reports whether this node may have lost its own path to upstreams.
+	// Suspected reports whether this node may have lost its own path to upstreams, and Lost
+	// whether it has.
 	Suspected func(now time.Time) bool
+	Lost      func() bool
 	// Advised applies what an upstream asked for over a tunnel: that it leaves, or wants no
 	// requests for a time.
 	Advised func(address string, leaving bool, hold time.Duration)
@@ -102,7 +104,7 @@
 	switch {
 	case !s.Known(t.address):
 		return wire.TunnelReply{Outcome: outcomeHelpless, Reason: "no upstream has this address"}
-	case s.Suspected(time.Now()):
+	case s.Lost():
 		return wire.TunnelReply{Outcome: outcomeHelpless, Reason: "this node has lost its path too"}
 	}
 	if reason := s.add(t); reason != "" {
@@ -113,7 +115,7 @@
 	upstream, err := s.Dial(ctx, t.address)
 	if err != nil {
 		if s.Suspected(time.Now()) {
-			return wire.TunnelReply{Outcome: outcomeHelpless, Reason: err.Error()}
+			return wire.TunnelReply{Outcome: outcomeDoubtful, Reason: err.Error()}
 		}
 		return wire.TunnelReply{Outcome: outcomeUnreached, Reason: err.Error()}
 	}
--- a/internal/tunnel/tunnel.go
+++ b/internal/tunnel/tunnel.go
@@ -32,6 +32,7 @@
 const (
 	outcomeOpen      = "open"
 	outcomeUnreached = "unreached"
+	outcomeDoubtful  = "doubtful"
 	outcomeHelpless  = "helpless"
 )
 
@@ -42,6 +43,9 @@
 var (
 	// ErrUnreached means that the other node does not reach the upstream either.
 	ErrUnreached = errors.New("the other node does not reach the upstream")
+	// ErrDoubtful means that the other node does not reach the upstream, but may have lost its
+	// own path.
+	ErrDoubtful = errors.New("the other node does not reach the upstream and doubts its path")
 	// ErrHelpless means that the other node cannot help at present, or does not answer.
 	ErrHelpless = errors.New("the other node cannot help")
 )
@@ -52,7 +56,7 @@
 }
 
 // Open opens a connection to an upstream through a node, for the request with an ID. The
-// error wraps ErrUnreached or ErrHelpless.
+// error wraps ErrUnreached, ErrDoubtful or ErrHelpless.
 func Open(ctx context.Context, streams Streams, node, address, requestID string) (*Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, openTimeout)
 	defer cancel()
@@ -88,6 +92,8 @@
 		return stream.SetReadDeadline(time.Time{})
 	case outcomeUnreached:
 		return eris.Wrap(ErrUnreached, reply.Reason)
+	case outcomeDoubtful:
+		return eris.Wrap(ErrDoubtful, reply.Reason)
 	}
 	return eris.Wrap(ErrHelpless, reply.Reason)
 }
--- a/pkg/reach/reach.go
+++ b/pkg/reach/reach.go
@@ -161,10 +161,11 @@
 	return f != nil && now.Sub(f.asked) >= askInterval && (f.count >= minFailing || p.Suspected(now))
 }
 
-// Blameless reports whether a failure at an upstream says nothing of it, because the node's
-// own path may be at fault.
+// Blameless reports whether a failure at an upstream says nothing of it, because the node has
+// lost its path to it. A mere suspicion is not enough: several upstreams may crash together.
 func (p *Paths) Blameless(now time.Time, address string) bool {
-	return p.Suspected(now) || p.Relayed(now, address)
+	f := p.failing[address]
+	return p.lost || f != nil && now.Sub(f.relayed) < relayedRetention
 }
 
 // Probe returns the address to which a direct connection is tried now, if one is due: that
--- a/pkg/wire/peer.go
+++ b/pkg/wire/peer.go
@@ -51,8 +51,8 @@
 // TunnelReply tells whether the connection stands.
 type TunnelReply struct {
 	// "open"; "unreached" if the node cannot connect to the upstream either;
-	// "helpless" if it has lost its own path, is full, shuts down or does not know
-	// the upstream.
+	// "doubtful" if it cannot either, but may have lost its own path; "helpless" if
+	// it has lost its own path, is full, shuts down or does not know the upstream.
 	Outcome string `json:"outcome"`
 
 	// Reason why the connection does not stand.
