Reach upstreams through other nodes on the product's own path

Change: the transport of internal/caller opens its connections by internal/detour, nodes serve tunnels to each other, and upstreams behind a lost path are not ejected. The soak's test of advice no longer depends on which upstream the load prefers. Conclusion: a silent path is found here by failed connects and health checks only.

--- a/internal/caller/cluster_test.go
+++ b/internal/caller/cluster_test.go
@@ -6,11 +6,13 @@
 	"errors"
 	"flag"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"path/filepath"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -22,7 +24,9 @@
 	"github.com/jaystage/jaystage/internal/peer"
 	"github.com/jaystage/jaystage/internal/replica"
 	_ "github.com/jaystage/jaystage/internal/testseed"
+	"github.com/jaystage/jaystage/internal/tunnel"
 	"github.com/jaystage/jaystage/internal/upstream"
+	"github.com/jaystage/jaystage/pkg/reach"
 	"github.com/jaystage/jaystage/pkg/routing"
 	"github.com/jaystage/jaystage/pkg/wire"
 )
@@ -41,6 +45,8 @@
 	before, after atomic.Pointer[func()]
 	address       string
 	nodes         map[string]*clusterNode
+	// cutOff makes the direct connections of a node to upstreams fail.
+	cutOff map[string]*atomic.Bool
 }
 
 type clusterNode struct {
@@ -117,7 +123,7 @@
 
 func newBookingCluster(t *testing.T, changes ...func(*config.Site)) *bookingCluster {
 	t.Helper()
-	c := &bookingCluster{t: t, service: &fake.Booking{}, nodes: map[string]*clusterNode{}}
+	c := &bookingCluster{t: t, service: &fake.Booking{}, nodes: map[string]*clusterNode{}, cutOff: map[string]*atomic.Bool{}}
 	run := func(f *atomic.Pointer[func()]) {
 		if p := f.Load(); p != nil {
 			(*p)()
@@ -182,6 +188,22 @@
 	registry := upstream.NewRegistry(time.Second)
 	node.api = New(routing.Node{Name: name, Incarnation: 1}, singleNodeViewer{r}, registry, log)
 	node.api.Bookings = r
+	cutOff, dial := &atomic.Bool{}, node.api.Transport.Dial
+	c.cutOff[name] = cutOff
+	node.api.Transport.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+		if cutOff.Load() {
+			return nil, syscall.ECONNREFUSED
+		}
+		return dial(ctx, network, address)
+	}
+	node.api.UseDetour(reach.Node{Name: name}, links)
+	node.api.Transport.Detour.Nodes = func(time.Time) (nodes []reach.Node) { // the API's view has this node only
+		for _, n := range names {
+			nodes = append(nodes, reach.Node{Name: n})
+		}
+		return nodes
+	}
+	links.HandleStream(tunnel.Kind, node.api.NewTunnelServer().Serve)
 	node.api.mutations = bookingMutations{sendFirst: *mutation == "sendFirst", resend: *mutation == "resend"}
 	clientServer, peerServer := httptest.NewServer(node.api.Handler()), httptest.NewServer(links.Handler())
 	node.url = clientServer.URL
@@ -193,12 +215,14 @@
 	go func() { defer close(linksDone); links.Run(linksCtx) }()
 	announceDone := make(chan struct{})
 	go func() { defer close(announceDone); c.announceUpstream(ctx, node.api, registry) }()
+	probesDone := node.api.RunProbes(ctx)
 	go func() {
 		defer close(node.done)
 		_ = r.Run(ctx)
 		stopLinks()
 		<-linksDone
 		<-announceDone
+		<-probesDone
 		clientServer.CloseClientConnections()
 		clientServer.Close()
 		peerServer.CloseClientConnections()
--- a/internal/caller/finish.go
+++ b/internal/caller/finish.go
@@ -176,6 +176,9 @@
 	log := event.With(a.Log, event.AttemptFailed).WithField("upstream", at.target.ID).WithField("request", at.id).WithField("verdict", f.err.Verdict.String())
 	switch f.kind {
 	case kindRefused:
+		if a.blameless(a.Now(), at.target.Address) {
+			break
+		}
 		upstreamFailed = true
 		a.Slots.eject(a.Now(), at.target)
 	case kindUpstreamError:
--- a/internal/caller/metrics.go
+++ b/internal/caller/metrics.go
@@ -48,11 +48,12 @@
 }
 
 // Measures of the histograms: the times to the first token, between tokens and to the
-// end of the answer.
+// end of the answer, and until a connection through another node stands.
 const (
 	MeasureFirst    = "first"
 	MeasureBetween  = "between"
 	MeasureComplete = "complete"
+	MeasureHop      = "hop"
 )
 
 type latencyKey struct{ account, class, measure string }
@@ -79,6 +80,20 @@
 	}
 }
 
+// CountPath implements detour.Metrics; the counts are among the failures.
+func (m *Metrics) CountPath(name string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.failures[name]++
+}
+
+// RecordHop implements detour.Metrics.
+func (m *Metrics) RecordHop(took time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.recordDuration(latencyKey{measure: MeasureHop}, took)
+}
+
 // Outcomes returns the outcome counts, sorted by key.
 func (m *Metrics) Outcomes() []Outcome {
 	m.mu.Lock()
@@ -136,7 +151,10 @@
 }
 
 func (m *Metrics) recordLatency(c *call, measure string, d time.Duration) {
-	key := latencyKey{c.account.Name, c.class.Name, measure}
+	m.recordDuration(latencyKey{c.account.Name, c.class.Name, measure}, d)
+}
+
+func (m *Metrics) recordDuration(key latencyKey, d time.Duration) {
 	h, ok := m.latencies[key]
 	if !ok {
 		h = hdrhistogram.New(lowestMicros, highestMicros, significantDigits)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -23,7 +23,9 @@
 	"github.com/jaystage/jaystage/internal/replica"
 	"github.com/jaystage/jaystage/internal/rollouts"
 	"github.com/jaystage/jaystage/internal/settings"
+	"github.com/jaystage/jaystage/internal/tunnel"
 	"github.com/jaystage/jaystage/internal/upstream"
+	"github.com/jaystage/jaystage/pkg/reach"
 	"github.com/jaystage/jaystage/pkg/routing"
 )
 
@@ -49,6 +51,7 @@
 	Callers     *caller.API
 	Cell        *cell.Cell
 	Rollouts    *rollouts.Controller
+	tunnels     *tunnel.Server
 	listeners   []endpoint // for clients, upstreams and operators, in this order
 	peers       *endpoint  // nil when the node has no listener for other nodes
 	incarnation uint64     // start time of this process, in nanoseconds since 1970
@@ -87,6 +90,9 @@
 	}
 	n.Callers = caller.New(self, n.Cell, n.Registry, n.Log)
 	n.Callers.Bookings = n.State
+	n.Callers.UseDetour(reach.Node{Name: self.Name, Domain: n.Settings.Node.Domain}, n.Links)
+	n.tunnels = n.Callers.NewTunnelServer()
+	n.Links.HandleStream(tunnel.Kind, n.tunnels.Serve)
 	n.Callers.Slots.SendDemand, n.Callers.Slots.SendGrant, n.Callers.Slots.SendLimits = n.Cell.SendDemand, n.Cell.SendGrant, n.Cell.BroadcastLimits
 	n.Callers.Suspects.Broadcast, n.Callers.Suspects.BroadcastClear = n.Cell.BroadcastSuspects, n.Cell.BroadcastClear
 	n.Callers.Parts.Broadcast = n.Cell.BroadcastParts
@@ -144,7 +150,7 @@
 	cellDone, rolloutsDone := n.Cell.Run(cellCtx), n.Rollouts.Run(cellCtx)
 	maintenanceCtx, stopMaintenance := context.WithCancel(context.WithoutCancel(ctx))
 	expiryDone := n.expireUpstreams(maintenanceCtx)
-	maintenanceDone := n.Callers.StartMaintenance(maintenanceCtx)
+	maintenanceDone, probesDone := n.Callers.StartMaintenance(maintenanceCtx), n.Callers.RunProbes(maintenanceCtx)
 	event.With(n.Log, event.NodeStarted).WithField("callers", n.CallersAddress()).WithField("node", n.Settings.Node.Name).Info("node started")
 	var err error
 	select {
@@ -159,6 +165,7 @@
 	err = errors.Join(err, n.drain(ctx))
 	stopMaintenance()
 	<-maintenanceDone
+	<-probesDone
 	<-expiryDone
 	stopCell()
 	<-cellDone
@@ -177,8 +184,14 @@
 	drainCtx, cancelDrain := context.WithTimeout(ctx, n.Settings.Shutdown.Limit.Std())
 	defer cancelDrain()
 	var errs error
-	if aborted := n.Callers.Drain(drainCtx); aborted > 0 {
-		errs = eris.Errorf("%d open requests were aborted at the shutdown limit; raise shutdown.limit", aborted)
+	tunnelsDone := make(chan error, 1)
+	go func() { tunnelsDone <- n.tunnels.Drain(drainCtx) }()
+	aborted := n.Callers.Drain(drainCtx)
+	if err := <-tunnelsDone; err != nil {
+		event.With(n.Log, event.ShutdownCut).WithField("tunnels", n.tunnels.Open()).WithError(err).Warn("shutdown limit reached; closing connections of other nodes to upstreams")
+	}
+	if aborted > 0 {
+		errs = errors.Join(errs, eris.Errorf("%d open requests were aborted at the shutdown limit; raise shutdown.limit", aborted))
 	}
 	closeCtx, cancelClose := context.WithTimeout(ctx, closeTimeout)
 	defer cancelClose()
--- a/internal/soak/advice_test.go
+++ b/internal/soak/advice_test.go
@@ -39,6 +39,14 @@
 	return node
 }
 
+// turnAway answers that the upstream wants no requests for a time.
+func turnAway(w http.ResponseWriter, hold time.Duration) (answered bool) {
+	w.Header().Set("X-Not-Executed", "1")
+	w.Header().Set("Retry-After", fmt.Sprint(hold.Seconds()))
+	w.WriteHeader(http.StatusServiceUnavailable)
+	return true
+}
+
 // Guards against requests at upstreams that say in their answers that they leave, or that
 // they want none for a while, also through a node that has lost its own path, and against
 // upstreams that stay unused afterwards.
@@ -80,14 +88,14 @@
 		} else {
 			turnedAway[node] = now
 		}
-		w.Header().Set("X-Not-Executed", "1")
-		w.Header().Set("Retry-After", fmt.Sprint(hold.Seconds()))
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return true
+		return turnAway(w, hold)
 	})
 	time.Sleep(6 * time.Second)
 	c.upstreams[1].setAdvice(nil)
 	sound := time.Now()
+	for _, u := range c.upstreams[2:] { // so that the load needs it
+		u.setAdvice(func(w http.ResponseWriter, _ string) bool { return turnAway(w, hold) })
+	}
 	time.Sleep(4 * time.Second)
 	end := time.Now()
 	c.stop()
--- a/internal/upstream/transport.go
+++ b/internal/upstream/transport.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/jaystage/jaystage/internal/detour"
 	"github.com/jaystage/jaystage/pkg/verdict"
 )
 
@@ -54,6 +55,9 @@
 type Transport struct {
 	// Dial opens a connection to an upstream. It is replaced in tests.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// Detour leads connections through other nodes where the own path is lost; nil if there
+	// are no other nodes.
+	Detour *detour.Detour
 
 	pooled   *http.Transport
 	unpooled *http.Transport
@@ -69,11 +73,16 @@
 func (t *Transport) newHTTPTransport(disableKeepAlives bool) *http.Transport {
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
-			conn, err := t.Dial(ctx, network, addr)
-			if err != nil {
-				return nil, err
+			if t.Detour == nil {
+				return t.dialDirect(ctx, network, addr)
 			}
-			return &countingConn{Conn: conn}, nil
+			conn, node, err := t.Detour.Connect(ctx, addr, "", func(ctx context.Context, address string) (net.Conn, error) {
+				return t.dialDirect(ctx, network, address)
+			})
+			if err != nil || node == "" {
+				return conn, err
+			}
+			return &countingConn{Conn: conn, via: node}, nil
 		},
 		DisableKeepAlives:      disableKeepAlives,
 		DisableCompression:     true,
@@ -85,6 +94,27 @@
 	}
 }
 
+// dialDirect opens a connection over the node's own path.
+func (t *Transport) dialDirect(ctx context.Context, network, address string) (net.Conn, error) {
+	opened := time.Now()
+	conn, err := t.Dial(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return &countingConn{Conn: conn, opened: opened}, nil
+}
+
+// ProbePath checks whether an upstream answers over a new direct connection.
+func (t *Transport) ProbePath(ctx context.Context, address string) error {
+	direct := &http.Transport{DialContext: t.dialDirect, DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeaderBytes}
+	opened := time.Now()
+	if err := probe(ctx, direct, address); err != nil {
+		return err
+	}
+	t.Detour.RecordAnswer(time.Now(), opened, address)
+	return nil
+}
+
 // Do sends a request once and returns the response when its headers have arrived. The
 // error is a *verdict.Error; its verdict is NotRun only if no byte of the request was
 // written to a connection.
@@ -106,6 +136,9 @@
 		client = t.unpooled
 	}
 	resp, err := client.RoundTrip(req.WithContext(ctx))
+	if conn := written.conn.Load(); err == nil && t.Detour != nil && conn != nil && conn.via == "" {
+		t.Detour.RecordAnswer(time.Now(), conn.opened, req.URL.Host)
+	}
 	if err == nil {
 		id := resp.Header.Get(RequestIDHeader)
 		switch {
@@ -132,13 +165,17 @@
 // Probe checks the health of the upstream at the address over a new connection. It
 // returns nil if the upstream responds with a status below 500.
 func (t *Transport) Probe(ctx context.Context, address string) error {
+	return probe(ctx, t.unpooled, address)
+}
+
+func probe(ctx context.Context, client *http.Transport, address string) error {
 	ctx, cancel := context.WithTimeout(ctx, ProbeTimeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/health", nil)
 	if err != nil {
 		return err
 	}
-	resp, err := t.unpooled.RoundTrip(req)
+	resp, err := client.RoundTrip(req)
 	if err != nil {
 		return err
 	}
@@ -161,6 +198,10 @@
 // countingConn counts the bytes written to a connection.
 type countingConn struct {
 	net.Conn
+	// via is the node through which the connection goes; empty for a direct one, whose connect
+	// was started at opened.
+	via     string
+	opened  time.Time
 	written atomic.Int64
 }
 
