Derive whether a service has brittle upstreams

A late answer of an upstream that had been removed counted it as brittle again, with nothing to take that back: its service would have stayed limited. Change: no count is kept; the candidates tell, leaving ones excepted. Measured: TestBrittleUpstreamThatLeavesLimitsNoOther (new; with the count it cannot be asked in this form) and the tests of brittle upstreams pass. Conclusion: state that could be derived is gone.

--- a/internal/gateway/advice.go
+++ b/internal/gateway/advice.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -33,7 +34,7 @@
 	set := c.g.upstreams
 	set.mu.Lock()
 	changed := a.entry.BrittleLimit != max(0, brittle) || leaving && !a.entry.Leaving
-	set.setBrittle(a.entry, max(0, brittle))
+	a.entry.BrittleLimit = max(0, brittle)
 	if brittle > 0 && a.resp.Header.Get(c.g.Headers.NotRun) != "" {
 		hold = max(hold, placement.BrittleHold(brittle, len(set.nodeNames)))
 	}
@@ -60,17 +61,9 @@
 	return time.Duration(min(seconds, maxHold.Seconds()) * float64(time.Second))
 }
 
-// setBrittle sets the number of requests that an upstream can turn away in a second; zero if
-// it is not brittle. The lock must be held.
-func (s *upstreamSet) setBrittle(entry *upstreamEntry, limit int) {
-	if (entry.BrittleLimit > 0) != (limit > 0) {
-		if limit > 0 {
-			s.brittle[entry.Service]++
-		} else {
-			s.brittle[entry.Service]--
-		}
-	}
-	entry.BrittleLimit = limit
+// isBrittle reports whether a candidate that is not leaving is brittle. The lock must be held.
+func isBrittle(candidates []*placement.Upstream) bool {
+	return slices.ContainsFunc(candidates, func(u *placement.Upstream) bool { return u.BrittleLimit > 0 && !u.Leaving })
 }
 
 // advise applies what another node has heard from an upstream over a connection of this node.
--- a/internal/gateway/advice_test.go
+++ b/internal/gateway/advice_test.go
@@ -7,6 +7,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"github.com/jaystage/jaystage/pkg/placement"
 )
 
 // withHeader adds a header to a response.
@@ -149,6 +151,24 @@
 	}
 }
 
+// Guards against limits of a service that outlast the upstream that asked for them.
+func TestBrittleUpstreamThatLeavesLimitsNoOther(t *testing.T) {
+	env := newTestEnv(t, newFakeUpstream(t, func(_ int, r *http.Request) []step {
+		return []step{{send: withHeader(response(r, 200, "x"), "X-Brittle: 2\r\nX-Leaving: 1")}}
+	}))
+	env.callMany(1)
+	set := env.gateway.upstreams
+	set.mu.Lock()
+	defer set.mu.Unlock()
+	var all []*placement.Upstream
+	for _, entry := range set.byID {
+		all = append(all, &entry.Upstream)
+	}
+	if isBrittle(all) {
+		t.Error("brittle: got true, want false")
+	}
+}
+
 // Guards against a sound upstream that is given up, or runs a request twice, because it is
 // silent for a second before or within its answer.
 func TestSilentSoundUpstreamIsKept(t *testing.T) {
--- a/internal/gateway/upstreams.go
+++ b/internal/gateway/upstreams.go
@@ -47,8 +47,6 @@
 	capacityFreed chan struct{}
 	// drainEnds records when the drain of each failure domain last ended.
 	drainEnds config.DrainEnds
-	// brittle counts the upstreams of each service that are brittle.
-	brittle map[string]int
 	// limits holds the limits that upstreams named.
 	limits *pace.Limits
 }
@@ -66,7 +64,7 @@
 func newUpstreamSet(g *Gateway) *upstreamSet {
 	return &upstreamSet{
 		g: g, roster: roster.New(), byID: make(map[string]*upstreamEntry), byAddress: make(map[string]*upstreamEntry),
-		candidateLists: make(map[candidateKey]*candidateList), retryBudgets: make(map[string]*traffic.RetryBudget), brittle: make(map[string]int),
+		candidateLists: make(map[candidateKey]*candidateList), retryBudgets: make(map[string]*traffic.RetryBudget),
 		capacityFreed: make(chan struct{}), limits: pace.New(g.Self),
 	}
 }
@@ -126,9 +124,6 @@
 		}
 		return
 	case entry == nil || entry.StartMillis != int64(status.Born):
-		if entry != nil {
-			s.setBrittle(entry, 0)
-		}
 		entry = &upstreamEntry{Upstream: placement.Upstream{ID: status.ID, StartMillis: int64(status.Born)}}
 		s.byID[status.ID] = entry
 		clear(s.candidateLists)
@@ -139,9 +134,6 @@
 		delete(s.byAddress, entry.Address)
 	}
 	s.byAddress[status.Address] = entry
-	if entry.Service != status.Service {
-		s.setBrittle(entry, 0)
-	}
 	entry.Address, entry.Domain, entry.Service, entry.Version = status.Address, status.Domain, status.Service, status.Version
 	entry.Slots, entry.lastStatus = int(status.Slots), now
 	entry.Leaving = entry.Leaving || status.Leaving
@@ -154,7 +146,6 @@
 
 // remove removes an entry and discards all lists of candidates. The lock must be held.
 func (s *upstreamSet) remove(entry *upstreamEntry) {
-	s.setBrittle(entry, 0)
 	if s.byID[entry.ID] == entry {
 		delete(s.byID, entry.ID)
 	}
@@ -301,7 +292,7 @@
 	} else {
 		options.MaxWaiting = first.Slots * waitingPerSlot
 	}
-	if s.brittle[c.service.Name] > 0 {
+	if isBrittle(candidates.upstreams) {
 		// All upstreams of the service may turn brittle together.
 		options.MaxWaiting, options.Brittle = 0, true
 	}
