Open another connection when a kept tunnel has ended

Cause: found by reading the diff. A tunnel that ended while it was kept failed the attempt when its next request was announced; a booking with one attempt was refused although nothing was sent. Change: the announcement belongs to getting the connection; after a failure another one is opened. Measured: the tests of internal/gateway and TestNodeWithoutPathServes pass. Conclusion: found by reading, without a test of its own.

--- a/internal/gateway/path.go
+++ b/internal/gateway/path.go
@@ -59,7 +59,7 @@
 func (g *Gateway) connect(ctx context.Context, address, requestID string) (*conn, error) {
 	// A late response on a kept connection can be told from the own one only by its ID.
 	if requestID != "" {
-		if kept := g.pool.getIdle(address, g.Detour.Relayed(time.Now(), address)); kept != nil {
+		if kept := g.pool.getIdle(address, g.Detour.Relayed(time.Now(), address)); kept != nil && kept.announce(requestID) == nil {
 			return kept, nil
 		}
 	}
@@ -70,7 +70,22 @@
 	if direct, ok := raw.(*conn); ok {
 		return direct, nil
 	}
-	return newConn(raw, via), nil
+	relayed := newConn(raw, via)
+	return relayed, relayed.announce(requestID)
+}
+
+// announce tells the node in between, if there is one, which request comes next. After an
+// error, before which nothing of the request was sent, the connection is closed.
+func (c *conn) announce(requestID string) error {
+	t, ok := c.Conn.(*tunnel.Conn)
+	if !ok {
+		return nil
+	}
+	err := t.Announce(requestID)
+	if err != nil {
+		_ = c.Close()
+	}
+	return err
 }
 
 // openRelayed opens a connection to an upstream through another node and keeps it.
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -12,7 +12,6 @@
 	"time"
 
 	"github.com/jaystage/jaystage/internal/hop"
-	"github.com/jaystage/jaystage/internal/tunnel"
 	"github.com/jaystage/jaystage/pkg/verdict"
 )
 
@@ -79,11 +78,6 @@
 	if err := upstreamConn.SetDeadline(c.deadline.Add(deadlineGrace)); err != nil {
 		return &failure{verdict: verdict.NotRun, cause: "connection", err: err}
 	}
-	if t, ok := upstreamConn.Conn.(*tunnel.Conn); ok {
-		if err := t.Announce(c.id); err != nil {
-			return &failure{verdict: verdict.NotRun, cause: "hop", err: err}
-		}
-	}
 	if f := c.write(a, now); f != nil {
 		return f
 	}
