--- a/internal/capacity/slope.go
+++ b/internal/capacity/slope.go
@@ -64,14 +64,15 @@
 }
 
 // Fit returns the least-squares line through the points: step is the additional cost when
-// the size increases by one, and base the cost at size zero.
+// the size increases by one, and base the cost at size zero. The conversions of products keep
+// processors from fusing them with sums, so that all give the same result.
 func (s Slope) Fit() (step, base float64) {
 	n := float64(len(s.Sizes))
 	var sumX, sumY, sumXX, sumXY float64
 	for i, x := range s.Sizes {
 		y := s.Values[i]
-		sumX, sumY, sumXX, sumXY = sumX+x, sumY+y, sumXX+x*x, sumXY+x*y
+		sumX, sumY, sumXX, sumXY = sumX+x, sumY+y, sumXX+float64(x*x), sumXY+float64(x*y)
 	}
-	step = (n*sumXY - sumX*sumY) / (n*sumXX - sumX*sumX)
-	return step, (sumY - step*sumX) / n
+	step = (float64(n*sumXY) - float64(sumX*sumY)) / (float64(n*sumXX) - float64(sumX*sumX))
+	return step, (sumY - float64(step*sumX)) / n
 }
