--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -31,6 +31,7 @@
 // playbook holds the cases by name.
 var playbook = map[string]func(*world) error{
 	"planned-replacement": playPlannedReplacement,
+	"core-replaced":       playCoreReplaced,
 	"relayed-refusal":     playRelayedRefusal,
 	"many-routes":         playManyRoutes,
 	"unused-connection":   playUnusedConnection,
