--- a/review/standin/case_unframed_answers.go
+++ b/review/standin/case_unframed_answers.go
@@ -41,7 +41,7 @@
 	time.Sleep(4 * time.Second)
 	disturbed := time.Now()
 	if w.trouble {
-		s.busiest().crash("an ordinary crash", crashTime)
+		s.awaitBusy().crash("an ordinary crash", crashTime)
 	}
 	poison := &client{w: w, to: s.fronts[0], tenant: 0}
 	defer poison.close()
@@ -62,19 +62,23 @@
 	return s.judgeBegun(disturbed, lastCrash.Add(2*contact))
 }
 
-// busiest returns the runner with the most requests at work.
-func (s *serving) busiest() *runner {
-	var best *runner
-	most := -1
-	for _, r := range s.runners {
-		r.mu.Lock()
-		n := r.working
-		r.mu.Unlock()
-		if n > most {
-			best, most = r, n
+// minAtWork is the number of sound requests that the runner which crashes for no reason has
+// at work then.
+const minAtWork = 3
+
+// awaitBusy waits until a runner has minAtWork requests at work, and returns it.
+func (s *serving) awaitBusy() *runner {
+	for {
+		for _, r := range s.runners {
+			r.mu.Lock()
+			n := r.working
+			r.mu.Unlock()
+			if n >= minAtWork {
+				return r
+			}
 		}
+		time.Sleep(time.Millisecond)
 	}
-	return best
 }
 
 // crashCount returns how often runners have crashed.
