review: end a process that starts while the case ends

Cause: three processes of throwaway trials were left running; in the scripts a restart that falls into the end of a case could be left too.

Change: a process that starts after the case began to end is killed at once.

--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -193,6 +193,9 @@
 	if err := cmd.Start(); err != nil {
 		return err
 	}
+	if m.w.isEnding() {
+		_ = cmd.Process.Kill() // close has passed this machine already
+	}
 	m.cmd, m.exited, m.expected = cmd, make(chan struct{}), false
 	m.w.note("%s at %s: process %d started", m.name, m.host, cmd.Process.Pid)
 	go m.watch(cmd, m.exited)
