Log how each request of a stopping node came and ended

Cause: the record of the incident cannot tell its hypotheses apart. Lines of the stopped node name neither the connection of a request nor the time since the signal, requests that are cut by the end of the process have no line at all, and times are whole seconds.

Change: request ended has stopping_ms, conn, conn_age_ms, chunked and body_ms while the node stops; connections of clients are counted by state at three steps of the stop (event 1007); a request that is open at the end has a line with its phase (event 2011). No decision changes.

--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -164,7 +164,7 @@
 	n.clientServer = n.servers[len(n.servers)-1]
 	n.clientServer.IdleTimeout = idleTimeout
 	n.clients = listener.New(n.clientServer.listener)
-	n.clientServer.listener, n.clientServer.ConnState = n.clients, n.clients.ConnState
+	n.clientServer.listener, n.clientServer.ConnState, n.clientServer.ConnContext = n.clients, n.clients.ConnState, n.clients.ConnContext
 	return n.listen("readiness", o.ReadinessAddress, o.ReadinessHandler(func() bool { return n.gateway.Ready(time.Now()) }))
 }
 
@@ -261,9 +261,12 @@
 	if n.gateway == nil {
 		return
 	}
-	end := time.Now().Add(n.options.GracePeriod - shutdownReserve)
-	n.gateway.Unready.Store(true)
+	started := time.Now()
+	end := started.Add(n.options.GracePeriod - shutdownReserve)
+	n.gateway.Stop(started)
+	n.logClients(started)
 	time.Sleep(unreadyDuration)
+	n.logClients(started)
 	shutdownCtx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	tunnelsDone := make(chan error, 1)
@@ -272,6 +275,16 @@
 	if err = errors.Join(err, <-tunnelsDone); err != nil {
 		event.With(n.options.Log, event.ShutdownCut).WithField("open", n.gateway.Open()).WithField("tunnels", n.tunnels.Open()).WithError(err).
 			Warn("grace period is over; closing connections with open requests")
+		n.gateway.LogOpen(time.Now())
 	}
+	n.logClients(started)
 	_ = n.clientServer.Close() // the listener is closed already, and without an error so are the connections
 }
+
+// logClients logs the connections of clients at a step of the stop that started at a time.
+func (n *Node) logClients(started time.Time) {
+	counts := n.clients.Counts()
+	event.With(n.options.Log, event.ClientsDraining).WithFields(logrus.Fields{
+		"unused": counts.Unused, "idle": counts.Idle, "busy": counts.Busy, "open": n.gateway.Open(), "since_ms": time.Since(started).Milliseconds(),
+	}).Info("connections of clients during the stop")
+}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -60,6 +60,8 @@
 	SettingsReloaded ID = 1004
 	ShutdownCut      ID = 1005
 	TaskPanicked     ID = 1006
+	ClientsDraining  ID = 1007
+	RequestCut       ID = 2011
 	LinkUp           ID = 5001
 	LinkDown         ID = 5002
 	LinkRefused      ID = 5003
--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -43,7 +43,7 @@
 // size and account limit. It also reads the request body.
 func (c *call) admit() *verdict.Error {
 	view, ok := c.awaitState()
-	c.view, c.id = view, c.r.Header.Get(c.g.Headers.Attempt)
+	c.view = view
 	switch {
 	case !ok:
 		return refusal(http.StatusServiceUnavailable, verdict.CodeLeaseExpired, c.stateRetryAfter(), "the node has lost touch with the replicated state")
@@ -201,7 +201,8 @@
 	case err != nil:
 		return refusal(http.StatusBadRequest, verdict.CodeRequestIncomplete, 0, "the body could not be read in full")
 	}
-	c.body = body
+	c.body, c.bodyRead = body, time.Now()
+	c.phase.store(phaseChoosing)
 	return nil
 }
 
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -26,6 +26,9 @@
 	service  *traffic.Service
 	account  *traffic.Account // nil on public routes without a known key, or if the plan has no accounts
 	body     []byte
+	// bodyRead is when the body was complete; zero before.
+	bodyRead time.Time
+	phase    phaseValue
 	prompt   placement.Request
 	cost     float64 // charged to the account, in the units of its limit
 	// parts lists what other requests may share that crash upstreams: the parts of the
--- a/internal/gateway/finish.go
+++ b/internal/gateway/finish.go
@@ -22,6 +22,9 @@
 		c.attempts++
 		c.upstreamID, c.cachedShare, c.expectedDelay = chosen.upstream.ID, chosen.cachedShare, chosen.expectedDelay
 		c.current = newAttempt(chosen)
+		if !c.headersSent {
+			c.phase.store(phaseSent)
+		}
 		a, f := c.current, c.send(ctx, c.current)
 		if f == nil {
 			f = c.forwardResponse(a)
@@ -43,6 +46,9 @@
 			c.fail(ctx, f)
 			return
 		}
+		if !c.headersSent {
+			c.phase.store(phaseChoosing)
+		}
 		c.prompt.Tried = append(c.prompt.Tried, chosen.upstream.ID)
 	}
 }
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -102,9 +102,10 @@
 		}
 		h[name] = values
 	}
-	if c.g.Unready.Load() {
+	if c.g.unready.Load() {
 		h.Set("Connection", "close")
 	}
+	c.phase.store(phaseAnswering)
 	c.headersSent, c.status = true, a.resp.StatusCode
 	c.w.WriteHeader(a.resp.StatusCode)
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -92,17 +92,16 @@
 	Log          logrus.FieldLogger
 	Metrics      *Metrics
 	// Detour opens connections to upstreams, through other nodes if it knows any.
-	Detour *detour.Detour
-	// Unready is set once the node starts to shut down.
-	Unready atomic.Bool
-
+	Detour    *detour.Detour
 	upstreams *upstreamSet
 	pool      *pool
 	ledger    *ledger
 	parts     *partRecords
 	// heard is when a byte last arrived over a direct connection, Unix time in nanoseconds.
 	heard atomic.Int64
-	open  atomic.Int64 // requests that are being served
+	open  openCalls
+	// unready is set once the node starts to shut down.
+	unready atomic.Bool
 	// started is when the process started.
 	started time.Time
 	// writeGrace is clientWriteGrace, or less in tests.
@@ -129,21 +128,18 @@
 // least one upstream and is not shutting down.
 func (g *Gateway) Ready(now time.Time) bool {
 	view, ok := g.State.View(now)
-	return ok && view.Plan != nil && !g.Unready.Load() && g.upstreams.hasUpstreams()
+	return ok && view.Plan != nil && !g.unready.Load() && g.upstreams.hasUpstreams()
 }
 
-// Open returns the number of requests that are being served.
-func (g *Gateway) Open() int64 { return g.open.Load() }
-
 // ServeHTTP serves one request of a client.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	g.open.Add(1)
-	defer g.open.Add(-1)
-	c := &call{g: g, w: w, r: r, start: time.Now()}
+	c := &call{g: g, w: w, r: r, start: time.Now(), id: r.Header.Get(g.Headers.Attempt)}
+	g.open.add(c)
+	defer g.open.remove(c)
 	defer c.recoverPanic()
 	// This replaces the deadline of the previous request on the connection.
 	c.limitWrites(c.start.Add(startupTime))
-	if g.Unready.Load() || len(r.TransferEncoding) > 0 {
+	if g.unready.Load() || len(r.TransferEncoding) > 0 {
 		// Close the connection on shutdown and after a chunked body. The HTTP parser
 		// accepts Content-Length together with chunked encoding, so the bytes after a
 		// chunked body must never be read as another request (request smuggling).
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -47,6 +47,13 @@
 	if lost := c.g.Detour.LostFor(now); lost > 0 {
 		fields["path_lost_ms"] = millis(lost)
 	}
+	if since, stopping := c.g.open.sinceStop(now); stopping {
+		fields["stopping_ms"] = millis(since)
+		c.addConnFields(fields, now)
+		if !c.bodyRead.IsZero() {
+			fields["body_ms"] = millis(c.bodyRead.Sub(c.start))
+		}
+	}
 	if c.lastEventID != "" {
 		fields["event"] = c.lastEventID
 	}
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -40,8 +40,62 @@
 // conn is an accepted connection.
 type conn struct {
 	net.Conn
+	opened time.Time
 	// received is true once bytes of the next request have been read.
 	received atomic.Bool
+	// requests counts the requests whose head was read.
+	requests atomic.Int64
+}
+
+// Info describes the connection of a request.
+type Info struct {
+	// Opened is when the connection was accepted.
+	Opened time.Time
+	// Requests is the number of requests on it so far, with the present one.
+	Requests int64
+}
+
+// Counts is the number of open connections by state.
+type Counts struct {
+	// Unused connections have not carried a request; of those that are Idle the last answer
+	// is complete; those that are Busy have an open request.
+	Unused, Idle, Busy int
+}
+
+type contextKey struct{}
+
+// ConnContext is the hook of the same name of http.Server. It lets InfoOf find the
+// connection of a request.
+func (l *Listener) ConnContext(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, contextKey{}, c)
+}
+
+// InfoOf returns what is known of the connection of a request with this context; false if
+// it was not accepted by a Listener.
+func InfoOf(ctx context.Context) (Info, bool) {
+	c, ok := ctx.Value(contextKey{}).(*conn)
+	if !ok {
+		return Info{}, false
+	}
+	return Info{Opened: c.opened, Requests: c.requests.Load()}, true
+}
+
+// Counts counts the open connections.
+func (l *Listener) Counts() Counts {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var n Counts
+	for c, idle := range l.conns {
+		switch {
+		case idle:
+			n.Idle++
+		case c.requests.Load() == 0:
+			n.Unused++
+		default:
+			n.Busy++
+		}
+	}
+	return n
 }
 
 // Read implements net.Conn.
@@ -63,7 +117,7 @@
 	for {
 		accepted, err := l.Listener.Accept()
 		if err == nil {
-			c := &conn{Conn: accepted}
+			c := &conn{Conn: accepted, opened: time.Now()}
 			l.mu.Lock()
 			l.conns[c] = false
 			l.mu.Unlock()
@@ -104,6 +158,9 @@
 	case http.StateIdle:
 		accepted.received.Store(false)
 		l.conns[accepted] = true
+	case http.StateActive:
+		accepted.requests.Add(1)
+		l.conns[accepted] = false
 	default:
 		l.conns[accepted] = false
 	}
