Add a library that decides what a stopping node still starts

Cause: both request paths need the same answer: whether a request that arrives during the grace period can be done before its end. Neither asks it.

Until the load balancer has noticed, a request starts unless its usual time does not fit; later, its deadline or the longest recent time with headroom must fit. Not in use yet.

Weighed: refusing everything after the signal (callers have no other node for some seconds), and asking only for the deadline (it is 15 s where answers take 3 s, so nothing would start).

--- /dev/null
+++ b/pkg/drain/drain.go
@@ -0,0 +1,44 @@
+// Package drain decides which requests a node that is stopping still starts. It does no I/O
+// and reads no clock.
+package drain
+
+import "time"
+
+const (
+	// headroomFactor and headroom are added to the longest recent answer: the next one may
+	// take longer than all before.
+	headroomFactor = 1.25
+	headroom       = 100 * time.Millisecond
+)
+
+// Window is the time that a node has from its stop signal to its end. The zero value is that
+// of a node that is not stopping.
+type Window struct {
+	// Start is when the stop was requested.
+	Start time.Time
+	// Settled is when the load balancer sends no new clients any more; not before Start.
+	Settled time.Time
+	// End is when the requests that are still open are ended; not before Settled.
+	End time.Time
+}
+
+// Stopping reports whether the node has been told to stop.
+func (w Window) Stopping() bool { return !w.Start.IsZero() }
+
+// Admits reports whether a request may start at a time. Its answer has to be complete before
+// the end: by its deadline, or judging by the recent answers to requests like it.
+//
+// Until the load balancer has noticed the stop, a request is admitted unless its usual time
+// is longer than what is left, since clients have no other node yet. Later, the longest
+// recent time must fit: a client that is refused is served by another node at once, one whose
+// answer is cut may not repeat its request.
+func (w Window) Admits(now, deadline time.Time, e Estimate) bool {
+	switch {
+	case !w.Stopping(), !deadline.Add(headroom).After(w.End):
+		return true
+	case now.Before(w.Settled):
+		return !e.Known || !now.Add(e.Mean).After(w.End)
+	}
+	longest := time.Duration(headroomFactor*float64(e.Longest)) + headroom
+	return e.Known && !now.Add(longest).After(w.End)
+}
