Refuse late requests that a stopping node cannot finish

Seen by callers: requests that a stopping entry node read late were passed on and cut 7.4 s after the SIGTERM, streams and bookings alike, whatever connection they came on.

Cause: nothing asked whether the time that is left is enough. A node that stops took each request as long as its connection was open: the first one on a connection, one that follows a stream which began before the signal, one whose body or head was complete late.

Change: the gateway has the window of the stop and the durations of its recent answers (pkg/drain) and asks them before each send to an upstream, the first one and each retry. A request that does not fit gets 503, shutting-down, with a Retry-After of 50 to 150 ms: it has not run, and other nodes serve it. A stream that has begun is still continued elsewhere.

--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -24,6 +24,7 @@
 	"github.com/jaystage/jaystage/internal/peer"
 	"github.com/jaystage/jaystage/internal/replica"
 	"github.com/jaystage/jaystage/internal/tunnel"
+	"github.com/jaystage/jaystage/pkg/drain"
 )
 
 const (
@@ -262,12 +263,13 @@
 		return
 	}
 	started := time.Now()
-	end := started.Add(n.options.GracePeriod - shutdownReserve)
-	n.gateway.Stop(started)
+	left := n.options.GracePeriod - shutdownReserve
+	window := drain.Window{Start: started, Settled: started.Add(min(unreadyDuration, left/2)), End: started.Add(left)}
+	n.gateway.Stop(window)
 	n.logClients(started)
-	time.Sleep(unreadyDuration)
+	time.Sleep(time.Until(window.Settled))
 	n.logClients(started)
-	shutdownCtx, cancel := context.WithDeadline(context.Background(), end)
+	shutdownCtx, cancel := context.WithDeadline(context.Background(), window.End)
 	defer cancel()
 	tunnelsDone := make(chan error, 1)
 	go func() { tunnelsDone <- n.tunnels.Drain(shutdownCtx) }()
--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -159,7 +159,7 @@
 func (c *call) readPromptHeaders() {
 	c.prompt.ID = c.id
 	in, out := parsePair(c.r.Header.Get(c.g.Headers.Tokens))
-	c.prompt.PromptTokens = int(in)
+	c.prompt.PromptTokens, c.maxOutput = int(in), int(out)
 	if c.account != nil {
 		switch {
 		case !c.account.Tokens:
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -30,7 +30,9 @@
 	bodyRead time.Time
 	phase    phaseValue
 	prompt   placement.Request
-	cost     float64 // charged to the account, in the units of its limit
+	// maxOutput is the maximum number of output tokens; zero if the request names none.
+	maxOutput int
+	cost      float64 // charged to the account, in the units of its limit
 	// parts lists what other requests may share that crash upstreams: the parts of the
 	// prompt but the last, and, once the body was read, the request as a whole.
 	parts []poison.Part
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -47,6 +47,9 @@
 		if e := c.checkParts(view, now); e != nil {
 			return choice{}, e
 		}
+		if !c.headersSent && !c.g.open.admits(now, c) {
+			return choice{}, c.stopRefusal()
+		}
 		if c.remaining(now) < minRemaining {
 			return choice{}, refusal(http.StatusServiceUnavailable, verdict.CodeDeadline, 0, "no time is left to run the request")
 		}
--- a/internal/gateway/finish.go
+++ b/internal/gateway/finish.go
@@ -39,6 +39,7 @@
 		c.endAttempt(ctx, a, f)
 		if f == nil {
 			c.recordAnswer(a.resp)
+			c.g.open.recordAnswer(time.Now(), c)
 			c.finish("answered", nil)
 			return
 		}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -14,6 +14,7 @@
 
 	"github.com/jaystage/jaystage/internal/config"
 	"github.com/jaystage/jaystage/internal/detour"
+	"github.com/jaystage/jaystage/pkg/drain"
 	"github.com/jaystage/jaystage/pkg/reach"
 )
 
@@ -118,6 +119,7 @@
 		Self: self, Domain: domain, Headers: headers, Settings: settings, State: state, Log: log, Metrics: NewMetrics(),
 		pool: newPool(settings.LocalIP), ledger: newLedger(settings.UsageWindow), parts: newPartRecords(), started: time.Now(), writeGrace: clientWriteGrace,
 	}
+	g.open.durations = drain.NewDurations()
 	g.upstreams, g.Detour = newUpstreamSet(g), detour.New()
 	g.Detour.Self, g.Detour.Nodes = reach.Node{Name: self, Domain: domain}, g.entryNodesOf
 	g.Detour.Log, g.Detour.Metrics, g.Detour.PathChanged = log, g.Metrics, g.upstreams.forgetUnreachable
--- a/internal/gateway/open.go
+++ b/internal/gateway/open.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"math/bits"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -9,6 +11,16 @@
 
 	"github.com/jaystage/jaystage/internal/event"
 	"github.com/jaystage/jaystage/internal/listener"
+	"github.com/jaystage/jaystage/pkg/drain"
+	"github.com/jaystage/jaystage/pkg/verdict"
+)
+
+const (
+	// stopRetryAfter is the shortest Retry-After of a request that a stopping node refuses,
+	// and stopRetrySpread the time over which such clients return: other nodes serve them at
+	// once.
+	stopRetryAfter  = 50 * time.Millisecond
+	stopRetrySpread = 100 * time.Millisecond
 )
 
 // phase is how far a call has come.
@@ -28,8 +40,10 @@
 type openCalls struct {
 	mu    sync.Mutex
 	calls map[*call]bool
-	// stopped is when the node was told to stop; zero before.
-	stopped time.Time
+	// window is that of the stop; zero before.
+	window drain.Window
+	// durations are from the time a request was read in full to the end of its answer.
+	durations *drain.Durations
 }
 
 func (o *openCalls) add(c *call) {
@@ -57,21 +71,47 @@
 func (o *openCalls) sinceStop(now time.Time) (time.Duration, bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return now.Sub(o.stopped), !o.stopped.IsZero()
+	return now.Sub(o.window.Start), o.window.Stopping()
+}
+
+// admits reports whether a call may be sent to an upstream: while the node stops, it must be
+// expected to end in time.
+func (o *openCalls) admits(now time.Time, c *call) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return !o.window.Stopping() || o.window.Admits(now, c.deadline.Add(deadlineGrace), o.durations.Estimate(now, c.kind()))
+}
+
+func (o *openCalls) recordAnswer(now time.Time, c *call) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.durations.Record(now, c.kind(), now.Sub(c.bodyRead))
 }
 
 // Open returns the number of requests that are being served.
 func (g *Gateway) Open() int { return g.open.count() }
 
-// Stop records that the node was told to stop at a time. From then on it is not ready, and
-// each answer closes its connection.
-func (g *Gateway) Stop(now time.Time) {
+// Stop records that the node was told to stop. From then on it is not ready, each answer
+// closes its connection, and requests that cannot be answered within the window are refused.
+func (g *Gateway) Stop(w drain.Window) {
 	g.open.mu.Lock()
-	g.open.stopped = now
+	g.open.window = w
 	g.open.mu.Unlock()
 	g.unready.Store(true)
 }
 
+// stopRefusal refuses a call that was not sent to an upstream. The delay depends on the
+// request ID, so that clients that were refused together do not return together.
+func (c *call) stopRefusal() *verdict.Error {
+	after := stopRetryAfter + time.Duration(unitHash(c.id, "return")*float64(stopRetrySpread))
+	return refusal(http.StatusServiceUnavailable, verdict.CodeShuttingDown, after, "the node stops and cannot finish the request in time")
+}
+
+// kind returns the kind of requests whose answers take as long as that of the call.
+func (c *call) kind() drain.Kind {
+	return drain.Kind{Service: c.service.Name, Size: bits.Len(uint(c.maxOutput))}
+}
+
 // LogOpen logs the calls that are being served.
 func (g *Gateway) LogOpen(now time.Time) {
 	g.open.mu.Lock()
@@ -79,7 +119,7 @@
 	for c := range g.open.calls {
 		fields := logrus.Fields{"request": c.id, "phase": c.phase.load().String(), "took_ms": millis(now.Sub(c.start))}
 		c.addConnFields(fields, now)
-		fields["since_ms"] = millis(now.Sub(g.open.stopped))
+		fields["since_ms"] = millis(now.Sub(g.open.window.Start))
 		event.With(g.Log, event.RequestCut).WithFields(fields).Warn("request is still open at the end of the grace period")
 	}
 }
