Lift the end of a connection when a request arrives on it

A request on a kept connection that arrives at the moment at which the drain ends the connection is served with a cancelled context and without its body: it is passed on, and its connection ends without an answer.

The drain checks that a connection is idle and then sets a read deadline in the past. If the server reads a request in between, the deadline stays in force while the request is served, since net/http sets its own only before.

Change: the connection itself keeps its state under one lock: idle, received, ending, and the deadline that the server wants. Bytes that were read, or a request that the server had in its buffer, lift the end and set the wanted deadline again.

Result: go test -race -run LiftsThe ./internal/listener. Before, TestRequestLiftsTheEndOfIts- Connection failed: body "", i/o timeout, context canceled. The test of buffered requests held before too, as net/http then set a deadline of its own; it guards the new state.

--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -27,24 +27,97 @@
 	pollInterval = 10 * time.Millisecond
 )
 
-// Listener is a net.Listener for one http.Server. Set ConnState as the server's hook
-// before it serves.
+// Listener is a net.Listener for one http.Server. Set ConnState and ConnContext as the
+// server's hooks before it serves.
 type Listener struct {
 	net.Listener
 	acceptEnd atomic.Int64 // when Accept must end, in Unix nanoseconds; zero while serving
 
 	mu    sync.Mutex
-	conns map[*conn]bool // whether the connection is idle
+	conns map[*conn]bool
 }
 
 // conn is an accepted connection.
 type conn struct {
 	net.Conn
 	opened time.Time
-	// received is true once bytes of the next request have been read.
-	received atomic.Bool
 	// requests counts the requests whose head was read.
 	requests atomic.Int64
+
+	mu sync.Mutex
+	// idle is true while the answer to the last request is complete and the next request
+	// has not been read.
+	idle bool
+	// received is true once bytes of the next request have been read.
+	received bool
+	// ending is true while a read deadline in the past is in force, which makes the server
+	// close the connection. Bytes that were read nevertheless lift it.
+	ending bool
+	// readDeadline is the read deadline that the server has set.
+	readDeadline time.Time
+}
+
+// Read implements net.Conn.
+func (c *conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.received = true
+		err = errors.Join(err, c.resume())
+	}
+	return n, err
+}
+
+// resume lifts the end of the connection, since a request has arrived on it. c.mu must be
+// held.
+func (c *conn) resume() error {
+	if !c.ending {
+		return nil
+	}
+	c.ending = false
+	return c.Conn.SetReadDeadline(c.readDeadline)
+}
+
+// SetReadDeadline implements net.Conn.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.readDeadline = t
+	if c.ending {
+		return nil
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
+// endRequest records that the answer to a request is complete.
+func (c *conn) endRequest() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.idle, c.received = true, false
+}
+
+// beginRequest records that the head of a request was read. The server may have had it in
+// its buffer while the connection counted as idle.
+func (c *conn) beginRequest() {
+	c.requests.Add(1)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.idle = false
+	_ = c.resume() // fails on a closed connection, which the next read finds out
+}
+
+// endIfIdle ends the connection if it is idle and has no unread bytes. The server then closes
+// it.
+func (c *conn) endIfIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ending || c.received || !c.idle || readable(c.Conn) {
+		return
+	}
+	// A deadline, unlike Close, ends only a read that has not returned any bytes yet. If it
+	// cannot be set, the connection is closed already.
+	c.ending = c.Conn.SetReadDeadline(time.Unix(1, 0)) == nil
 }
 
 // Info describes the connection of a request.
@@ -85,28 +158,21 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var n Counts
-	for c, idle := range l.conns {
+	for c := range l.conns {
+		c.mu.Lock()
 		switch {
-		case idle:
+		case c.idle:
 			n.Idle++
 		case c.requests.Load() == 0:
 			n.Unused++
 		default:
 			n.Busy++
 		}
+		c.mu.Unlock()
 	}
 	return n
 }
 
-// Read implements net.Conn.
-func (c *conn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	if n > 0 {
-		c.received.Store(true)
-	}
-	return n, err
-}
-
 // New returns a listener that accepts from l, which must be a *net.TCPListener.
 func New(l net.Listener) *Listener {
 	return &Listener{Listener: l, conns: make(map[*conn]bool)}
@@ -119,7 +185,7 @@
 		if err == nil {
 			c := &conn{Conn: accepted, opened: time.Now()}
 			l.mu.Lock()
-			l.conns[c] = false
+			l.conns[c] = true
 			l.mu.Unlock()
 			return c, nil
 		}
@@ -150,19 +216,15 @@
 	if !ok {
 		return
 	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
 	switch state {
 	case http.StateClosed, http.StateHijacked:
+		l.mu.Lock()
+		defer l.mu.Unlock()
 		delete(l.conns, accepted)
 	case http.StateIdle:
-		accepted.received.Store(false)
-		l.conns[accepted] = true
+		accepted.endRequest()
 	case http.StateActive:
-		accepted.requests.Add(1)
-		l.conns[accepted] = false
-	default:
-		l.conns[accepted] = false
+		accepted.beginRequest()
 	}
 }
 
@@ -172,16 +234,14 @@
 // with "Connection: close", so that clients do not send another request.
 func (l *Listener) Drain(ctx context.Context) error {
 	now := time.Now()
-	l.acceptEnd.Store(now.Add(backlogTimeout).UnixNano())
-	if err := l.setDeadline(now.Add(pollInterval)); err != nil {
+	l.acceptEnd.CompareAndSwap(0, now.Add(backlogTimeout).UnixNano())
+	if err := l.setDeadline(now.Add(pollInterval)); err != nil && !errors.Is(err, net.ErrClosed) {
 		return err
 	}
 	ticker := time.NewTicker(pollInterval)
 	defer ticker.Stop()
-	started := now
 	for {
-		open := l.closeIdle()
-		if open == 0 && time.Since(started) > 2*pollInterval {
+		if open := l.closeIdle(); open == 0 && time.Since(now) > 2*pollInterval {
 			return nil
 		}
 		select {
@@ -197,12 +257,8 @@
 func (l *Listener) closeIdle() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for c, idle := range l.conns {
-		if idle && !c.received.Load() && !readable(c.Conn) {
-			// A deadline, unlike Close, ends only a read that has not returned any bytes yet.
-			// The server then closes the connection.
-			_ = c.SetReadDeadline(time.Unix(1, 0))
-		}
+	for c := range l.conns {
+		c.endIfIdle()
 	}
 	return len(l.conns)
 }
