Wait for the last accepted connection before a drain ends

Seen by callers: possible, not in the record. A request on a connection that the kernel has just accepted gets a reset at a planned stop.

A drain ended as soon as no connection was open and 20 ms had passed. A connection between accept and its first use counts as none, and the process ended.

Change: Accept tells when it returns no more connections; a drain ends after that. A second drain of a closed listener goes on with its connections.

Result: go test -race -run LastAccepted ./internal/listener.

It hits new connections within some 20 ms of the end of accepting, of any kind, so it does not explain the record.

--- a/internal/listener/end_test.go
+++ b/internal/listener/end_test.go
@@ -124,3 +124,34 @@
 	drain(t, s)
 	wantAllAnswered(t, []*client{c, c})
 }
+
+// slowListener returns its connections some time after the kernel has accepted them.
+type slowListener struct {
+	*net.TCPListener
+	delay time.Duration
+}
+
+// Accept implements net.Listener.
+func (l slowListener) Accept() (net.Conn, error) {
+	c, err := l.TCPListener.Accept()
+	if err == nil {
+		time.Sleep(l.delay)
+	}
+	return c, err
+}
+
+// Guards against a drain that finds no open connection and ends while the last one is being
+// accepted.
+func TestDrainWaitsForTheLastAcceptedConnection(t *testing.T) {
+	s := newTestServer(t, 0)
+	s.listener = New(slowListener{s.listener.Listener.(*net.TCPListener), 10 * pollInterval})
+	s.ConnState = s.listener.ConnState
+	s.start()
+	c := dial(t, s)
+	c.send(t)
+	time.Sleep(pollInterval)
+	s.draining.Store(true)
+	drain(t, s)
+	_ = s.Close()
+	wantAllAnswered(t, []*client{c})
+}
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -32,6 +32,9 @@
 type Listener struct {
 	net.Listener
 	acceptEnd atomic.Int64 // when Accept must end, in Unix nanoseconds; zero while serving
+	// accepted is closed once Accept returns no more connections.
+	accepted chan struct{}
+	end      sync.Once // closes accepted
 
 	mu    sync.Mutex
 	conns map[*conn]bool
@@ -175,7 +178,7 @@
 
 // New returns a listener that accepts from l, which must be a *net.TCPListener.
 func New(l net.Listener) *Listener {
-	return &Listener{Listener: l, conns: make(map[*conn]bool)}
+	return &Listener{Listener: l, accepted: make(chan struct{}), conns: make(map[*conn]bool)}
 }
 
 // Accept implements net.Listener. During a drain, it ends once the backlog is empty.
@@ -191,17 +194,24 @@
 		}
 		end := l.acceptEnd.Load()
 		if end == 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+			if errors.Is(err, net.ErrClosed) {
+				l.endAccept()
+			}
 			return nil, err
 		}
 		if time.Now().UnixNano() >= end || !readable(l.Listener) {
+			l.endAccept()
 			return nil, net.ErrClosed
 		}
 		if err := l.setDeadline(time.Now().Add(pollInterval)); err != nil {
+			l.endAccept()
 			return nil, err
 		}
 	}
 }
 
+func (l *Listener) endAccept() { l.end.Do(func() { close(l.accepted) }) }
+
 func (l *Listener) setDeadline(t time.Time) error {
 	if d, ok := l.Listener.(interface{ SetDeadline(time.Time) error }); ok {
 		return d.SetDeadline(t)
@@ -241,8 +251,13 @@
 	ticker := time.NewTicker(pollInterval)
 	defer ticker.Stop()
 	for {
-		if open := l.closeIdle(); open == 0 && time.Since(now) > 2*pollInterval {
-			return nil
+		select {
+		case <-l.accepted:
+			if l.closeIdle() == 0 {
+				return nil
+			}
+		default:
+			l.closeIdle()
 		}
 		select {
 		case <-ctx.Done():
