Close connections that carry nothing when a node stops

Seen by callers and operators: a node with connections that were opened ahead of their use stops only at the end of the grace period, and its process is missing for five seconds more.

Cause: a drain ended only connections that net/http calls idle, which have served a request.

Change: a drain also ends connections that have been open for 250 ms without a byte. The first request of a new connection is on its way for less; one that comes later crosses the close and is not read, so the client knows that it has not run.

TestDrainClosesUnusedConnections is new.

--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -25,6 +25,9 @@
 	// pollInterval is the time between two checks for connections that became idle, or
 	// were accepted by the kernel, during a drain.
 	pollInterval = 10 * time.Millisecond
+	// unusedTimeout is how long a connection may be open without a byte before a drain
+	// closes it: the first request of a new connection is on its way.
+	unusedTimeout = 250 * time.Millisecond
 )
 
 // Listener is a net.Listener for one http.Server. Set ConnState and ConnContext as the
@@ -110,12 +113,13 @@
 	_ = c.resume() // fails on a closed connection, which the next read finds out
 }
 
-// endIfIdle ends the connection if it is idle and has no unread bytes. The server then closes
-// it.
-func (c *conn) endIfIdle() {
+// endIfIdle ends the connection if it is idle or unused and has no unread bytes. The server
+// then closes it.
+func (c *conn) endIfIdle(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.ending || c.received || !c.idle || readable(c.Conn) {
+	unused := c.requests.Load() == 0 && now.Sub(c.opened) >= unusedTimeout
+	if c.ending || c.received || !c.idle && !unused || readable(c.Conn) {
 		return
 	}
 	// A deadline, unlike Close, ends only a read that has not returned any bytes yet. If it
@@ -239,9 +243,10 @@
 }
 
 // Drain accepts the connections that are in the backlog, then accepts no more. It closes
-// connections as they become idle, except those on which a request has arrived, and
-// returns when none is left or ctx ends. Meanwhile the server should end its responses
-// with "Connection: close", so that clients do not send another request.
+// connections as they become idle, and those that have carried no request, except those on
+// which a request has arrived. It returns when none is left or ctx ends. Meanwhile the server
+// should end its responses with "Connection: close", so that clients do not send another
+// request.
 func (l *Listener) Drain(ctx context.Context) error {
 	now := time.Now()
 	l.acceptEnd.CompareAndSwap(0, now.Add(backlogTimeout).UnixNano())
@@ -253,11 +258,11 @@
 	for {
 		select {
 		case <-l.accepted:
-			if l.closeIdle() == 0 {
+			if l.closeIdle(time.Now()) == 0 {
 				return nil
 			}
 		default:
-			l.closeIdle()
+			l.closeIdle(time.Now())
 		}
 		select {
 		case <-ctx.Done():
@@ -267,13 +272,13 @@
 	}
 }
 
-// closeIdle closes the idle connections without unread bytes and returns the number of
-// open connections.
-func (l *Listener) closeIdle() int {
+// closeIdle closes the idle and unused connections without unread bytes and returns the
+// number of open connections.
+func (l *Listener) closeIdle(now time.Time) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for c := range l.conns {
-		c.endIfIdle()
+		c.endIfIdle(now)
 	}
 	return len(l.conns)
 }
--- a/internal/listener/listener_test.go
+++ b/internal/listener/listener_test.go
@@ -163,6 +163,28 @@
 	}
 }
 
+// Guards against a drain that waits for clients that opened a connection ahead of its use, and
+// against a first request that is cut by it.
+func TestDrainClosesUnusedConnections(t *testing.T) {
+	s := newTestServer(t, 0)
+	s.start()
+	unused, used := dial(t, s), dial(t, s)
+	start := time.Now()
+	done := make(chan struct{})
+	s.draining.Store(true)
+	go func() { defer close(done); drain(t, s) }()
+	time.Sleep(unusedTimeout / 2)
+	used.send(t)
+	wantAllAnswered(t, []*client{used})
+	<-done
+	if took := time.Since(start); took > 2*time.Second {
+		t.Errorf("got the end of the drain after %v, want it within 2 s", took)
+	}
+	if _, err := unused.reader.ReadByte(); err != io.EOF {
+		t.Errorf("got %v on the unused connection, want %v", err, io.EOF)
+	}
+}
+
 // Planned stop under load, a hundred times: clients use their open connections until the
 // server closes them. Guards against a request that was handled and whose answer was cut. A
 // request that crosses the close of its connection, and is not handled, may get no answer.
