Answer calls that have arrived when a voter stops

Seen by operators and upstreams: a call that a stopping voter has read ends without an answer, so that they cannot tell whether the order was taken.

Cause: the cause of the incident on another listener: a voter closed its control listener at once on SIGTERM, without regard to what was open.

Change: every server of a node has the listener that tracks its connections. Responses of a stopping voter close their connections.

--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -97,14 +98,19 @@
 	exchange     *gateway.Exchange
 	control      *control.Control
 	servers      []*server
-	clientServer *server
-	clients      *listener.Listener // of clientServer
-	tunnels      *tunnel.Server     // nil on a node that only votes
+	clientServer *server        // nil on a node that only votes
+	tunnels      *tunnel.Server // nil on a node that only votes
+	// controlServer is nil on a node that does not vote.
+	controlServer *server
+	// endControl ends the calls that controlServer serves.
+	endControl context.CancelFunc
+	// stopping is set once the node was told to stop.
+	stopping atomic.Bool
 }
 
 type server struct {
 	http.Server
-	listener net.Listener
+	listener *listener.Listener
 }
 
 // New opens the listeners and the node's copy of the replicated state.
@@ -158,8 +164,6 @@
 	}
 	n.clientServer = n.servers[len(n.servers)-1]
 	n.clientServer.IdleTimeout = idleTimeout
-	n.clients = listener.New(n.clientServer.listener)
-	n.clientServer.listener, n.clientServer.ConnState, n.clientServer.ConnContext = n.clients, n.clients.ConnState, n.clients.ConnContext
 	return n.listen("readiness", o.ReadinessAddress, o.ReadinessHandler(func() bool { return n.gateway.Ready(time.Now()) }))
 }
 
@@ -168,7 +172,13 @@
 	n.control.Platform, n.control.ScalingEnabled = n.options.Platform, n.options.ScalingEnabled
 	n.control.UsageWindow, n.control.MaxExposure, n.control.MinLeadTime = n.options.GatewaySettings.UsageWindow, n.options.MaxExposure, n.options.MinLeadTime
 	n.control.RegisterHandlers()
-	return n.listen("control", n.options.ControlAddress, n.options.ControlHandler(n.control))
+	if err := n.listen("control", n.options.ControlAddress, n.closeWhenStopping(n.options.ControlHandler(n.control))); err != nil {
+		return err
+	}
+	n.controlServer = n.servers[len(n.servers)-1]
+	ctx, cancel := context.WithCancel(context.Background())
+	n.controlServer.BaseContext, n.endControl = func(net.Listener) context.Context { return ctx }, cancel
+	return nil
 }
 
 func (n *Node) listen(purpose, address string, h http.Handler) error {
@@ -176,7 +186,10 @@
 	if err != nil {
 		return eris.Wrapf(err, "cannot listen for %s on %q; check that the address belongs to this VM and is not in use", purpose, address)
 	}
-	n.servers = append(n.servers, &server{http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout}, l})
+	tracked := listener.New(l)
+	n.servers = append(n.servers, &server{http.Server{
+		Handler: h, ReadHeaderTimeout: readHeaderTimeout, ConnState: tracked.ConnState, ConnContext: tracked.ConnContext,
+	}, tracked})
 	return nil
 }
 
@@ -213,6 +226,7 @@
 		stateResult <- nil // received again below
 	}
 	event.With(n.options.Log, event.NodeStopping).WithError(err).Info("node stopping")
+	n.stopping.Store(true)
 	if err == nil {
 		n.drain()
 	}
--- a/internal/deployment/stop.go
+++ b/internal/deployment/stop.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -20,12 +21,50 @@
 	// lastAnswersTimeout is the part of it in which requests that are still open at its start
 	// are answered with their verdicts.
 	lastAnswersTimeout = 200 * time.Millisecond
+	// controlTimeout bounds the wait for calls of operators and upstreams, who turn to
+	// another voter after a second.
+	controlTimeout = 500 * time.Millisecond
 )
 
-// drain reports to the load balancer that the node is not ready, keeps serving for
+// closeWhenStopping makes the responses of a stopping node close their connections.
+func (n *Node) closeWhenStopping(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if n.stopping.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		h.ServeHTTP(w, r)
+	})
+}
+
+// drain ends the service of clients, operators and upstreams within the grace period.
+func (n *Node) drain() {
+	controlDone := make(chan struct{})
+	go func() { defer close(controlDone); n.drainControl() }()
+	n.drainClients()
+	<-controlDone
+}
+
+// drainControl answers the calls of operators and upstreams that have arrived. Those that are
+// still open after controlTimeout are ended without a confirmation.
+func (n *Node) drainControl() {
+	if n.controlServer == nil {
+		return
+	}
+	err := drainFor(n.controlServer, controlTimeout)
+	n.endControl()
+	if err != nil {
+		err = drainFor(n.controlServer, lastAnswersTimeout)
+	}
+	if err != nil {
+		event.With(n.options.Log, event.ShutdownCut).WithField("open", n.controlServer.listener.Counts().Busy).WithError(err).
+			Warn("closing connections with open calls of operators or upstreams")
+	}
+}
+
+// drainClients reports to the load balancer that the node is not ready, keeps serving for
 // unreadyDuration, while the balancer still sends clients to it, and then waits for open
 // requests up to the end of the grace period.
-func (n *Node) drain() {
+func (n *Node) drainClients() {
 	if n.gateway == nil {
 		return
 	}
@@ -40,7 +79,7 @@
 	defer cancel()
 	tunnelsDone := make(chan error, 1)
 	go func() { tunnelsDone <- n.tunnels.Drain(ctx) }()
-	err := n.clients.Drain(ctx)
+	err := n.clientServer.listener.Drain(ctx)
 	if err = errors.Join(err, <-tunnelsDone); err != nil {
 		event.With(n.options.Log, event.ShutdownCut).WithField("open", n.gateway.Open()).WithField("tunnels", n.tunnels.Open()).WithError(err).
 			Warn("grace period is over; closing connections with open requests")
@@ -54,17 +93,21 @@
 // endOpenCalls ends the requests that are still open. Those whose clients do not take their
 // answers within lastAnswersTimeout are broken off.
 func (n *Node) endOpenCalls() {
-	ctx, cancel := context.WithTimeout(context.Background(), lastAnswersTimeout)
-	defer cancel()
 	n.gateway.EndCalls()
-	if err := n.clients.Drain(ctx); err != nil {
+	if err := drainFor(n.clientServer, lastAnswersTimeout); err != nil {
 		n.options.Log.WithError(err).WithField("open", n.gateway.Open()).Warn("clients have not taken their answers")
 	}
 }
 
+func drainFor(s *server, timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	return s.listener.Drain(ctx)
+}
+
 // logClients logs the connections of clients at a step of the stop that started at a time.
 func (n *Node) logClients(started time.Time) {
-	counts := n.clients.Counts()
+	counts := n.clientServer.listener.Counts()
 	event.With(n.options.Log, event.ClientsDraining).WithFields(logrus.Fields{
 		"unused": counts.Unused, "idle": counts.Idle, "busy": counts.Busy, "open": n.gateway.Open(), "since_ms": time.Since(started).Milliseconds(),
 	}).Info("connections of clients during the stop")
