Tell other nodes of a stop at once

Seen by callers of other nodes: a stream that goes through a stopping node is cut at the end of its grace period, up to 2.5 s of which it need not have used.

Cause: a node between others and upstreams took tunnels and requests for 2.5 s after its SIGTERM, until the load balancer has noticed. Other nodes need no such time.

Change: the notice to the nodes that have tunnels, and the refusal of new ones, come with the SIGTERM.

--- a/internal/deployment/stop.go
+++ b/internal/deployment/stop.go
@@ -73,12 +73,14 @@
 	window := drain.Window{Start: started, Settled: started.Add(min(unreadyDuration, left/2)), End: started.Add(left)}
 	n.gateway.Stop(window)
 	n.logClients(started)
-	time.Sleep(time.Until(window.Settled))
-	n.logClients(started)
 	ctx, cancel := context.WithDeadline(context.Background(), window.End)
 	defer cancel()
+	// Other nodes learn of the stop at once, unlike the load balancer: what they have sent
+	// through this node has the whole grace period to end.
 	tunnelsDone := make(chan error, 1)
 	go func() { tunnelsDone <- n.tunnels.Drain(ctx) }()
+	time.Sleep(time.Until(window.Settled))
+	n.logClients(started)
 	err := n.clientServer.listener.Drain(ctx)
 	if err = errors.Join(err, <-tunnelsDone); err != nil {
 		event.With(n.options.Log, event.ShutdownCut).WithField("open", n.gateway.Open()).WithField("tunnels", n.tunnels.Open()).WithError(err).
