Shorten the early phase of a stop with a short grace period

Seen by callers: with a grace period of 6 s, streams of 4.5 s and 12 s that were sent 2.28 and 2.48 s after the SIGTERM were admitted without any estimate and cut at 5.4 s.

Cause: until the load balancer has noticed, which takes 2.5 s whatever the grace period, a request starts if nothing speaks against it. Of 6 s, little is left then.

Change: this phase is no longer than a third of the window.

Conclusion: a request whose time is not known has at least twice as long as has passed.

--- a/pkg/drain/drain.go
+++ b/pkg/drain/drain.go
@@ -9,6 +9,9 @@
 	// take longer than all before.
 	headroomFactor = 1.25
 	headroom       = 100 * time.Millisecond
+	// earlyShare is the share of the window in which a request may start that is only likely
+	// to end in time. It has twice as long as the node has been stopping.
+	earlyShare = 1.0 / 3
 )
 
 // Window is the time that a node has from its stop signal to its end. The zero value is that
@@ -28,15 +31,15 @@
 // Admits reports whether a request may start at a time. Its answer has to be complete before
 // the end: by its deadline, or judging by the recent answers to requests like it.
 //
-// Until the load balancer has noticed the stop, a request is admitted unless its usual time
-// is longer than what is left, since clients have no other node yet. Later, the longest
-// recent time must fit: a client that is refused is served by another node at once, one whose
-// answer is cut may not repeat its request.
+// Until the load balancer has noticed the stop, but no longer than earlyShare of the window, a
+// request is admitted unless its usual time is longer than what is left, since clients have no
+// other node yet. Later, the longest recent time must fit: a client that is refused is served
+// by another node at once, one whose answer is cut may not repeat its request.
 func (w Window) Admits(now, deadline time.Time, e Estimate) bool {
 	switch {
 	case !w.Stopping(), !deadline.Add(headroom).After(w.End):
 		return true
-	case now.Before(w.Settled):
+	case now.Before(w.Settled) && now.Sub(w.Start) < time.Duration(earlyShare*float64(w.End.Sub(w.Start))):
 		return !e.Known || !now.Add(e.Mean).After(w.End)
 	}
 	longest := time.Duration(headroomFactor*float64(e.Longest)) + headroom
--- a/pkg/drain/drain_test.go
+++ b/pkg/drain/drain_test.go
@@ -39,6 +39,11 @@
 		wantAdmits(t, window, 3*time.Second, limit, known(2*time.Second, 4*time.Second), false)
 		wantAdmits(t, window, 3*time.Second, limit, Estimate{}, false)
 	})
+	t.Run("an answer is begun in a short grace period that may be cut", func(t *testing.T) {
+		short := Window{Start: start, Settled: at(2500 * time.Millisecond), End: at(5400 * time.Millisecond)}
+		wantAdmits(t, short, time.Second, limit, Estimate{}, true)
+		wantAdmits(t, short, 2*time.Second, limit, Estimate{}, false)
+	})
 	t.Run("short requests are refused late", func(t *testing.T) {
 		wantAdmits(t, window, 6*time.Second, limit, known(30*time.Millisecond, 200*time.Millisecond), true)
 		wantAdmits(t, window, 4*time.Second, 2*time.Second, Estimate{}, true)
