--- a/internal/soak/checks_test.go
+++ b/internal/soak/checks_test.go
@@ -180,7 +180,10 @@
 	return code == http.StatusOK
 }
 
-func (c *cluster) randomVoter() int { return rand.IntN(voters) }
+func (c *cluster) randomVoter() int {
+	members := c.members(true)
+	return members[rand.IntN(len(members))]
+}
 
 // callControl calls a voter's control API and returns the status code and body. The code
 // is 0 if there was no response.
--- a/internal/soak/cluster_test.go
+++ b/internal/soak/cluster_test.go
@@ -28,6 +28,8 @@
 	revokeTimeout     = 4 * time.Second
 	drainTimeout      = 2 * time.Second
 	gracePeriod       = 4 * time.Second
+	// maxSeeds is the number of voters that the platform names in a settings file.
+	maxSeeds = 3
 )
 
 // vm is one process of the system with its address and data directory.
@@ -37,36 +39,57 @@
 	dir        string
 
 	mu      sync.Mutex
+	binary  string // program of the next start
+	removed bool   // no part of the deployment: a spare, or replaced by another VM
 	cmd     *exec.Cmd
 	exited  chan struct{}
 	stopped bool // by SIGSTOP
+	ending  bool // the test has sent a signal that ends the process
 }
 
+// shape is the number of VMs of a cluster. Spares are in no one's list until a test starts
+// them in place of other VMs.
+type shape struct{ voters, entryNodes, spareVoters, spareEntryNodes int }
+
 // cluster is a deployment of voters and entry nodes on its own loopback addresses.
 type cluster struct {
 	t       testing.TB
-	binary  string
+	shape   shape
 	network byte // second octet of all addresses, which keeps concurrent runs apart
 	vms     []*vm
 	// paths holds the proxy from one VM to another, by their indexes.
 	paths           map[[2]int]*proxy
 	platformAddress string
 	log             *os.File
+
+	mu      sync.Mutex
+	ownEnds []string // processes that ended without a signal of the test
 }
 
 func (c *cluster) host(i int) string { return fmt.Sprintf("127.%d.1.%d", c.network, i+1) }
 
 func newCluster(t testing.TB, network byte, binary, platformAddress string) *cluster {
 	t.Helper()
-	c := &cluster{t: t, binary: binary, network: network, paths: make(map[[2]int]*proxy), platformAddress: platformAddress}
+	return newClusterOf(t, network, shape{voters: voters, entryNodes: entryNodes}, binary, platformAddress)
+}
+
+// newClusterOf returns a cluster whose VMs are, in this order, voters, entry nodes, spare
+// voters and spare entry nodes.
+func newClusterOf(t testing.TB, network byte, s shape, binary, platformAddress string) *cluster {
+	t.Helper()
+	c := &cluster{t: t, shape: s, network: network, paths: make(map[[2]int]*proxy), platformAddress: platformAddress}
 	dir := t.TempDir()
 	log, err := os.Create(filepath.Join(dir, "log"))
 	if err != nil {
 		t.Fatal(err)
 	}
 	c.log = log
-	for i := range voters + entryNodes {
-		v := &vm{name: fmt.Sprint("vm", i), host: c.host(i), voter: i < voters, dir: filepath.Join(dir, fmt.Sprint("vm", i))}
+	first := s.voters + s.entryNodes // of the spares
+	for i := range first + s.spareVoters + s.spareEntryNodes {
+		v := &vm{
+			name: fmt.Sprint("vm", i), host: c.host(i), voter: i < s.voters || i >= first && i < first+s.spareVoters,
+			dir: filepath.Join(dir, fmt.Sprint("vm", i)), binary: binary, removed: i >= first,
+		}
 		if err := os.MkdirAll(v.dir, 0o700); err != nil {
 			t.Fatal(err)
 		}
@@ -89,17 +112,31 @@
 	return c
 }
 
+// members returns the voters or the entry nodes that are part of the deployment.
+func (c *cluster) members(voter bool) []int {
+	var list []int
+	for i, v := range c.vms {
+		v.mu.Lock()
+		if v.voter == voter && !v.removed {
+			list = append(list, i)
+		}
+		v.mu.Unlock()
+	}
+	return list
+}
+
 // writeSettings writes a VM's settings file as the platform does and returns its path.
 func (c *cluster) writeSettings(i int, bootstrap bool) string {
 	v := c.vms[i]
 	var seeds []string
-	for j := range voters {
+	members := c.members(true)
+	for _, j := range members[:min(len(members), maxSeeds)] {
 		seeds = append(seeds, net.JoinHostPort(c.host(j), fmt.Sprint(controlPort)))
 	}
 	lines := []string{
 		"node_name=" + v.name, "ip=" + v.host, "zone=a", fmt.Sprintf("internal_ports=%d,%d", firstInternalPort+i, firstInternalPort+i),
 		"seed_nodes=" + strings.Join(seeds, ","), fmt.Sprintf("bootstrap=%v", bootstrap), "heartbeat_interval_ms=300", "limits.memory_mb=300",
-		"fault_tolerance.machines=1", fmt.Sprintf("bounds.grace_period_s=%v", gracePeriod.Seconds()), "bounds.revoke_fail_closed=true",
+		fmt.Sprintf("fault_tolerance.machines=%d", (c.shape.voters-1)/2), fmt.Sprintf("bounds.grace_period_s=%v", gracePeriod.Seconds()), "bounds.revoke_fail_closed=true",
 		fmt.Sprintf("bounds.revoke_timeout_ms=%d", revokeTimeout.Milliseconds()), "bounds.retry_budget_ratio=0.2", "bounds.retry_budget_slack=50",
 		"bounds.retry_window_s=10", fmt.Sprintf("bounds.usage_window_s=%v", usageWindow.Seconds()), "bounds.exposure_share=0.1",
 		"cloud.address=" + c.platformAddress, "cloud.duties=usage_reporting",
@@ -117,27 +154,33 @@
 }
 
 func (c *cluster) start(i int, bootstrap bool) {
+	settings := c.writeSettings(i, bootstrap)
 	v := c.vms[i]
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if v.cmd != nil {
 		return
 	}
-	cmd := exec.Command(c.binary)
-	cmd.Env = []string{"JAYSTAGE_BOOT=" + c.writeSettings(i, bootstrap), "PATH=" + os.Getenv("PATH")}
+	cmd := exec.Command(v.binary)
+	cmd.Env = []string{"JAYSTAGE_BOOT=" + settings, "PATH=" + os.Getenv("PATH")}
 	cmd.Stdout, cmd.Stderr = c.log, c.log
 	if err := cmd.Start(); err != nil {
 		c.t.Errorf("start %s: %v", v.name, err)
 		return
 	}
 	exited := make(chan struct{})
-	v.cmd, v.exited, v.stopped = cmd, exited, false
+	v.cmd, v.exited, v.stopped, v.ending = cmd, exited, false, false
 	go func() {
 		defer close(exited)
-		_ = cmd.Wait()
+		err := cmd.Wait()
 		v.mu.Lock()
 		defer v.mu.Unlock()
 		v.cmd = nil
+		if !v.ending {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			c.ownEnds = append(c.ownEnds, fmt.Sprintf("%s at %s: %v", v.name, time.Now().Format(time.TimeOnly), err))
+		}
 	}()
 }
 
@@ -152,6 +195,7 @@
 		close(closed)
 		return closed
 	}
+	v.ending = v.ending || s == syscall.SIGTERM || s == syscall.SIGKILL
 	_ = v.cmd.Process.Signal(s)
 	return v.exited
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -142,22 +142,32 @@
 // waitReady waits until every entry node is ready.
 func waitReady(ctx context.Context, t testing.TB, c *cluster) {
 	t.Helper()
-	for i := voters; i < voters+entryNodes; {
-		resp, err := http.Get(fmt.Sprintf("http://%s:%d/readiness", c.host(i), readinessPort))
-		if err == nil {
-			_ = resp.Body.Close()
-			if resp.StatusCode == http.StatusOK {
-				i++
-				continue
+	for _, i := range c.members(false) {
+		for !c.ready(ctx, i) {
+			if ctx.Err() != nil {
+				t.Fatal("the cluster did not become ready")
 			}
+			time.Sleep(50 * time.Millisecond)
 		}
-		if ctx.Err() != nil {
-			t.Fatal("the cluster did not become ready")
-		}
-		time.Sleep(50 * time.Millisecond)
 	}
 }
 
+// ready reports whether an entry node tells the balancer that it is ready.
+func (c *cluster) ready(ctx context.Context, i int) bool {
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%s:%d/readiness", c.host(i), readinessPort), http.NoBody)
+	if err != nil {
+		return false
+	}
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
 // injectFaults runs two series of faults concurrently: one on the voters, at most one of
 // which may be down at a time, and one on the entry nodes and upstreams.
 func injectFaults(ctx context.Context, c *cluster, seed uint64, upstreams []*upstream, h *history) {
