Write the reply for a tunnel under the lock of its stream

Seen by operators: a node whose stop begins while it replies to another node's request for a tunnel ends with a panic, and with it all its requests.

Cause: a drain writes its notice to each tunnel from its own goroutine, the reply was written without the lock, and the WebSocket library panics on two writers.

Change: the reply takes the lock like all other frames of the node in between.

Conclusion: one lock for all writes of a tunnel at this end.

--- a/internal/tunnel/server.go
+++ b/internal/tunnel/server.go
@@ -82,7 +82,7 @@
 		"request": message.Request, "node_from": from, "address": message.Address, "outcome": reply.Outcome, "reason": reply.Reason,
 	})
 	log.Info("another node asked for a connection to an upstream")
-	if err := writeMessage(stream, reply); err == nil && t.upstream != nil {
+	if err := t.reply(reply); err == nil && t.upstream != nil {
 		s.relay(t)
 	}
 	s.remove(t)
@@ -241,6 +241,15 @@
 	}
 }
 
+// reply answers the request for the tunnel. A drain may write to the stream already.
+func (t *tunnel) reply(message wire.TunnelReply) error {
+	data, err := wire.Marshal(message)
+	if err != nil {
+		return err
+	}
+	return t.write(websocket.BinaryMessage, data)
+}
+
 // write sends one frame to the other node.
 func (t *tunnel) write(kind int, data []byte) error {
 	t.writes.Lock()
