Bound the notices of a stop to other nodes

Seen by callers: a stopping node whose tunnels include one to a node that reads nothing hangs until it is killed, and requests that are open then get no answer.

Cause: the drain of tunnels wrote its notices one after the other, each waiting for the write before it (up to 90 s), without regard to the end of the drain.

Change: each notice has a goroutine that reports its end; at the end of the drain the tunnels that are left are closed, which ends the notices too.

Conclusion: the end of a stop does not depend on other nodes any more.

--- a/internal/tunnel/drain_test.go
+++ b/internal/tunnel/drain_test.go
@@ -83,22 +83,22 @@
 	return l
 }
 
-// Guards against a node that ends with a panic, and with it all its requests, because its stop
-// begins while it replies to another node's request for a tunnel.
-func TestDrainDuringReply(t *testing.T) {
-	held := &heldListener{Listener: listen(t), entered: make(chan struct{}), release: make(chan struct{})}
-	release := sync.OnceFunc(func() { close(held.release) })
-	t.Cleanup(release)
-	upstream := listen(t)
+// newTestServer returns a server that connects to any address.
+func newTestServer() *Server {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	s := NewServer()
 	s.Known, s.Log = func(string) bool { return true }, log
 	s.Lost, s.Suspected = func() bool { return false }, func(time.Time) bool { return false }
 	s.Dial = func(ctx context.Context, address string) (net.Conn, error) {
-		held.hold() // the next write is the reply
 		return (&net.Dialer{}).DialContext(ctx, "tcp", address)
 	}
+	return s
+}
+
+// serve serves tunnels to all who connect.
+func serve(t *testing.T, s *Server, l net.Listener) {
+	t.Helper()
 	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		stream, err := (&websocket.Upgrader{}).Upgrade(w, r, nil)
 		if err != nil {
@@ -107,8 +107,23 @@
 		}
 		s.Serve(r.Context(), "other", stream)
 	}), ReadHeaderTimeout: time.Second}
-	go func() { _ = server.Serve(held) }()
+	go func() { _ = server.Serve(l) }()
 	t.Cleanup(func() { _ = server.Close() })
+}
+
+// Guards against a node that ends with a panic, and with it all its requests, because its stop
+// begins while it replies to another node's request for a tunnel.
+func TestDrainDuringReply(t *testing.T) {
+	held := &heldListener{Listener: listen(t), entered: make(chan struct{}), release: make(chan struct{})}
+	release := sync.OnceFunc(func() { close(held.release) })
+	t.Cleanup(release)
+	upstream := listen(t)
+	s := newTestServer()
+	s.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+		held.hold() // the next write is the reply
+		return (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	}
+	serve(t, s, held)
 	go func() {
 		c, err := Open(t.Context(), dialStreams{"ws://" + held.Addr().String()}, "n", upstream.Addr().String(), "r1")
 		if err == nil {
@@ -135,3 +150,34 @@
 		}
 	}
 }
+
+// Guards against a drain that waits for a node which reads nothing, beyond its own end, so that
+// the clients of the stopping node get no answers.
+func TestDrainIsNotHeldUpByOneTunnel(t *testing.T) {
+	const limit = 300 * time.Millisecond
+	upstream := listen(t)
+	go func() {
+		c, err := upstream.Accept()
+		for block := make([]byte, 64<<10); err == nil; {
+			_, err = c.Write(block)
+		}
+	}()
+	s := newTestServer()
+	l := listen(t)
+	serve(t, s, l)
+	c, err := Open(t.Context(), dialStreams{"ws://" + l.Addr().String()}, "n", upstream.Addr().String(), "r1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	time.Sleep(limit) // the buffers are full then
+	ctx, cancel := context.WithTimeout(t.Context(), limit)
+	defer cancel()
+	start := time.Now()
+	if err := s.Drain(ctx); err == nil {
+		t.Error("drain with an open tunnel: got no error, want one")
+	}
+	if took := time.Since(start); took > 2*limit {
+		t.Errorf("end of the drain: got it after %v, want it after %v", took, limit)
+	}
+}
--- a/internal/tunnel/server.go
+++ b/internal/tunnel/server.go
@@ -4,7 +4,9 @@
 	"context"
 	"errors"
 	"io"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -155,19 +157,33 @@
 }
 
 // Drain takes no further tunnels, tells the other nodes to send no further requests, and
-// waits until all tunnels have ended or ctx is done.
+// waits until all tunnels have ended or ctx is done, which ends those that are left.
 func (s *Server) Drain(ctx context.Context) error {
 	s.mu.Lock()
 	s.leaving = true
-	var open []*tunnel
-	for t := range s.open {
-		open = append(open, t)
-	}
+	open := slices.Collect(maps.Keys(s.open))
 	s.mu.Unlock()
+	// A node that does not read holds up the notice to it, but not those to others.
+	told := make(chan struct{}, len(open))
+	for _, t := range open {
+		go func() {
+			// A tunnel that cannot be told ends by itself.
+			_ = t.write(websocket.TextMessage, []byte("leaving"))
+			told <- struct{}{}
+		}()
+	}
+	err := s.awaitEnds(ctx)
 	for _, t := range open {
-		// A tunnel that cannot be told ends by itself.
-		_ = t.write(websocket.TextMessage, []byte("leaving"))
+		_ = t.stream.Close() // which also ends a notice that is held up
 	}
+	for range open {
+		<-told
+	}
+	return err
+}
+
+// awaitEnds waits until all tunnels have ended or ctx is done.
+func (s *Server) awaitEnds(ctx context.Context) error {
 	for {
 		s.mu.Lock()
 		left, changed := len(s.open), s.changed
