Ask again whether a request fits right before it is sent

Seen by callers: a request whose connect was slow, or a resumed stream, is sent to an upstream although the end of the stop has passed meanwhile, and ends without an answer.

Cause: the window of the stop and the end of the call were asked at the choice of the upstream only, unlike the lease and the deadline.

Change: the send asks both again. What is not sent any more is refused as not run, or answered as may have run if an earlier attempt may have.

Conclusion: no request begins after the end of a stop.

--- a/internal/gateway/finish.go
+++ b/internal/gateway/finish.go
@@ -141,7 +141,7 @@
 		entry.RecordSuccess(now)
 		entry.lastResponse = now
 		c.g.ledger.countOutcome(c, a, true, c.responseTime(a, now))
-	case ctx.Err() != nil || f.cause == "client" || f.cause == "lease" || f.cause == "deadline":
+	case ctx.Err() != nil || f.isOwn():
 		// Not caused by the upstream.
 	case f.cause != "connect" && f.status == 0 && c.g.blameless(now, a):
 		// The path to the upstream may be at fault.
@@ -194,7 +194,7 @@
 	}
 	now := time.Now()
 	switch {
-	case ctx.Err() != nil || f.cause == "client" || f.cause == "lease" || f.cause == "deadline":
+	case ctx.Err() != nil || f.isOwn():
 		return false
 	case f.cause == "connect":
 		// Nothing was sent, so it does not count as an attempt.
@@ -237,9 +237,9 @@
 	case c.headersSent || ctx.Err() != nil && !c.ended():
 		c.abort(e)
 		return
-	case c.ended() && e.Verdict == verdict.NotRun:
+	case (c.ended() || f.cause == "stop") && e.Verdict == verdict.NotRun:
 		e = c.stopRefusal()
-	case c.ended():
+	case c.ended() || f.cause == "stop":
 		e.Code, e.Detail = verdict.CodeShuttingDown, "the node stops before the upstream answered"
 	case e.Verdict == verdict.NotRun:
 		e.Code, e.Status, e.RetryAfter = verdict.CodeOverloaded, http.StatusServiceUnavailable, c.retryAfter()
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -54,6 +54,15 @@
 	suspected bool
 }
 
+// isOwn reports whether the failure was caused by the client or the node itself.
+func (f *failure) isOwn() bool {
+	switch f.cause {
+	case "client", "lease", "deadline", "stop":
+		return true
+	}
+	return false
+}
+
 func newAttempt(chosen choice) *attempt {
 	return &attempt{choice: chosen, started: time.Now(), promptPending: true}
 }
@@ -66,17 +75,22 @@
 	}
 	a.conn, c.via = upstreamConn, upstreamConn.via
 	a.stopCancelWatch = context.AfterFunc(ctx, func() { _ = upstreamConn.Close() })
-	now := time.Now()
-	// The lease is checked again right before the request is sent, because the process
-	// may have been paused since the choice.
-	if _, ok := c.g.State.View(now); !ok {
+	if err := upstreamConn.SetDeadline(c.deadline.Add(deadlineGrace)); err != nil {
+		return &failure{verdict: verdict.NotRun, cause: "connection", err: err}
+	}
+	// What allowed the request is checked again right before it is sent, because the connect
+	// may have been slow, or the process paused, since the choice.
+	if _, ok := c.g.State.View(time.Now()); !ok {
 		return &failure{verdict: verdict.NotRun, cause: "lease", err: errors.New("the node's lease has expired")}
 	}
-	if c.remaining(now) < minRemaining {
+	now := time.Now()
+	switch {
+	case c.remaining(now) < minRemaining:
 		return &failure{verdict: verdict.NotRun, cause: "deadline", err: os.ErrDeadlineExceeded}
-	}
-	if err := upstreamConn.SetDeadline(c.deadline.Add(deadlineGrace)); err != nil {
-		return &failure{verdict: verdict.NotRun, cause: "connection", err: err}
+	case c.ended() || !c.headersSent && !c.g.open.admits(now, c):
+		return &failure{verdict: verdict.NotRun, cause: "stop", err: errStopped}
+	case ctx.Err() != nil:
+		return &failure{verdict: verdict.NotRun, cause: "client", err: ctx.Err()}
 	}
 	if f := c.write(a, now); f != nil {
 		return f
