Tell routes apart in the durations of answers

Seen by callers: a stopping node refuses short requests because another route of the same service has long answers.

Cause: the kind of a request was its service and size only.

Change: the kind has the route; a route with few answers is taken for the service as a whole.

Conclusion: a route is judged by its own answers.

--- a/internal/gateway/open.go
+++ b/internal/gateway/open.go
@@ -127,7 +127,7 @@
 
 // kind returns the kind of requests whose answers take as long as that of the call.
 func (c *call) kind() drain.Kind {
-	return drain.Kind{Service: c.service.Name, Size: bits.Len(uint(c.maxOutput))}
+	return drain.Kind{Service: c.service.Name, Route: c.route.Name, Size: bits.Len(uint(c.maxOutput))}
 }
 
 // LogOpen logs the calls that are being served.
--- a/pkg/drain/drain_test.go
+++ b/pkg/drain/drain_test.go
@@ -84,6 +84,20 @@
 		want(t, d, at(2*generation), Estimate{time.Second, time.Second, true})
 		want(t, d, at(5*generation), Estimate{})
 	})
+	t.Run("a slow route counts for the others", func(t *testing.T) {
+		d := NewDurations()
+		slow, quick := Kind{Service: "s", Route: "slow"}, Kind{Service: "s", Route: "quick"}
+		for range minSamples {
+			d.Record(start, slow, 4*time.Second)
+			d.Record(start, quick, time.Second)
+		}
+		if got, want := d.Estimate(start, quick).Longest, time.Second; got != want {
+			t.Errorf("got %v for the quick route, want %v", got, want)
+		}
+		if got, want := d.Estimate(start, Kind{Service: "s", Route: "new"}).Longest, 4*time.Second; got != want {
+			t.Errorf("got %v for a new route, want %v", got, want)
+		}
+	})
 	t.Run("kinds are kept for good", func(t *testing.T) {
 		d := NewDurations()
 		for i := range 1000 {
--- a/pkg/drain/durations.go
+++ b/pkg/drain/durations.go
@@ -14,6 +14,8 @@
 // Kind names the requests whose answers take a similar time.
 type Kind struct {
 	Service string
+	// Route names the kind of request within the service; empty for any.
+	Route string
 	// Size is the bit length of the maximum number of output tokens; zero for a request
 	// that names none.
 	Size int
@@ -46,14 +48,35 @@
 // Record records how long an answer took that was complete at a time.
 func (d *Durations) Record(now time.Time, kind Kind, took time.Duration) {
 	d.advance(now)
+	d.add(kind, took)
+	if kind.Route != "" {
+		d.add(kind.anyRoute(), took)
+	}
+}
+
+func (d *Durations) add(kind Kind, took time.Duration) {
 	s := d.present[kind]
 	s.count, s.total, s.longest = s.count+1, s.total+took, max(s.longest, took)
 	d.present[kind] = s
 }
 
+// anyRoute returns the kind of requests of any route.
+func (k Kind) anyRoute() Kind {
+	k.Route = ""
+	return k
+}
+
 // Estimate returns what answers to requests of a kind took in the last one or two generations.
+// A route that has had few answers is expected to take as long as the others of its service.
 func (d *Durations) Estimate(now time.Time, kind Kind) Estimate {
 	d.advance(now)
+	if e := d.estimate(kind); e.Known || kind.Route == "" {
+		return e
+	}
+	return d.estimate(kind.anyRoute())
+}
+
+func (d *Durations) estimate(kind Kind) Estimate {
 	a, b := d.present[kind], d.earlier[kind]
 	count := a.count + b.count
 	if count < minSamples {
