Count only answers in the durations of answers

Seen by callers: after many quick rejections of a kind, a stopping node begins a long request 0.6 s before its end and cuts it. Answers that never end count as nothing.

Cause: each response of an upstream counted as an answer, 400 and 500 too, and broken or timed out ones did not count at all.

Change: answers with 2xx count. What ended without one raises the longest duration of its kind if it took longer.

Conclusion: an estimate rests on answers.

--- a/internal/gateway/finish.go
+++ b/internal/gateway/finish.go
@@ -39,11 +39,12 @@
 		c.endAttempt(ctx, a, f)
 		if f == nil {
 			c.recordAnswer(a.resp)
-			c.g.open.recordAnswer(time.Now(), c)
+			c.g.open.recordEnd(time.Now(), c, true)
 			c.finish("answered", nil)
 			return
 		}
 		if !c.canRetry(ctx, f) {
+			c.g.open.recordEnd(time.Now(), c, false)
 			c.fail(ctx, f)
 			return
 		}
--- a/internal/gateway/open.go
+++ b/internal/gateway/open.go
@@ -87,10 +87,16 @@
 	return !o.window.Stopping() || o.window.Admits(now, c.deadline.Add(deadlineGrace), o.durations.Estimate(now, c.kind()))
 }
 
-func (o *openCalls) recordAnswer(now time.Time, c *call) {
+// recordEnd records how long the answer to a call took. Upstreams that reject requests or fail
+// do so sooner than they answer.
+func (o *openCalls) recordEnd(now time.Time, c *call, complete bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.durations.Record(now, c.kind(), now.Sub(c.bodyRead))
+	if complete && c.status < http.StatusMultipleChoices {
+		o.durations.Record(now, c.kind(), now.Sub(c.bodyRead))
+	} else {
+		o.durations.RecordUnfinished(now, c.kind(), now.Sub(c.bodyRead))
+	}
 }
 
 // Open returns the number of requests that are being served.
--- a/pkg/drain/drain_test.go
+++ b/pkg/drain/drain_test.go
@@ -84,6 +84,12 @@
 		want(t, d, at(2*generation), Estimate{time.Second, time.Second, true})
 		want(t, d, at(5*generation), Estimate{})
 	})
+	t.Run("an answer that never ends is not noticed", func(t *testing.T) {
+		d := NewDurations()
+		record(d, start, minSamples, time.Second)
+		d.RecordUnfinished(start, chat, 3*time.Second)
+		want(t, d, start, Estimate{time.Second, 3 * time.Second, true})
+	})
 	t.Run("a slow route counts for the others", func(t *testing.T) {
 		d := NewDurations()
 		slow, quick := Kind{Service: "s", Route: "slow"}, Kind{Service: "s", Route: "quick"}
--- a/pkg/drain/durations.go
+++ b/pkg/drain/durations.go
@@ -54,6 +54,17 @@
 	}
 }
 
+// RecordUnfinished records that an answer was not complete after a time. It may raise the longest
+// duration of its kind, but says nothing of what answers usually take.
+func (d *Durations) RecordUnfinished(now time.Time, kind Kind, after time.Duration) {
+	d.advance(now)
+	for _, k := range []Kind{kind, kind.anyRoute()} {
+		s := d.present[k]
+		s.longest = max(s.longest, after)
+		d.present[k] = s
+	}
+}
+
 func (d *Durations) add(kind Kind, took time.Duration) {
 	s := d.present[kind]
 	s.count, s.total, s.longest = s.count+1, s.total+took, max(s.longest, took)
