Let open requests show that a service is slow

Seen by callers: a stopping node passes requests on by the times of earlier answers although the present ones of their kind already take longer, and cuts them.

Cause: only answers that are complete counted.

Change: what other open calls of the kind have waited for so far is a lower bound of the longest duration. They are looked through while the node stops only.

Conclusion: a service that slows down is noticed within the stop.

--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -69,6 +69,7 @@
 	if e := c.readBody(); e != nil {
 		return e
 	}
+	c.g.open.startWaiting(c)
 	c.parts = append(c.parts, poison.NewRequest(c.accountName(), c.r.Method, c.r.RequestURI, c.body))
 	if e := c.checkParts(c.view, time.Now()); e != nil {
 		return e
--- a/internal/gateway/open.go
+++ b/internal/gateway/open.go
@@ -43,21 +43,35 @@
 
 // openCalls holds the calls that are being served.
 type openCalls struct {
-	mu    sync.Mutex
-	calls map[*call]bool
+	mu sync.Mutex
+	// calls holds since when each call waits for its answer.
+	calls map[*call]waiting
 	// window is that of the stop; zero before.
 	window drain.Window
 	// durations are from the time a request was read in full to the end of its answer.
 	durations *drain.Durations
 }
 
+// waiting tells which answer a call waits for; zero while the request is being read.
+type waiting struct {
+	kind  drain.Kind
+	since time.Time
+}
+
 func (o *openCalls) add(c *call) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.calls == nil {
-		o.calls = make(map[*call]bool)
+		o.calls = make(map[*call]waiting)
 	}
-	o.calls[c] = true
+	o.calls[c] = waiting{}
+}
+
+// startWaiting records that the call's request was read.
+func (o *openCalls) startWaiting(c *call) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.calls[c] = waiting{c.kind(), c.bodyRead}
 }
 
 func (o *openCalls) remove(c *call) {
@@ -84,7 +98,20 @@
 func (o *openCalls) admits(now time.Time, c *call) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return !o.window.Stopping() || o.window.Admits(now, c.deadline.Add(deadlineGrace), o.durations.Estimate(now, c.kind()))
+	return !o.window.Stopping() || o.window.Admits(now, c.deadline.Add(deadlineGrace), o.estimate(now, c))
+}
+
+// estimate returns how long the answer to a call takes. What other calls of the kind have waited
+// so far shows that their service has become slow.
+func (o *openCalls) estimate(now time.Time, c *call) drain.Estimate {
+	kind := c.kind()
+	e := o.durations.Estimate(now, kind)
+	for other, w := range o.calls {
+		if other != c && w.kind == kind && other.phase.load() != phaseChoosing {
+			e.Longest = max(e.Longest, now.Sub(w.since))
+		}
+	}
+	return e
 }
 
 // recordEnd records how long the answer to a call took. Upstreams that reject requests or fail
