Leave the client's part out of the durations of answers

Seen by callers: one client that takes a long answer slowly makes a stopping node refuse all requests of the kind.

Cause: a duration ran to the last byte that the client took.

Change: the response of a call measures the time in writes to the client, which is left out.

Conclusion: an estimate tells of upstreams alone.

--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -199,7 +199,7 @@
 	// Only a test's ResponseWriter does not support read deadlines.
 	stopWatch := context.AfterFunc(c.ctx, func() { _ = controller.SetReadDeadline(time.Unix(1, 0)) })
 	defer stopWatch()
-	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, limit))
+	body, err := io.ReadAll(http.MaxBytesReader(c.w.ResponseWriter, c.r.Body, limit))
 	var tooLarge *http.MaxBytesError
 	switch {
 	case err != nil && c.ended():
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -15,7 +15,7 @@
 // call is one client request. Only the goroutine that serves it may use it.
 type call struct {
 	g *Gateway
-	w http.ResponseWriter
+	w *clientWriter
 	r *http.Request
 	// ctx ends when the client leaves or, with the cause errStopped, at the end of a stop.
 	ctx    context.Context
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -136,7 +136,7 @@
 
 // ServeHTTP serves one request of a client.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	c := &call{g: g, w: w, r: r, start: time.Now(), id: r.Header.Get(g.Headers.Attempt)}
+	c := &call{g: g, w: &clientWriter{ResponseWriter: w}, r: r, start: time.Now(), id: r.Header.Get(g.Headers.Attempt)}
 	c.ctx, c.cancel = context.WithCancelCause(r.Context())
 	defer c.cancel(nil)
 	g.open.add(c)
--- a/internal/gateway/open.go
+++ b/internal/gateway/open.go
@@ -108,21 +108,22 @@
 	e := o.durations.Estimate(now, kind)
 	for other, w := range o.calls {
 		if other != c && w.kind == kind && other.phase.load() != phaseChoosing {
-			e.Longest = max(e.Longest, now.Sub(w.since))
+			e.Longest = max(e.Longest, now.Sub(w.since)-other.w.waitedFor())
 		}
 	}
 	return e
 }
 
 // recordEnd records how long the answer to a call took. Upstreams that reject requests or fail
-// do so sooner than they answer.
+// do so sooner than they answer. A client that reads slowly says nothing of its upstream.
 func (o *openCalls) recordEnd(now time.Time, c *call, complete bool) {
+	took := now.Sub(c.bodyRead) - c.w.waitedFor()
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if complete && c.status < http.StatusMultipleChoices {
-		o.durations.Record(now, c.kind(), now.Sub(c.bodyRead))
+		o.durations.Record(now, c.kind(), took)
 	} else {
-		o.durations.RecordUnfinished(now, c.kind(), now.Sub(c.bodyRead))
+		o.durations.RecordUnfinished(now, c.kind(), took)
 	}
 }
 
