Leave more room where few answers tell what the next one takes

Seen by callers: possible.

Cause: the longest of few answers is a poor bound of the next one.

Change: below 200 answers the longest counts twice instead of 1.25 times. A test of the gateway records 300 answers now, so that it still asks for the same decision.

Conclusion: a node that has just started refuses long requests sooner.

--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -99,7 +99,7 @@
 		}
 		u1, u2 := newFakeUpstream(t, script), newFakeUpstream(t, script)
 		env = newTestEnv(t, u1, u2)
-		for range 100 {
+		for range 300 {
 			env.gateway.open.durations.Record(time.Now(), drain.Kind{Service: "s"}, took)
 		}
 		env.gateway.Stop(stopWindow(left))
--- a/pkg/drain/drain.go
+++ b/pkg/drain/drain.go
@@ -5,10 +5,11 @@
 import "time"
 
 const (
-	// headroomFactor and headroom are added to the longest recent answer: the next one may
-	// take longer than all before.
-	headroomFactor = 1.25
-	headroom       = 100 * time.Millisecond
+	// The longest recent answer is multiplied by headroomFactor, and headroom added: the next
+	// one may take longer than all before. Fewer than manySamples answers tell less.
+	headroomFactor    = 1.25
+	fewHeadroomFactor = 2.0
+	headroom          = 100 * time.Millisecond
 	// earlyShare is the share of the window in which a request may start that is only likely
 	// to end in time. It has twice as long as the node has been stopping.
 	earlyShare = 1.0 / 3
@@ -42,6 +43,9 @@
 	case now.Before(w.Settled) && now.Sub(w.Start) < time.Duration(earlyShare*float64(w.End.Sub(w.Start))):
 		return !e.Known || !now.Add(e.Mean).After(w.End)
 	}
-	longest := time.Duration(headroomFactor*float64(e.Longest)) + headroom
-	return e.Known && !now.Add(longest).After(w.End)
+	factor := headroomFactor
+	if e.Count < manySamples {
+		factor = fewHeadroomFactor
+	}
+	return e.Known && !now.Add(time.Duration(factor*float64(e.Longest))+headroom).After(w.End)
 }
--- a/pkg/drain/drain_test.go
+++ b/pkg/drain/drain_test.go
@@ -24,7 +24,7 @@
 
 func TestAdmits(t *testing.T) {
 	const limit = 15 * time.Second
-	known := func(mean, longest time.Duration) Estimate { return Estimate{mean, longest, true} }
+	known := func(mean, longest time.Duration) Estimate { return Estimate{mean, longest, manySamples, true} }
 	t.Run("a node that is not stopping refuses", func(t *testing.T) {
 		wantAdmits(t, Window{}, time.Hour, limit, Estimate{}, true)
 	})
@@ -44,6 +44,10 @@
 		wantAdmits(t, short, time.Second, limit, Estimate{}, true)
 		wantAdmits(t, short, 2*time.Second, limit, Estimate{}, false)
 	})
+	t.Run("a few answers are trusted like many", func(t *testing.T) {
+		wantAdmits(t, window, 3*time.Second, limit, Estimate{time.Second, 2500 * time.Millisecond, manySamples, true}, true)
+		wantAdmits(t, window, 3*time.Second, limit, Estimate{time.Second, 2500 * time.Millisecond, minSamples, true}, false)
+	})
 	t.Run("short requests are refused late", func(t *testing.T) {
 		wantAdmits(t, window, 6*time.Second, limit, known(30*time.Millisecond, 200*time.Millisecond), true)
 		wantAdmits(t, window, 4*time.Second, 2*time.Second, Estimate{}, true)
@@ -75,20 +79,20 @@
 		d := NewDurations()
 		record(d, start, 1, 4*time.Second)
 		record(d, start, 3*minSamples-1, time.Second)
-		want(t, d, at(generation+time.Second), Estimate{1050 * time.Millisecond, 4 * time.Second, true})
+		want(t, d, at(generation+time.Second), Estimate{1050 * time.Millisecond, 4 * time.Second, 3 * minSamples, true})
 	})
 	t.Run("old answers count for good", func(t *testing.T) {
 		d := NewDurations()
 		record(d, start, minSamples, 4*time.Second)
 		record(d, at(generation), minSamples, time.Second)
-		want(t, d, at(2*generation), Estimate{time.Second, time.Second, true})
+		want(t, d, at(2*generation), Estimate{time.Second, time.Second, minSamples, true})
 		want(t, d, at(5*generation), Estimate{})
 	})
 	t.Run("an answer that never ends is not noticed", func(t *testing.T) {
 		d := NewDurations()
 		record(d, start, minSamples, time.Second)
 		d.RecordUnfinished(start, chat, 3*time.Second)
-		want(t, d, start, Estimate{time.Second, 3 * time.Second, true})
+		want(t, d, start, Estimate{time.Second, 3 * time.Second, minSamples, true})
 	})
 	t.Run("a slow route counts for the others", func(t *testing.T) {
 		d := NewDurations()
--- a/pkg/drain/durations.go
+++ b/pkg/drain/durations.go
@@ -6,9 +6,10 @@
 	// generation is the time after which the present durations become the earlier ones, and
 	// those before are forgotten.
 	generation = 30 * time.Second
-	// minSamples is the number of answers from which the longest is expected to tell what
-	// the next one takes at most.
-	minSamples = 20
+	// minSamples is the number of answers from which the longest tells something of the next
+	// one, and manySamples that from which the next one is hardly ever much longer.
+	minSamples  = 20
+	manySamples = 200
 )
 
 // Kind names the requests whose answers take a similar time.
@@ -24,6 +25,8 @@
 // Estimate is what the recent answers to requests of a kind took.
 type Estimate struct {
 	Mean, Longest time.Duration
+	// Count is the number of answers that this rests on.
+	Count int
 	// Known is false if there were too few answers to tell.
 	Known bool
 }
@@ -93,7 +96,7 @@
 	if count < minSamples {
 		return Estimate{}
 	}
-	return Estimate{Mean: (a.total + b.total) / time.Duration(count), Longest: max(a.longest, b.longest), Known: true}
+	return Estimate{Mean: (a.total + b.total) / time.Duration(count), Longest: max(a.longest, b.longest), Count: count, Known: true}
 }
 
 // advance starts a new generation when the present one is over.
