Reject statuses that no upstream can have sent

Cause: a voter passed on whatever could be read. An id in the path that is not UTF-8 went into the list of statuses, which is one CBOR message: no voter and no entry node could decode it ('cbor: invalid UTF-8 string'), so all runners in it were lost to them for as long as the odd one reported, and new entry nodes got no list at all. A service of 5 MB made the list larger than a frame (5243074 bytes), with the same effect. A start time or a sequence number near 2^63 or 2^64 outdated every later report under that id or at that address, and overflowed int64. Ruled out: deep nesting. encoding/json ends at 10000 levels with an error, and CBOR at 16; neither ended a process. Change: roster.Check bounds the text and the numbers of a status; voters refuse (400) and every roster ignores what fails it, also from the links. Conclusion: one odd entry no longer reaches the nodes that read the list.

--- a/internal/control/relay.go
+++ b/internal/control/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
@@ -147,6 +148,9 @@
 func (c *Control) HandleStatus(ctx context.Context, now time.Time, s wire.Status) error {
 	old, _ := c.roster.Get(s.ID)
 	change := c.roster.Apply(now, s)
+	if change == roster.Rejected {
+		return fmt.Errorf("%w: no upstream in use can have sent the status", ErrInvalid)
+	}
 	if change != roster.Outdated {
 		c.relay.add(now, old.Status, s, change)
 	}
--- a/internal/gateway/upstreams.go
+++ b/internal/gateway/upstreams.go
@@ -105,6 +105,9 @@
 func (s *upstreamSet) applyStatus(now time.Time, status wire.Status, change roster.Change) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if change == roster.Rejected {
+		return
+	}
 	s.lastStatus = now
 	if change == roster.Outdated {
 		return
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -15,6 +15,10 @@
 // add the upstream again. Reports arrive at most some seconds late.
 const retention = 60 * time.Second
 
+// maxClockDifference is how far the clock of an upstream's VM may be ahead. A start time
+// beyond it is an error: it would outdate the reports of the upstreams that follow.
+const maxClockDifference = 24 * time.Hour
+
 // Change is the change that a status makes to the roster.
 type Change int
 
@@ -30,6 +34,8 @@
 	// Left is the status in which an incarnation is first reported as leaving, or as
 	// gone without having been reported as leaving.
 	Left
+	// Rejected is a status that no upstream can have sent. It is ignored.
+	Rejected
 )
 
 // Entry is the newest status of an upstream.
@@ -57,6 +63,9 @@
 // an incarnation only a higher sequence number counts, except that Gone applies with
 // any; Leaving and Gone are never unset.
 func (r *Roster) Apply(now time.Time, s wire.Status) Change {
+	if Check(s) != nil || s.Born > uint64(max(0, now.Add(maxClockDifference).UnixMilli())) {
+		return Rejected
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.sweep(now)
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -1,6 +1,8 @@
 package roster
 
 import (
+	"math"
+	"strings"
 	"testing"
 	"time"
 
@@ -58,3 +60,32 @@
 		t.Error("the earlier upstream at the address is not gone")
 	}
 }
+
+// Guards against a status that its receivers cannot decode, or whose numbers overflow or
+// outdate every later one.
+func TestImpossibleStatusIsRejected(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	for name, edit := range map[string]func(s *wire.Status){
+		"no id":                     func(s *wire.Status) { s.ID = "" },
+		"id with a line break":      func(s *wire.Status) { s.ID = "a\nb" },
+		"id that is not UTF-8":      func(s *wire.Status) { s.ID = "\xff" },
+		"long id":                   func(s *wire.Status) { s.ID = strings.Repeat("i", MaxTextBytes+1) },
+		"service that is not UTF-8": func(s *wire.Status) { s.Service = "\xff" },
+		"long domain":               func(s *wire.Status) { s.Domain = strings.Repeat("d", MaxTextBytes+1) },
+		"start time in the future":  func(s *wire.Status) { s.Born = uint64(now.Add(maxClockDifference).UnixMilli()) + 1 },
+		"largest start time":        func(s *wire.Status) { s.Born = math.MaxUint64 },
+		"largest sequence":          func(s *wire.Status) { s.Sequence = math.MaxUint64 },
+		"largest slots":             func(s *wire.Status) { s.Slots = math.MaxUint64 },
+		"largest cold time":         func(s *wire.Status) { s.Cold = math.MaxUint64 },
+		"largest time to leave":     func(s *wire.Status) { s.Leaves = math.MaxUint64 },
+	} {
+		for _, gone := range []bool{false, true} {
+			r, s := New(), status("a", "x", 1, 1)
+			s.Gone = gone
+			edit(&s)
+			if got := r.Apply(now, s); got != Rejected || len(r.List()) != 0 {
+				t.Errorf("%s: got %v and %d entries, want the status rejected", name, got, len(r.List()))
+			}
+		}
+	}
+}
