Let no status of an unknown service displace a runner

Cause: PROTOCOL.md says that an entry for a service that is not named in the configuration names no runner. Such a report with the address of a sound runner and the same or a later start time marked the sound runner as gone; one with its id replaced its entry, and one that said 'draining' recorded a replicated drain of it. The sound runner got no further request. Change: a roster asks whether a service is in the traffic plan. Before the first plan every service counts as known. Reports of services that the plan does not name yet are kept, so that their runners are in use as soon as the plan arrives. Conclusion: a runner that restarts for a service that is not configured yet is refused until the plan names it or its earlier start has been silent.

--- a/internal/config/view.go
+++ b/internal/config/view.go
@@ -122,6 +122,16 @@
 	planEntryVersion uint64 // version of the entry that Plan was decoded from
 }
 
+// PlanHasService reports whether a service is in the traffic plan. Before the first plan,
+// every service may be.
+func (v *View) PlanHasService(name string) bool {
+	if v.Plan == nil {
+		return true
+	}
+	_, ok := v.Plan.Service(name)
+	return ok
+}
+
 // Items encodes a site configuration as entries of the key space.
 func Items(site Site) ([]wire.Item, error) {
 	var items []wire.Item
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -87,6 +87,10 @@
 	c := &Control{Self: self, State: state, Links: links, Log: log, roster: roster.New(), ledger: newLedger(), bootTime: boottime.Now}
 	c.usageReporter.c, c.mover.c, c.scaler.c, c.parts.c = c, c, c, c
 	c.relay.synced = make(map[string]uint64)
+	c.roster.Configured = func(now time.Time, service string) bool {
+		view, _ := state.View(now)
+		return view.PlanHasService(service)
+	}
 	return c
 }
 
--- a/internal/gateway/upstreams.go
+++ b/internal/gateway/upstreams.go
@@ -62,8 +62,13 @@
 }
 
 func newUpstreamSet(g *Gateway) *upstreamSet {
+	list := roster.New()
+	list.Configured = func(now time.Time, service string) bool {
+		view, _ := g.State.View(now)
+		return view.PlanHasService(service)
+	}
 	return &upstreamSet{
-		g: g, roster: roster.New(), byID: make(map[string]*upstreamEntry), byAddress: make(map[string]*upstreamEntry),
+		g: g, roster: list, byID: make(map[string]*upstreamEntry), byAddress: make(map[string]*upstreamEntry),
 		candidateLists: make(map[candidateKey]*candidateList), retryBudgets: make(map[string]*traffic.RetryBudget),
 		capacityFreed: make(chan struct{}), limits: pace.New(g.Self),
 	}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -34,7 +34,8 @@
 	// Left is the status in which an incarnation is first reported as leaving, or as
 	// gone without having been reported as leaving.
 	Left
-	// Rejected is a status that no upstream can have sent. It is ignored.
+	// Rejected is a status that no upstream can have sent, or one for a service that is not
+	// configured and whose ID or address belongs to an upstream in use. It is ignored.
 	Rejected
 )
 
@@ -47,6 +48,11 @@
 
 // Roster holds the newest status of each upstream. It is safe for concurrent use.
 type Roster struct {
+	// Configured reports whether a service is configured; nil means that every service is.
+	// A status of another service never replaces the one of a configured service with the
+	// same ID or the same address. Set it before the first Apply.
+	Configured func(now time.Time, service string) bool
+
 	mu          sync.Mutex
 	entries     map[string]Entry
 	idByAddress map[string]string
@@ -71,20 +77,23 @@
 	r.sweep(now)
 	s.Leaving = s.Leaving || s.Gone
 	old, known := r.entries[s.ID]
+	holder, taken := r.holder(s)
+	if r.conflicts(now, s, old) || taken && r.conflicts(now, s, holder) {
+		return Rejected
+	}
 	sameIncarnation := known && old.Born == s.Born
+	binding := known && (s.Gone || r.outdates(now, old, s))
 	switch {
-	case known && s.Born < old.Born:
+	case binding && s.Born < old.Born:
+		return Outdated
+	case binding && sameIncarnation && old.Gone, binding && sameIncarnation && !s.Gone && s.Sequence <= old.Sequence:
 		return Outdated
-	case sameIncarnation && old.Gone, sameIncarnation && !s.Gone && s.Sequence <= old.Sequence:
+	case taken && holder.Born > s.Born && !holder.Gone && r.outdates(now, holder, s):
 		return Outdated
 	}
-	if holderID, taken := r.idByAddress[s.Address]; taken && holderID != s.ID && !s.Gone {
-		if holder := r.entries[holderID]; holder.Born > s.Born && !holder.Gone {
-			return Outdated
-		}
-		holder := r.entries[holderID]
+	if taken && !holder.Gone {
 		holder.Gone, holder.Leaving = true, true
-		r.entries[holderID] = holder
+		r.entries[holder.ID] = holder
 	}
 	if sameIncarnation && (old.Leaving || s.Gone) {
 		s.Leaving = true
@@ -108,6 +117,32 @@
 	}
 }
 
+// holder returns the entry of another upstream that holds the address of a status. A
+// status that reports the end of an upstream claims no address.
+func (r *Roster) holder(s wire.Status) (Entry, bool) {
+	id, taken := r.idByAddress[s.Address]
+	if !taken || id == s.ID || s.Gone {
+		return Entry{}, false
+	}
+	return r.entries[id], true
+}
+
+func (r *Roster) configured(now time.Time, service string) bool {
+	return r.Configured == nil || r.Configured(now, service)
+}
+
+// conflicts reports whether a status is for a service that is not configured, although
+// the upstream of an entry with its ID or address is in use for one that is.
+func (r *Roster) conflicts(now time.Time, s wire.Status, e Entry) bool {
+	return e.ID != "" && !s.Gone && !e.Gone && !r.configured(now, s.Service) && r.configured(now, e.Service)
+}
+
+// outdates reports whether an entry may outdate a status that does not report the end of
+// an upstream.
+func (r *Roster) outdates(now time.Time, e Entry, s wire.Status) bool {
+	return e.Gone || r.configured(now, e.Service) || !r.configured(now, s.Service)
+}
+
 // sweep removes the entries that are older than retention, at most once a second.
 func (r *Roster) sweep(now time.Time) {
 	if now.Sub(r.lastSweep) < time.Second {
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -89,3 +89,32 @@
 		}
 	}
 }
+
+// Guards against a status for a service that is not configured and takes an upstream of a
+// configured one out of use.
+func TestStatusOfUnknownServiceReplacesNoOther(t *testing.T) {
+	of := func(service string, s wire.Status) wire.Status { s.Service = service; return s }
+	for _, c := range []struct {
+		name  string
+		given []wire.Status
+		want  []Change
+	}{
+		{"same address", []wire.Status{of("s", status("a", "x", 1, 1)), of("odd", status("b", "x", 2, 1)), of("s", status("a", "x", 1, 2))}, []Change{Joined, Rejected, Refreshed}},
+		{"same id", []wire.Status{of("s", status("a", "x", 1, 1)), of("odd", status("a", "y", 2, 9)), of("s", status("a", "x", 1, 2))}, []Change{Joined, Rejected, Refreshed}},
+		{"leaving under the same id", []wire.Status{of("s", status("a", "x", 1, 1)), of("odd", leaving(status("a", "x", 1, 9))), of("s", status("a", "x", 1, 2))}, []Change{Joined, Rejected, Refreshed}},
+		{"unknown service first, at the address", []wire.Status{of("odd", status("b", "x", 2, 1)), of("s", status("a", "x", 1, 1))}, []Change{Joined, Joined}},
+		{"unknown service first, same id", []wire.Status{of("odd", status("a", "x", 2, 9)), of("s", status("a", "x", 1, 1))}, []Change{Joined, Joined}},
+		{"after the end of the upstream", []wire.Status{of("s", status("a", "x", 1, 1)), gone(status("a", "", 1, 2)), of("odd", status("b", "x", 2, 1))}, []Change{Joined, Left, Joined}},
+		{"end of the upstream", []wire.Status{of("s", status("a", "x", 1, 1)), gone(status("a", "", 1, 2))}, []Change{Joined, Left}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := New()
+			r.Configured = func(_ time.Time, service string) bool { return service == "s" }
+			for i, s := range c.given {
+				if got := r.Apply(time.Unix(100, 0), s); got != c.want[i] {
+					t.Errorf("status %d: got %v, want %v", i, got, c.want[i])
+				}
+			}
+		})
+	}
+}
