Let a silent entry outdate no other status

Cause: an entry with a start time or a sequence number that was too high, but possible, outdated every report under its id or at its address until it was swept after 60 s. A runner that was displaced that way counted as gone for as long. Change: an entry that has not been refreshed for 10 s outdates no status, unless its upstream has itself reported its end. Reports arrive some seconds late at most (PROTOCOL.md), so a late one still changes nothing. Leaving is still never unset; a displaced upstream joins again. Conclusion: such an entry costs its runner 10 s instead of 60.

--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -15,6 +15,11 @@
 // add the upstream again. Reports arrive at most some seconds late.
 const retention = 60 * time.Second
 
+// staleAfter is the time without a status after which an entry outdates no other status.
+// A start time or a sequence number that was too high must not hide the sound reports that
+// follow. It is longer than a report may be late.
+const staleAfter = 10 * time.Second
+
 // maxClockDifference is how far the clock of an upstream's VM may be ahead. A start time
 // beyond it is an error: it would outdate the reports of the upstreams that follow.
 const maxClockDifference = 24 * time.Hour
@@ -44,6 +49,9 @@
 	wire.Status
 	// LastSeen is when the status arrived.
 	LastSeen time.Time
+	// displaced is true when the upstream counts as gone only because another one took
+	// over its address.
+	displaced bool
 }
 
 // Roster holds the newest status of each upstream. It is safe for concurrent use.
@@ -92,9 +100,11 @@
 		return Outdated
 	}
 	if taken && !holder.Gone {
-		holder.Gone, holder.Leaving = true, true
+		holder.Gone, holder.Leaving, holder.displaced = true, true, true
 		r.entries[holder.ID] = holder
 	}
+	// An upstream that was displaced by mistake joins again.
+	sameIncarnation = sameIncarnation && !old.displaced
 	if sameIncarnation && (old.Leaving || s.Gone) {
 		s.Leaving = true
 	}
@@ -134,13 +144,16 @@
 // conflicts reports whether a status is for a service that is not configured, although
 // the upstream of an entry with its ID or address is in use for one that is.
 func (r *Roster) conflicts(now time.Time, s wire.Status, e Entry) bool {
-	return e.ID != "" && !s.Gone && !e.Gone && !r.configured(now, s.Service) && r.configured(now, e.Service)
+	return e.ID != "" && !s.Gone && !e.Gone && now.Sub(e.LastSeen) <= staleAfter && !r.configured(now, s.Service) && r.configured(now, e.Service)
 }
 
 // outdates reports whether an entry may outdate a status that does not report the end of
 // an upstream.
 func (r *Roster) outdates(now time.Time, e Entry, s wire.Status) bool {
-	return e.Gone || r.configured(now, e.Service) || !r.configured(now, s.Service)
+	if e.Gone && !e.displaced {
+		return true
+	}
+	return now.Sub(e.LastSeen) <= staleAfter && (r.configured(now, e.Service) || !r.configured(now, s.Service))
 }
 
 // sweep removes the entries that are older than retention, at most once a second.
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -118,3 +118,58 @@
 		})
 	}
 }
+
+// Guards against a start time or a sequence number that was too high and hides every later
+// report of the upstream or of its address, and against late reports that pass as such.
+func TestStaleEntryHidesNoReports(t *testing.T) {
+	start := time.Unix(1_000_000, 0)
+	for _, c := range []struct {
+		name  string
+		first wire.Status
+		then  wire.Status
+		after time.Duration
+		want  Change
+	}{
+		{"sequence, at once", status("a", "x", 5, 900), status("a", "x", 5, 2), time.Second, Outdated},
+		{"sequence, later", status("a", "x", 5, 900), status("a", "x", 5, 2), staleAfter + time.Second, Refreshed},
+		{"start, at once", status("a", "x", 900, 1), status("a", "x", 5, 2), time.Second, Outdated},
+		{"start, later", status("a", "x", 900, 1), status("a", "x", 5, 2), staleAfter + time.Second, Joined},
+		{"start at the address, at once", status("b", "x", 900, 1), status("a", "x", 5, 2), time.Second, Outdated},
+		{"start at the address, later", status("b", "x", 900, 1), status("a", "x", 5, 2), staleAfter + time.Second, Joined},
+		{"ended upstream, later", gone(status("a", "x", 5, 900)), status("a", "x", 5, 2), staleAfter + time.Second, Outdated},
+		{"earlier start of an ended upstream, later", gone(status("a", "x", 900, 1)), status("a", "x", 5, 2), staleAfter + time.Second, Outdated},
+		{"leaving upstream, later", leaving(status("a", "x", 5, 900)), status("a", "x", 5, 2), staleAfter + time.Second, Refreshed},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := New()
+			r.Apply(start, c.first)
+			if got := r.Apply(start.Add(c.after), c.then); got != c.want {
+				t.Errorf("got %v, want %v", got, c.want)
+			}
+			want := c.first.Leaving || c.first.Gone
+			if e, _ := r.Get("a"); e.ID != "" && e.Leaving != want {
+				t.Errorf("leaving: got %v, want %v", e.Leaving, want)
+			}
+		})
+	}
+}
+
+// Guards against an upstream that stays displaced although the one that took over its
+// address has fallen silent.
+func TestDisplacedUpstreamReturns(t *testing.T) {
+	r, start := New(), time.Unix(1_000_000, 0)
+	r.Apply(start, status("a", "x", 5, 1))
+	r.Apply(start, status("b", "x", 900, 1))
+	for i, want := range []Change{Outdated, Joined, Refreshed} {
+		now := start.Add(time.Duration(i) * (staleAfter + time.Second))
+		if got := r.Apply(now, status("a", "x", 5, uint64(2+i))); got != want {
+			t.Errorf("report %d: got %v, want %v", i, got, want)
+		}
+	}
+	if e, _ := r.Get("a"); e.Gone || e.Leaving {
+		t.Errorf("got %+v, want the upstream in use", e)
+	}
+	if e, _ := r.Get("b"); !e.Gone {
+		t.Errorf("got %+v, want the silent upstream displaced", e)
+	}
+}
