Keep a runner when another id names its address and start

Cause: an entry with the address and the start time of a sound runner under another id displaced it: a tie counted as a later start. Two processes at one address cannot have started in the same millisecond. Change: an upstream keeps its address unless another one started later. Without start times (zero) the later report still wins, as before. Before: the new case of TestApplyIgnoresOutdatedStatuses got Joined, Joined, Outdated; it now gets Joined, Outdated, Refreshed. Result: go test ./internal/roster ./platform ./internal/control ./internal/gateway passes. Conclusion: a copied entry under another id changes nothing.

--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -96,7 +96,7 @@
 		return Outdated
 	case binding && sameIncarnation && old.Gone, binding && sameIncarnation && !s.Gone && s.Sequence <= old.Sequence:
 		return Outdated
-	case taken && holder.Born > s.Born && !holder.Gone && r.outdates(now, holder, s):
+	case taken && !startsAfter(s, holder) && !holder.Gone && r.outdates(now, holder, s):
 		return Outdated
 	}
 	if taken && !holder.Gone {
@@ -127,6 +127,10 @@
 	}
 }
 
+// startsAfter reports whether a status is of a later start than an entry, as far as they
+// name start times.
+func startsAfter(s wire.Status, e Entry) bool { return s.Born > e.Born || s.Born == 0 && e.Born == 0 }
+
 // holder returns the entry of another upstream that holds the address of a status. A
 // status that reports the end of an upstream claims no address.
 func (r *Roster) holder(s wire.Status) (Entry, bool) {
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -28,6 +28,8 @@
 		{"restart under the same ID resets the sequence", []wire.Status{status("a", "x", 1, 9), status("a", "x", 2, 1)}, []Change{Joined, Joined}},
 		{"report of an earlier incarnation", []wire.Status{status("a", "x", 2, 1), status("a", "x", 1, 9)}, []Change{Joined, Outdated}},
 		{"report of an upstream whose address was taken over", []wire.Status{status("a", "x", 1, 1), status("b", "x", 2, 1), status("a", "x", 1, 2)}, []Change{Joined, Joined, Outdated}},
+		{"another ID with the same start time at the address", []wire.Status{status("a", "x", 1, 1), status("b", "x", 1, 1), status("a", "x", 1, 2)}, []Change{Joined, Outdated, Refreshed}},
+		{"another ID at the address, without start times", []wire.Status{status("a", "x", 0, 1), status("b", "x", 0, 1), status("a", "x", 0, 2)}, []Change{Joined, Joined, Outdated}},
 		{"report after leaving", []wire.Status{leaving(status("a", "x", 1, 2)), status("a", "x", 1, 3)}, []Change{Left, Refreshed}},
 		{"first report says that the upstream is gone", []wire.Status{gone(status("a", "x", 1, 1))}, []Change{Left}},
 		{"report after the upstream is gone", []wire.Status{status("a", "x", 1, 2), gone(status("a", "", 1, 0)), status("a", "x", 1, 3)}, []Change{Joined, Left, Outdated}},
