--- a/internal/upstream/announce_test.go
+++ b/internal/upstream/announce_test.go
@@ -65,6 +65,41 @@
 	}
 }
 
+// Guards against an announcement of another writer that outdates every later one of the
+// upstream, whose numbers overflow, or that no node can connect to.
+func TestImpossibleAnnouncementIsRefused(t *testing.T) {
+	replace := func(old, replacement string) string {
+		return strings.Replace(validAnnouncement, old, replacement, 1)
+	}
+	for name, body := range map[string]string{
+		"incarnation beyond int64":  replace(`"incarnation":1`, `"incarnation":9223372036854775808`),
+		"largest incarnation":       replace(`"incarnation":1`, `"incarnation":18446744073709551615`),
+		"incarnation beyond uint64": replace(`"incarnation":1`, `"incarnation":18446744073709551616`),
+		"fractional incarnation":    replace(`"incarnation":1`, `"incarnation":1.5`),
+		"largest sequence":          replace(`"sequence":1`, `"sequence":18446744073709551615`),
+		"largest limit":             replace(`"load":{}`, `"load":{},"limit":18446744073709551615`),
+		"largest load":              replace(`"load":{}`, `"load":{"running":18446744073709551615}`),
+		"price":                     replace(`"load":{}`, `"load":{},"price":1e300`),
+		"price beyond float64":      replace(`"load":{}`, `"load":{},"price":1e400`),
+		"reclaim":                   replace(`"load":{}`, `"load":{},"reclaim":1e300`),
+		"port 0":                    replace("10.0.0.7:8000", "10.0.0.7:0"),
+		"port 65536":                replace("10.0.0.7:8000", "10.0.0.7:65536"),
+		"port 99999999":             replace("10.0.0.7:8000", "10.0.0.7:99999999"),
+		"no port":                   replace("10.0.0.7:8000", "10.0.0.7"),
+		"long domain":               replace(`"domain":"d"`, `"domain":"`+strings.Repeat("d", 60_000)+`"`),
+		"id with a line break":      replace(`"id":"u"`, `"id":"u\r\nx"`),
+		"deep nesting":              replace(`"load":{}`, `"load":`+strings.Repeat("[", 30_000)+strings.Repeat("]", 30_000)),
+		"deep unknown field":        replace(`"load":{}`, `"odd":`+strings.Repeat("[", 20_000)+strings.Repeat("]", 20_000)+`,"load":{}`),
+	} {
+		t.Run(name, func(t *testing.T) {
+			h, accepted := newTestHandler()
+			if got := postAnnouncement(h, "secret", body); got != http.StatusBadRequest || *accepted != 0 {
+				t.Errorf("got status %d and %d accepted, want %d and none", got, *accepted, http.StatusBadRequest)
+			}
+		})
+	}
+}
+
 // FuzzAnnounce guards against announcements that crash the node.
 func FuzzAnnounce(f *testing.F) {
 	f.Add(validAnnouncement)
