Let a voter start while its disk is full

Cause: a voter whose disk refused writes stayed up and tried again, but one that started meanwhile could not open its directory (Recover starts a new segment) and its process ended, again and again, until the disk had room. Change: only what an operator must solve ends the start: a damaged, foreign, copied, locked or newer directory, missing permissions, no directory. Otherwise the node starts with its voter out of service, as after a failed write, and opens the directory when it can. While out of service a voter states no membership: with the empty one of before it would ask to be added under incarnation 0, or start a transfer of a leadership that has ended. Afterwards a change must be acknowledged within 3 s, and 8 s later all members have caught up and nothing acknowledged is lost.

--- a/internal/replica/disk_test.go
+++ b/internal/replica/disk_test.go
@@ -1,11 +1,19 @@
 package replica
 
 import (
+	"context"
+	"errors"
+	"os"
+	"path/filepath"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
 
+	"github.com/sirupsen/logrus"
+
+	"github.com/jaystage/jaystage/internal/config"
+	"github.com/jaystage/jaystage/internal/peer"
 	"github.com/jaystage/jaystage/pkg/wal"
 )
 
@@ -71,3 +79,58 @@
 		return <-applied >= version
 	})
 }
+
+// Guards against a process that ends because the disk of its voter is full when it starts,
+// and against one that starts all the same where only an operator can help.
+func TestVoterStartsOnFullDisk(t *testing.T) {
+	c := newCluster(t, "a", "b", "c")
+	full := &atomic.Bool{}
+	c.newFS = func(name string) wal.FS {
+		if name == "c" {
+			return fullDisk{full: full}
+		}
+		return wal.OS{}
+	}
+	c.start("a", "b", "c")
+	c.ready("a", "b", "c")
+	c.change("a", "one", "domain/x", `{"name":"x"}`)
+	c.stop("c")
+	full.Store(true)
+	c.start("c")
+	c.ready("c") // its session needs no disk
+	if step, ok := c.node("c").voter.ownMembership(t.Context()); ok {
+		t.Errorf("got the membership %+v of a voter that has not read its directory", step)
+	}
+	version := c.change("c", "two", "domain/y", `{"name":"y"}`)
+	full.Store(false)
+	eventually(t, "the voter has applied what was committed meanwhile", func() bool {
+		applied := make(chan uint64, 1)
+		m := c.node("c")
+		m.voter.inbox <- request{run: func() { applied <- m.voter.machine.Space.Version }}
+		return <-applied >= version
+	})
+	c.stop("c")
+	path := filepath.Join(c.dir, "c")
+	for _, damage := range []struct {
+		name string
+		do   func() error
+	}{
+		{"damaged identity", func() error { return os.WriteFile(filepath.Join(path, "identity"), []byte("{"), 0o600) }},
+		{"no directory", func() error { return errors.Join(os.RemoveAll(path), os.WriteFile(path, nil, 0o600)) }},
+	} {
+		if err := damage.do(); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := Open(Config{Entry: config.Node{Name: "c"}, Voter: true, DataDir: path, Links: noLinks{}, Log: logrus.New()}); err == nil {
+			t.Errorf("%s: got no error", damage.name)
+		}
+	}
+}
+
+// noLinks reaches no other node.
+type noLinks struct{}
+
+func (noLinks) Handle(string, peer.Handler)                          {}
+func (noLinks) Send(string, string, any) error                       { return peer.ErrUnreachable }
+func (noLinks) Call(context.Context, string, string, any, any) error { return peer.ErrUnreachable }
+func (noLinks) CloseIfSilent(string)                                 {}
--- /dev/null
+++ b/internal/replica/fulldisk_sim_test.go
@@ -0,0 +1,576 @@
+package replica
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"io/fs"
+	"maps"
+	"math/rand/v2"
+	"path/filepath"
+	"slices"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/jaystage/jaystage/internal/config"
+	"github.com/jaystage/jaystage/internal/peer"
+	"github.com/jaystage/jaystage/pkg/raft"
+	"github.com/jaystage/jaystage/pkg/wal"
+	"github.com/jaystage/jaystage/pkg/wire"
+)
+
+var (
+	fullDiskSeeds = flag.Int("fulldisk.seeds", 2, "number of schedules of full disks to simulate")
+	fullDiskFirst = flag.Uint64("fulldisk.first", 1, "first seed")
+)
+
+// simFile is a file of a simDisk. A loss of power removes the data after the synced bytes.
+type simFile struct {
+	id     int
+	data   []byte
+	synced int
+}
+
+// simDisk is an in-memory file system that refuses writes while it is full. Directory
+// changes are durable at once.
+type simDisk struct {
+	rng    *rand.Rand
+	files  map[string]*simFile
+	lastID int
+	full   bool
+}
+
+// refuse returns ENOSPC with a probability while the disk is full.
+func (d *simDisk) refuse(share float64) error {
+	if d.full && d.rng.Float64() < share {
+		return syscall.ENOSPC
+	}
+	return nil
+}
+
+// losePower removes random parts of what was not synced.
+func (d *simDisk) losePower() {
+	for _, name := range slices.Sorted(maps.Keys(d.files)) {
+		f := d.files[name]
+		f.data = f.data[:f.synced+d.rng.IntN(len(f.data)-f.synced+1)]
+		f.synced = len(f.data)
+	}
+}
+
+func (d *simDisk) MkdirAll(string) error { return d.refuse(0.1) }
+
+func (d *simDisk) ReadDir(string) (names []string, err error) {
+	for name := range d.files {
+		names = append(names, filepath.Base(name))
+	}
+	slices.Sort(names)
+	return names, nil
+}
+
+func (d *simDisk) ReadFile(name string) ([]byte, error) {
+	f, ok := d.files[name]
+	if !ok {
+		return nil, fs.ErrNotExist
+	}
+	return bytes.Clone(f.data), nil
+}
+
+func (d *simDisk) Create(name string) (wal.File, error) {
+	if d.files[name] != nil {
+		return nil, fs.ErrExist
+	}
+	if err := d.refuse(0.5); err != nil {
+		return nil, err
+	}
+	d.lastID++
+	f := &simFile{id: d.lastID}
+	d.files[name] = f
+	return &openFile{d, f}, nil
+}
+
+func (d *simDisk) Truncate(name string, size int64) error {
+	if err := d.refuse(0.2); err != nil {
+		return err
+	}
+	f := d.files[name]
+	f.data = f.data[:size]
+	f.synced = min(f.synced, int(size))
+	return nil
+}
+
+func (d *simDisk) Rename(from, to string) error {
+	if err := d.refuse(0.4); err != nil {
+		return err
+	}
+	d.files[to] = d.files[from]
+	delete(d.files, from)
+	return nil
+}
+
+func (d *simDisk) Remove(name string) error {
+	if d.files[name] == nil {
+		return fs.ErrNotExist
+	}
+	if err := d.refuse(0.1); err != nil {
+		return err
+	}
+	delete(d.files, name)
+	return nil
+}
+
+func (d *simDisk) SyncDir(string) error { return d.refuse(0.2) }
+
+func (d *simDisk) SyncFile(name string) error {
+	return (&openFile{d, d.files[name]}).Sync()
+}
+
+func (d *simDisk) Lock(string) (io.Closer, error) { return io.NopCloser(nil), d.refuse(0.1) }
+
+func (d *simDisk) FileID(name string) (string, error) { return fmt.Sprint(d.files[name].id), nil }
+
+type openFile struct {
+	disk *simDisk
+	file *simFile
+}
+
+// Write stores a part of the data on a full disk, as the kernel does.
+func (f *openFile) Write(b []byte) (int, error) {
+	n, err := len(b), error(nil)
+	if f.disk.full && f.disk.rng.IntN(10) > 0 { // small writes may still fit into the last block
+		n, err = f.disk.rng.IntN(len(b)), syscall.ENOSPC
+	}
+	f.file.data = append(f.file.data, b[:n]...)
+	return n, err
+}
+
+func (f *openFile) Sync() error {
+	if err := f.disk.refuse(0.3); err != nil {
+		return err
+	}
+	f.file.synced = len(f.file.data)
+	return nil
+}
+
+func (f *openFile) Close() error { return nil }
+
+// simMessage is a Raft message on its way.
+type simMessage struct {
+	due     time.Time
+	message raft.Message
+}
+
+// simVoter is a process with a voter.
+type simVoter struct {
+	name     string
+	disk     *simDisk
+	joinOnly bool
+
+	r *Replica // nil while the process is down
+	v *voter
+	// serving is true while the voter's loop would run; otherwise it tries to open the
+	// directory at reopenAt.
+	serving  bool
+	reopenAt time.Time
+	batch    []job // being stored until storedAt
+	storedAt time.Time
+
+	lastHeard, nextJoin time.Time
+	restartAt           time.Time // of a process that ended by itself
+	exits               []error
+}
+
+// simChange is a change that a client repeats until it is acknowledged.
+type simChange struct {
+	id, key string
+	answer  chan result
+	sentAt  time.Time
+	asked   time.Time // when the client sent it first
+	acked   time.Time
+}
+
+// sim runs the real voters on simulated disks, links and clocks.
+type sim struct {
+	t       *testing.T
+	seed    uint64
+	rng     *rand.Rand
+	now     time.Time
+	start   time.Time
+	voters  []*simVoter
+	network []simMessage
+	initial []string
+	size    int // Config.GroupSize
+	changes []*simChange
+	unacked []*simChange
+	log     logrus.FieldLogger
+}
+
+// simLinks delivers Raft messages through the simulated network.
+type simLinks struct {
+	s    *sim
+	from string
+}
+
+func (l simLinks) Handle(string, peer.Handler) {}
+func (l simLinks) CloseIfSilent(string)        {}
+
+func (l simLinks) Call(context.Context, string, string, any, any) error { return peer.ErrUnreachable }
+
+func (l simLinks) Send(to, kind string, message any) error {
+	if m, ok := message.(raft.Message); ok && kind == kindRaft {
+		due := l.s.now.Add(time.Duration(1+l.s.rng.IntN(8)) * time.Millisecond)
+		m.To = to
+		l.s.network = append(l.s.network, simMessage{due, m})
+	}
+	return nil
+}
+
+const (
+	simStep      = 10 * time.Millisecond
+	restartDelay = 300 * time.Millisecond
+)
+
+func newSim(t *testing.T, seed uint64, size int, joiner bool) *sim {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	s := &sim{t: t, seed: seed, rng: rand.New(rand.NewPCG(seed, 7)), now: time.Unix(1_000_000, 0), size: size, log: log}
+	s.start = s.now
+	for i := range size {
+		s.initial = append(s.initial, string(rune('a'+i)))
+	}
+	names := slices.Clone(s.initial)
+	if joiner {
+		names = append(names, "j")
+	}
+	for _, name := range names {
+		p := &simVoter{name: name, disk: &simDisk{rng: s.rng, files: map[string]*simFile{}}, joinOnly: name == "j"}
+		s.voters = append(s.voters, p)
+		s.startProcess(p)
+	}
+	return s
+}
+
+// startProcess starts a voter's process. One that ends at once is counted.
+func (s *sim) startProcess(p *simVoter) {
+	r, err := Open(Config{
+		Entry: config.Node{Name: p.name, Domain: "d"}, Voter: true, JoinOnly: p.joinOnly, GroupSize: s.size, DataDir: "/data", InitialVoters: s.initial, Seeds: s.initial,
+		Links: simLinks{s, p.name}, Log: s.log, hooks: hooks{
+			fs: p.disk, now: func() time.Time { return s.now }, seed: s.rng.Uint64, random: randomReader{s.rng}, snapshotEach: 40, segmentBytes: 2000,
+		},
+	})
+	if err != nil {
+		s.exited(p, err)
+		return
+	}
+	p.r, p.v, p.batch, p.lastHeard = r, r.voter, nil, s.now
+	p.serving, p.reopenAt = p.v.inService, s.now.Add(reopenInterval)
+}
+
+type randomReader struct{ rng *rand.Rand }
+
+func (r randomReader) Read(b []byte) (int, error) {
+	for i := range b {
+		b[i] = byte(r.rng.Uint32())
+	}
+	return len(b), nil
+}
+
+// kill ends a process, with a loss of power half of the time.
+func (s *sim) kill(p *simVoter) {
+	p.r, p.v, p.serving, p.batch = nil, nil, false, nil
+	if s.rng.IntN(2) == 0 {
+		p.disk.losePower()
+	}
+}
+
+// failed ends the service of a voter after an error of its loop, as voter.serve and
+// voter.run do.
+func (s *sim) failed(p *simVoter, err error) {
+	p.v.stepDown()
+	err = errors.Join(err, p.v.log.Close())
+	p.serving, p.batch, p.reopenAt = false, nil, s.now.Add(reopenInterval)
+	if !errors.Is(err, wal.ErrDurability) {
+		s.exited(p, err)
+	}
+}
+
+// exited records that a process ended by itself.
+func (s *sim) exited(p *simVoter, err error) {
+	p.exits = append(p.exits, fmt.Errorf("at %v: %w", s.now.Sub(s.start), err))
+	p.r, p.v, p.serving, p.restartAt = nil, nil, false, s.now.Add(restartDelay)
+}
+
+// step runs one step of a voter's loop with an input.
+func (s *sim) step(p *simVoter, in raft.Input) {
+	if !p.serving {
+		return
+	}
+	if err := p.v.step(in); err != nil {
+		s.failed(p, err)
+	}
+}
+
+// runVoter does what the goroutines of a process would do in one simStep.
+func (s *sim) runVoter(p *simVoter) {
+	switch {
+	case p.r == nil:
+		if !s.now.Before(p.restartAt) {
+			s.startProcess(p)
+		}
+		return
+	case !p.serving:
+		for len(p.v.inbox) > 0 {
+			q := <-p.v.inbox
+			q.reject(errNotLeader)
+		}
+		if s.now.Before(p.reopenAt) {
+			return
+		}
+		p.reopenAt = s.now.Add(reopenInterval)
+		err := p.v.open()
+		var corrupt *wal.CorruptError
+		p.serving = err == nil
+		if errors.As(err, &corrupt) {
+			s.exited(p, err)
+		}
+		return
+	}
+	if p.batch != nil && !s.now.Before(p.storedAt) {
+		result := p.v.writer.store(p.batch)
+		p.batch = nil
+		if result.err != nil {
+			s.failed(p, result.err)
+			return
+		}
+		p.v.writer.batchDone()
+		s.step(p, raft.Input{Synced: result.number})
+	}
+	for p.serving && len(p.v.inbox) > 0 {
+		var in raft.Input
+		p.v.fillBatch(&in, <-p.v.inbox)
+		s.step(p, in)
+	}
+	s.step(p, raft.Input{})
+	if p.serving && p.batch == nil && len(p.v.writer.batches) > 0 {
+		p.batch, p.storedAt = <-p.v.writer.batches, s.now.Add(time.Duration(s.rng.IntN(12))*time.Millisecond)
+	}
+}
+
+// leader returns the voter that leads, if any.
+func (s *sim) leader() *simVoter {
+	for _, p := range s.voters {
+		if p.serving && p.v.leaderState != nil {
+			return p
+		}
+	}
+	return nil
+}
+
+// join does what Replica.Join and the leader's Replica.onVoters do.
+func (s *sim) join(p *simVoter) {
+	if p.r == nil || s.now.Before(p.nextJoin) {
+		return
+	}
+	p.nextJoin = s.now.Add(joinInterval)
+	own, known := p.v.currentMembership()
+	if own.leaderKnown {
+		p.lastHeard = s.now
+	}
+	step, due := p.r.joinStep(own, s.now.Sub(p.lastHeard))
+	l := s.leader()
+	if !known || !due || l == nil {
+		return
+	}
+	member := raft.Member{Name: step.Name, Incarnation: step.Incarnation}
+	l.v.inbox <- request{read: func(err error) {
+		if err != nil {
+			return
+		}
+		change := raft.Change{Kind: changeKinds[step.Verb], Member: member}
+		isMember := slices.ContainsFunc(l.v.status.Members, func(m raft.Member) bool { return m.Name == step.Name })
+		if unresponsive, found := l.v.unresponsiveVoter(s.now); step.Verb == VerbAdd && !isMember && found {
+			change = raft.Change{Kind: raft.ChangeRemove, Member: unresponsive}
+		}
+		l.v.inbox <- request{change: &change, answer: make(chan result, 1)}
+	}}
+}
+
+// runClients sends a new change from time to time and repeats those without an answer.
+func (s *sim) runClients(newChanges bool) {
+	if newChanges && s.rng.IntN(8) == 0 {
+		s.addChange()
+	}
+	s.unacked = slices.DeleteFunc(s.unacked, func(c *simChange) bool { return !c.acked.IsZero() })
+	for _, c := range s.unacked {
+		select {
+		case res := <-c.answer:
+			if res.err == nil && res.outcome.Changed != nil && len(res.outcome.Changed.Conflict) == 0 {
+				c.acked = s.now
+				continue
+			}
+			c.answer = nil
+		default:
+		}
+		if c.answer != nil && s.now.Sub(c.sentAt) < callTimeout {
+			continue
+		}
+		if l := s.leader(); l != nil {
+			c.answer, c.sentAt = make(chan result, 1), s.now
+			change := wire.Change{ID: c.id, Base: ^uint64(0), Items: []wire.Item{{Key: c.key, Value: []byte(`{"name":"x"}`)}}}
+			l.v.inbox <- request{command: &wire.Command{Change: &change}, answer: c.answer}
+		}
+	}
+}
+
+func (s *sim) addChange() *simChange {
+	id := fmt.Sprint("c", len(s.changes))
+	c := &simChange{id: id, key: "domain/" + id, asked: s.now}
+	s.changes, s.unacked = append(s.changes, c), append(s.unacked, c)
+	return c
+}
+
+// run simulates a time.
+func (s *sim) run(d time.Duration, newChanges bool) {
+	for end := s.now.Add(d); s.now.Before(end); {
+		s.now = s.now.Add(simStep)
+		var due []simMessage
+		s.network = slices.DeleteFunc(s.network, func(m simMessage) bool {
+			if m.due.After(s.now) {
+				return false
+			}
+			due = append(due, m)
+			return true
+		})
+		for _, m := range due {
+			for _, p := range s.voters {
+				if p.name == m.message.To {
+					s.step(p, raft.Input{Message: &m.message})
+				}
+			}
+		}
+		for _, p := range s.voters {
+			s.runVoter(p)
+			s.join(p)
+		}
+		s.runClients(newChanges)
+	}
+}
+
+// disturb lets another event happen while a disk may be full.
+func (s *sim) disturb(full *simVoter) {
+	l := s.leader()
+	switch s.rng.IntN(6) {
+	case 0: // the voter with the full disk restarts
+		if full.disk.full {
+			s.kill(full)
+		}
+	case 1: // the leader changes
+		if l != nil {
+			l.v.startTransfer()
+		}
+	case 2: // a short restart of another voter, where the group bears both
+		if p := s.voters[s.rng.IntN(len(s.voters))]; p != full && s.size >= 5 {
+			s.kill(p)
+		}
+	}
+}
+
+// fillDisks fills the disks one after another, each for some seconds.
+func (s *sim) fillDisks() {
+	for range 2 + s.rng.IntN(2) {
+		order := s.rng.Perm(len(s.voters))
+		if s.rng.IntN(3) == 0 { // always the disk of the leader
+			order = slices.Repeat([]int{-1}, len(s.voters))
+		}
+		for _, i := range order {
+			p := s.leader()
+			if i >= 0 || p == nil {
+				p = s.voters[max(0, i)]
+			}
+			p.disk.full = true
+			for end := s.now.Add(time.Duration(200+s.rng.IntN(5000)) * time.Millisecond); s.now.Before(end); {
+				s.run(time.Duration(100+s.rng.IntN(1000))*time.Millisecond, true)
+				s.disturb(p)
+			}
+			p.disk.full = false
+			if s.rng.IntN(2) == 0 {
+				s.run(time.Duration(s.rng.IntN(3000))*time.Millisecond, true)
+			}
+		}
+	}
+}
+
+// check compares the voters with what was acknowledged.
+func (s *sim) check() {
+	t := s.t
+	for _, p := range s.voters {
+		if len(p.exits) > 0 {
+			t.Errorf("seed %d: the process of %s ended %d times, first %v", s.seed, p.name, len(p.exits), p.exits[0])
+		}
+	}
+	l := s.leader()
+	if l == nil {
+		t.Fatalf("seed %d: no voter leads", s.seed)
+	}
+	// A voter that joined stays beyond the size of the group until one is unresponsive.
+	if got := l.v.status.Members; len(got) < s.size || slices.ContainsFunc(got, func(m raft.Member) bool { return m.Learner }) {
+		t.Errorf("seed %d: got the members %v, want %d voters or more", s.seed, got, s.size)
+	}
+	lost := 0
+	for _, c := range s.changes {
+		if c.acked.IsZero() {
+			t.Errorf("seed %d: change %s of %v is not acknowledged", s.seed, c.id, c.asked.Sub(s.start))
+		} else if _, ok := l.v.machine.Space.Items[c.key]; !ok {
+			lost++
+		}
+	}
+	if lost > 0 {
+		t.Errorf("seed %d: got %d acknowledged changes lost of %d", s.seed, lost, len(s.changes))
+	}
+	for _, p := range s.voters {
+		isMember := slices.ContainsFunc(l.v.status.Members, func(m raft.Member) bool { return m.Name == p.name })
+		if isMember && (!p.serving || p.v.machine.Space.Version != l.v.machine.Space.Version) {
+			t.Errorf("seed %d: voter %s has not caught up", s.seed, p.name)
+		}
+	}
+}
+
+// Load pattern: the disks of all voters are full for some seconds each, one after another
+// and never two at once, while changes come, leaders change, processes restart, a voter
+// joins and snapshots are taken. Guards against changes that are refused or unanswered
+// after the last disk has room again, against a voter that never catches up, against
+// processes that end, and against the loss of an acknowledged change.
+func TestDisksFullInTurn(t *testing.T) {
+	const ackTime, catchUpTime = 3 * time.Second, 8 * time.Second
+	for _, c := range []struct {
+		name   string
+		size   int
+		joiner bool
+	}{{"three voters", 3, false}, {"five voters", 5, false}, {"five voters and one that joins", 5, true}} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			var slowest time.Duration
+			count := 0
+			for i := range *fullDiskSeeds {
+				s := newSim(t, *fullDiskFirst+uint64(i), c.size, c.joiner)
+				s.run(3*time.Second, true)
+				s.fillDisks()
+				last := s.addChange()
+				s.run(ackTime, false)
+				if last.acked.IsZero() {
+					t.Errorf("seed %d: a change is not acknowledged %v after the last disk has room again", s.seed, ackTime)
+				}
+				slowest = max(slowest, last.acked.Sub(last.asked))
+				s.run(catchUpTime, false)
+				s.check()
+				count += len(s.changes)
+			}
+			t.Logf("%d schedules, %d changes, the last one acknowledged after %v at most", *fullDiskSeeds, count, slowest)
+		})
+	}
+}
--- a/internal/replica/join.go
+++ b/internal/replica/join.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"github.com/jaystage/jaystage/internal/boottime"
 	"github.com/jaystage/jaystage/internal/event"
 	"github.com/jaystage/jaystage/pkg/raft"
 	"github.com/jaystage/jaystage/pkg/wire"
@@ -46,13 +45,10 @@
 		if own.leaderKnown {
 			lastHeard = now
 		}
-		if !ok || own.voter && now.Sub(lastHeard) < unheardAfter {
+		step, due := r.joinStep(own, now.Sub(lastHeard))
+		if !ok || !due {
 			continue
 		}
-		step := wire.Voters{Verb: VerbAdd, Name: r.config.Entry.Name, Incarnation: own.incarnation}
-		if own.learner {
-			step.Verb = VerbPromote
-		}
 		joinCtx, cancel := context.WithTimeout(ctx, joinTimeout)
 		err := r.ChangeVoters(joinCtx, step)
 		cancel()
@@ -62,6 +58,16 @@
 	}
 }
 
+// joinStep returns the next step of this voter towards full membership, if one is due. No
+// leader has been heard of for the time unheard.
+func (r *Replica) joinStep(own membership, unheard time.Duration) (step wire.Voters, due bool) {
+	step = wire.Voters{Verb: VerbAdd, Name: r.config.Entry.Name, Incarnation: own.incarnation}
+	if own.learner {
+		step.Verb = VerbPromote
+	}
+	return step, !own.voter || unheard >= unheardAfter
+}
+
 // membership is a voter's role in the group according to its own log.
 type membership struct {
 	incarnation    uint64
@@ -71,29 +77,36 @@
 }
 
 func (v *voter) ownMembership(ctx context.Context) (membership, bool) {
-	answer := make(chan membership, 1)
-	run := func() {
-		own := membership{incarnation: v.incarnation, leaderKnown: v.status.Leader != ""}
-		for _, m := range v.status.Members {
-			if m.Name == v.r.config.Entry.Name && m.Incarnation == own.incarnation {
-				own.learner, own.voter = m.Learner, !m.Learner
-			}
-		}
-		answer <- own
+	type known struct {
+		membership
+		ok bool
 	}
+	answer := make(chan known, 1)
 	select {
-	case v.inbox <- request{run: run}:
+	case v.inbox <- request{run: func() { own, ok := v.currentMembership(); answer <- known{own, ok} }}:
 	case <-ctx.Done():
 		return membership{}, false
 	}
 	select {
 	case own := <-answer:
-		return own, true
+		return own.membership, own.ok
 	case <-ctx.Done():
 		return membership{}, false
 	}
 }
 
+// currentMembership returns the membership after the last step. It returns false while the
+// voter is out of service. Only the voter's loop may call it.
+func (v *voter) currentMembership() (membership, bool) {
+	own := membership{incarnation: v.incarnation, leaderKnown: v.status.Leader != ""}
+	for _, m := range v.status.Members {
+		if m.Name == v.r.config.Entry.Name && m.Incarnation == own.incarnation {
+			own.learner, own.voter = m.Learner, !m.Learner
+		}
+	}
+	return own, v.inService
+}
+
 // recordContact records when each voter last answered the leader. A voter that has
 // never answered counts as seen at the first call.
 func (v *voter) recordContact(now time.Time) {
@@ -129,7 +142,7 @@
 	err := v.linearizableRead(func(*leaderState) {
 		known := slices.ContainsFunc(v.status.Members, func(m raft.Member) bool { return m.Name == name })
 		if !known {
-			unresponsive, found = v.unresponsiveVoter(boottime.Now())
+			unresponsive, found = v.unresponsiveVoter(v.r.now())
 		}
 	})
 	if err != nil || !found {
--- a/internal/replica/leader.go
+++ b/internal/replica/leader.go
@@ -7,7 +7,6 @@
 	"strings"
 	"time"
 
-	"github.com/jaystage/jaystage/internal/boottime"
 	"github.com/jaystage/jaystage/internal/config"
 	"github.com/jaystage/jaystage/internal/event"
 	"github.com/jaystage/jaystage/pkg/raft"
@@ -90,7 +89,7 @@
 func (l *leaderState) session(name string, incarnation uint64) *sessionState {
 	s := l.sessions[name]
 	if s == nil || s.incarnation != incarnation {
-		s = &sessionState{incarnation: incarnation, lastReply: boottime.Now()}
+		s = &sessionState{incarnation: incarnation, lastReply: l.v.r.now()}
 		if l.firstScan && l.v.r.config.hooks.noWait {
 			s.lastReply = s.lastReply.Add(-l.v.r.config.sessionTTL())
 		}
@@ -165,7 +164,7 @@
 	if s.noRenewal || l.startingSessions[r.Node] > r.Incarnation {
 		return wire.Grant{Ended: true}
 	}
-	s.lastReply = boottime.Now()
+	s.lastReply = l.v.r.now()
 	s.version = max(s.version, r.Version)
 	if r.Version == m.Space.Version {
 		return wire.Grant{}
@@ -254,7 +253,7 @@
 
 // awaitInForce answers once a version is in force on all nodes.
 func (l *leaderState) awaitInForce(version uint64, answer chan any) {
-	l.waiters = append(l.waiters, waiter{boottime.Now().Add(awaitTimeout), func() (any, bool) {
+	l.waiters = append(l.waiters, waiter{l.v.r.now().Add(awaitTimeout), func() (any, bool) {
 		missing := l.nodesBehind(version)
 		force := len(missing) == 0 && l.v.machine.Space.Version >= version
 		return wire.Awaited{Force: force, Missing: missing}, force
@@ -263,7 +262,7 @@
 
 // awaitBooking answers once a booking is no longer running.
 func (l *leaderState) awaitBooking(b wire.Booking, answer chan any) {
-	l.waiters = append(l.waiters, waiter{boottime.Now().Add(awaitTimeout), func() (any, bool) {
+	l.waiters = append(l.waiters, waiter{l.v.r.now().Add(awaitTimeout), func() (any, bool) {
 		booked := wire.Booked{State: state.StateAbandoned}
 		if in, ok := l.v.machine.Booking(b.Account, b.Service, b.Key); ok {
 			booked = wire.Booked{State: in.State, Attempt: in.Attempt, Node: in.Node, Incarnation: in.Incarnation, Answer: in.Answer}
--- a/internal/replica/lifecycle.go
+++ b/internal/replica/lifecycle.go
@@ -3,7 +3,10 @@
 import (
 	"context"
 	"errors"
+	"io/fs"
 	"math/rand/v2"
+	"slices"
+	"syscall"
 	"time"
 
 	"github.com/jaystage/jaystage/internal/event"
@@ -18,7 +21,7 @@
 // open recovers the log from the data directory and starts the Raft core as a follower.
 func (v *voter) open() error {
 	c := v.r.config
-	options := wal.Options{Name: c.Entry.Name, FS: c.hooks.fs}
+	options := wal.Options{Name: c.Entry.Name, FS: c.hooks.fs, SegmentBytes: c.hooks.segmentBytes, Random: c.hooks.random}
 	if c.NoFileIDs {
 		options.FS = wal.OSWithoutFileID{}
 	}
@@ -32,27 +35,43 @@
 	}
 	id := log.Identity()
 	v.incarnation = id.Incarnation
+	v.inService = true
 	v.log, v.machine, v.writer = log, state.New(), newWriter(log, c.hooks.syncEach)
 	v.appliedIndex, v.entriesSinceSnapshot, v.bytesSinceSnapshot, v.lastSnapshotBytes = 0, 0, 0, 0
 	v.status, v.transferTarget = raft.Status{}, ""
+	seed := rand.Uint64()
+	if c.hooks.seed != nil {
+		seed = c.hooks.seed()
+	}
 	v.node = raft.New(raft.Config{
 		Name: c.Entry.Name, Incarnation: id.Incarnation, Group: id.Group, Restarted: id.Group != "", Peers: c.InitialVoters,
-		Bootstrap: !c.JoinOnly, NewGroup: newID(), ElectionTimeout: c.ElectionTimeout, HeartbeatInterval: c.ElectionTimeout / heartbeatsPerElection, Seed: rand.Uint64(),
+		Bootstrap: !c.JoinOnly, NewGroup: newID(), ElectionTimeout: c.ElectionTimeout, HeartbeatInterval: c.ElectionTimeout / heartbeatsPerElection, Seed: seed,
 		State: recovered.State, Snapshot: recovered.Snapshot, Entries: recovered.Entries,
 	})
 	return nil
 }
 
-// run runs the voter. It returns nil once ctx has ended. After a failed write it tries
-// to reopen the directory until the disk accepts writes; meanwhile this node does not act
-// as a voter.
+// isRefused reports whether a directory cannot be opened until an operator acts. Other
+// errors, such as a full disk, may pass.
+func isRefused(err error) bool {
+	var corrupt *wal.CorruptError
+	return errors.As(err, &corrupt) || slices.ContainsFunc([]error{
+		wal.ErrLocked, wal.ErrForeign, wal.ErrCopied, wal.ErrNewerFormat, fs.ErrPermission, fs.ErrNotExist, syscall.ENOTDIR,
+	}, func(refusal error) bool { return errors.Is(err, refusal) })
+}
+
+// run runs the voter. It returns nil once ctx has ended. After a failed write, or if the
+// directory could not be opened at the start, it tries to open the directory until the
+// disk accepts writes; meanwhile this node does not act as a voter.
 func (v *voter) run(ctx context.Context) error {
 	for {
-		err := v.serve(ctx)
-		if !errors.Is(err, wal.ErrDurability) {
-			return err
+		if v.inService {
+			err := v.serve(ctx)
+			if !errors.Is(err, wal.ErrDurability) {
+				return err
+			}
+			event.With(v.r.config.Log, event.VoterFailed).WithError(err).Error("disk write failed; voter is out of service until writes succeed")
 		}
-		event.With(v.r.config.Log, event.VoterFailed).WithError(err).Error("disk write failed; voter is out of service until writes succeed")
 		if err := v.reopen(ctx); err != nil || ctx.Err() != nil {
 			return err
 		}
@@ -71,8 +90,9 @@
 	return errors.Join(err, v.log.Close())
 }
 
-// stepDown gives up leadership and fails all pending requests.
+// stepDown ends the service: it gives up leadership and fails all pending requests.
 func (v *voter) stepDown() {
+	v.inService, v.status = false, raft.Status{}
 	v.r.leading.Store(0)
 	if v.r.Leader() == v.r.config.Entry.Name {
 		v.r.setLeader("")
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -10,6 +10,7 @@
 	"encoding/hex"
 	"errors"
 	"fmt"
+	"io"
 	"sync/atomic"
 	"time"
 
@@ -112,6 +113,11 @@
 	syncEach     bool                       // sync each write separately
 	ignoreExpiry bool                       // admit after the lease has expired
 	fs           wal.FS                     // file system of the voter's directory
+	now          func() time.Time           // replaces the boot-time clock
+	seed         func() uint64              // replaces the random seed of the Raft core
+	random       io.Reader                  // replaces the source of the voter's incarnation
+	snapshotEach int                        // entries after which a snapshot is taken; zero selects the default
+	segmentBytes int64                      // size of the log's segments; zero selects the default
 	sentMessages *atomic.Int64              // counts messages to other nodes
 	drop         func(to, kind string) bool // reports whether to drop a message
 	onReply      func(kind string) error    // delays the reply to a request or replaces it with an error
@@ -200,6 +206,14 @@
 	return r.view.get(boottime.Moment{Monotonic: now, Boot: boottime.Since()})
 }
 
+// now reads the boot-time clock.
+func (r *Replica) now() time.Time {
+	if r.config.hooks.now != nil {
+		return r.config.hooks.now()
+	}
+	return boottime.Now()
+}
+
 // Lease returns when the node's session lease expires, on the monotonic clock, or the
 // zero time when the node has no lease.
 func (r *Replica) Lease() time.Time {
--- a/internal/replica/voter.go
+++ b/internal/replica/voter.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"time"
 
-	"github.com/jaystage/jaystage/internal/boottime"
 	"github.com/jaystage/jaystage/internal/event"
 	"github.com/jaystage/jaystage/pkg/raft"
 	"github.com/jaystage/jaystage/pkg/state"
@@ -74,6 +73,7 @@
 	unappliedReads []unappliedRead
 	joinRequests   map[string]uint64
 	transferTarget string // voter to which the next step transfers leadership
+	inService      bool   // the directory is open; otherwise the Raft core must not be used
 
 	entriesSinceSnapshot int
 	bytesSinceSnapshot   int
@@ -96,9 +96,14 @@
 func openVoter(r *Replica) (*voter, error) {
 	v := &voter{
 		r: r, inbox: make(chan request, inboxCapacity), messages: make(chan raft.Message, inboxCapacity), proposals: make(map[uint64]request),
-		pending: make(map[uint64]pendingEntry), reads: make(map[uint64]func(error)), joinRequests: make(map[string]uint64),
+		pending: make(map[uint64]pendingEntry), reads: make(map[uint64]func(error)), joinRequests: make(map[string]uint64), machine: state.New(),
 	}
-	return v, v.open()
+	err := v.open()
+	if err != nil && !isRefused(err) {
+		event.With(r.config.Log, event.VoterFailed).WithError(err).Error("data directory cannot be opened; voter is out of service until it can")
+		err = nil
+	}
+	return v, err
 }
 
 func (v *voter) loop(ctx context.Context) error {
@@ -174,7 +179,7 @@
 
 // step runs one step of the Raft core and carries out its output.
 func (v *voter) step(in raft.Input) error {
-	now := boottime.Now()
+	now := v.r.now()
 	in.TransferTarget, v.transferTarget = v.transferTarget, ""
 	out := v.node.Step(now, in)
 	if out.Fault != nil {
@@ -358,7 +363,11 @@
 
 // compact replaces the log by a snapshot once it has grown large enough.
 func (v *voter) compact() error {
-	if v.entriesSinceSnapshot < snapshotEntryThreshold && v.bytesSinceSnapshot < max(snapshotByteThreshold, v.lastSnapshotBytes) {
+	entries := snapshotEntryThreshold
+	if n := v.r.config.hooks.snapshotEach; n > 0 {
+		entries = n
+	}
+	if v.entriesSinceSnapshot < entries && v.bytesSinceSnapshot < max(snapshotByteThreshold, v.lastSnapshotBytes) {
 		return nil
 	}
 	data, err := v.machine.Snapshot()
--- a/pkg/wal/identity.go
+++ b/pkg/wal/identity.go
@@ -1,12 +1,12 @@
 package wal
 
 import (
-	"crypto/rand"
 	"encoding/binary"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"hash/crc32"
+	"io"
 	"io/fs"
 	"path/filepath"
 	"slices"
@@ -105,7 +105,7 @@
 		return err
 	}
 	var b [8]byte
-	if _, err := rand.Read(b[:]); err != nil {
+	if _, err := io.ReadFull(l.opts.Random, b[:]); err != nil {
 		return fmt.Errorf("generate incarnation: %w", err)
 	}
 	// In messages, zero means that the incarnation is unknown.
--- a/pkg/wal/log.go
+++ b/pkg/wal/log.go
@@ -1,6 +1,7 @@
 package wal
 
 import (
+	"crypto/rand"
 	"errors"
 	"fmt"
 	"io"
@@ -51,6 +52,7 @@
 	Name         string // name of the voter in the settings
 	SegmentBytes int64
 	FS           FS
+	Random       io.Reader // source of the incarnation; nil selects crypto/rand
 }
 
 // Log is the open directory of one voter. It is not safe for concurrent use.
@@ -88,6 +90,9 @@
 	if opts.FS == nil {
 		opts.FS = OS{}
 	}
+	if opts.Random == nil {
+		opts.Random = rand.Reader
+	}
 	l := &Log{dir: dir, opts: opts, fs: opts.FS}
 	if opts.Name == "" {
 		return nil, fmt.Errorf("%w: voter name is empty", ErrForeign)
