Test full disks in turn on running voters

Change: TestChangesContinueAfterFullDisksInTurn fills the disks of three and of five voters in turn, each for 2.8 s, longer than a voter may be unresponsive; then a change and a read through each voter must succeed within 5 s, and every voter catches up.

--- a/internal/replica/disk_test.go
+++ b/internal/replica/disk_test.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"os"
 	"path/filepath"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -80,6 +82,70 @@
 	})
 }
 
+// Load pattern: the disks of all voters are full for some seconds each, one after another
+// and never two at once, under a stream of changes. Guards against changes that are refused
+// or stay unanswered after the last disk has room again, on any voter, and against a voter
+// that does not catch up.
+func TestChangesContinueAfterFullDisksInTurn(t *testing.T) {
+	// The disks are full for longer than replaceAfter.
+	const fullTime, gap, ackTime = replaceAfter + 300*time.Millisecond, 200 * time.Millisecond, 5 * time.Second
+	for _, size := range []int{3, 5} {
+		t.Run(fmt.Sprint(size, " voters"), func(t *testing.T) {
+			t.Parallel()
+			c := newCluster(t, names("v", size)...)
+			c.groupSize = size
+			full := make(map[string]*atomic.Bool)
+			for _, name := range c.voters {
+				full[name] = &atomic.Bool{}
+			}
+			c.newFS = func(name string) wal.FS { return fullDisk{full: full[name]} }
+			c.start(c.voters...)
+			c.ready(c.voters...)
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			var joins sync.WaitGroup
+			defer func() { cancel(); joins.Wait() }()
+			for _, name := range c.voters {
+				joins.Add(1)
+				go func() { defer joins.Done(); c.node(name).Join(ctx) }()
+			}
+			changes := c.streamChanges(c.voters...)
+			for i := range size {
+				name := c.voters[i]
+				if i%2 == 0 {
+					name = c.leader(c.voters...)
+				}
+				full[name].Store(true)
+				time.Sleep(fullTime)
+				full[name].Store(false)
+				time.Sleep(gap)
+			}
+			acked := changes.end()
+			for _, name := range c.voters {
+				askCtx, stop := context.WithTimeout(ctx, ackTime)
+				key, start := "domain/last-"+name, time.Now()
+				got, err := c.node(name).Change(askCtx, change(key, key, `{"name":"x"}`, ^uint64(0)))
+				if err != nil || len(got.Conflict) > 0 {
+					t.Errorf("change through %s after all disks have room again: got %v and conflicts %v", name, err, got.Conflict)
+				}
+				view, err := c.node(name).Current(askCtx)
+				if err != nil || view.Version < got.Version {
+					t.Errorf("read through %s after all disks have room again: got %v", name, err)
+				}
+				stop()
+				t.Logf("%s answered after %v", name, time.Since(start).Round(time.Millisecond))
+				acked = append(acked, key)
+			}
+			t.Logf("%d changes were acknowledged", len(acked))
+			for _, name := range c.voters {
+				c.wantKept(name, acked)
+			}
+			c.wantGroup(c.voters[0], c.voters...)
+			c.wantOneLeader(c.voters...)
+		})
+	}
+}
+
 // Guards against a process that ends because the disk of its voter is full when it starts,
 // and against one that starts all the same where only an operator can help.
 func TestVoterStartsOnFullDisk(t *testing.T) {
