Test logs on disks that are full at any operation

Cause: the log was tested with crashes at any operation, but not with a disk that refuses some and a process that goes on. Conclusion: no fault was found in the log; nothing was changed.

--- a/pkg/wal/memfs_test.go
+++ b/pkg/wal/memfs_test.go
@@ -10,6 +10,7 @@
 	"math/rand/v2"
 	"path/filepath"
 	"slices"
+	"syscall"
 )
 
 var (
@@ -32,6 +33,8 @@
 	unsyncedChanges []func(map[string]*inode) // changes of the directory since its last sync
 
 	crashIn       int // operations until the process is killed; 0 for never
+	fullIn        int // operations until the disk is full
+	fullFor       int // operations that the disk then refuses
 	failSync      bool
 	ignoreSync    bool // mutation: syncing a file does nothing
 	ignoreSyncDir bool // mutation: syncing the directory does nothing
@@ -49,6 +52,12 @@
 	if m.crashIn > 1 {
 		m.crashIn--
 	}
+	if m.fullIn > 0 {
+		m.fullIn--
+	} else if m.fullFor > 0 {
+		m.fullFor--
+		return syscall.ENOSPC
+	}
 	return nil
 }
 
@@ -166,8 +175,15 @@
 }
 
 func (f *memFile) Write(b []byte) (int, error) {
+	start := len(f.inode.data)
 	f.inode.data = append(f.inode.data, b...)
-	return len(b), f.fs.countOperation()
+	err := f.fs.countOperation()
+	if errors.Is(err, syscall.ENOSPC) {
+		n := f.fs.rng.IntN(len(b)) // as much as fits
+		f.inode.data = f.inode.data[:start+n]
+		return n, err
+	}
+	return len(b), err
 }
 
 func (f *memFile) Sync() error {
