--- a/internal/replica/fulldisk_sim_test.go
+++ b/internal/replica/fulldisk_sim_test.go
@@ -250,6 +250,13 @@
 	for _, name := range names {
 		p := &simVoter{name: name, disk: &simDisk{rng: s.rng, files: map[string]*simFile{}}, joinOnly: name == "j"}
 		s.voters = append(s.voters, p)
+	}
+	if s.rng.IntN(3) == 0 { // a disk is full when the group is formed
+		first := s.voters[s.rng.IntN(len(s.voters))].disk
+		first.full = true
+		defer func() { s.run(2*time.Second, true); first.full = false }()
+	}
+	for _, p := range s.voters {
 		s.startProcess(p)
 	}
 	return s
