Bound the wait for changes while disks are full in turn

Change: TestDisksFullInTurn also asks that each change is acknowledged within 5 s while disks are full one at a time, since a quorum has room at any moment, and plays three voters and one that joins.

--- a/internal/replica/fulldisk_sim_test.go
+++ b/internal/replica/fulldisk_sim_test.go
@@ -233,6 +233,8 @@
 const (
 	simStep      = 10 * time.Millisecond
 	restartDelay = 300 * time.Millisecond
+	// formationTime is the time for a group to form, after the first disk has room.
+	formationTime = 3 * time.Second
 )
 
 func newSim(t *testing.T, seed uint64, size int, joiner bool) *sim {
@@ -547,25 +549,42 @@
 	}
 }
 
+// checkDelays checks that every change was acknowledged within a limit, since a quorum of the
+// disks had room at any time. It returns the longest delay. A group cannot form without all
+// its first voters, so the changes before the first full disk do not count.
+func (s *sim) checkDelays(limit time.Duration) (longest time.Duration) {
+	for _, c := range s.changes {
+		if c.acked.IsZero() || c.asked.Before(s.start.Add(formationTime)) {
+			continue
+		}
+		delay := c.acked.Sub(c.asked)
+		if delay > limit {
+			s.t.Errorf("seed %d: change %s of %v is acknowledged after %v, want at most %v", s.seed, c.id, c.asked.Sub(s.start), delay, limit)
+		}
+		longest = max(longest, delay)
+	}
+	return longest
+}
+
 // Load pattern: the disks of all voters are full for some seconds each, one after another
 // and never two at once, while changes come, leaders change, processes restart, a voter
 // joins and snapshots are taken. Guards against changes that are refused or unanswered
-// after the last disk has room again, against a voter that never catches up, against
+// meanwhile or after the last disk has room again, against a voter that never catches up, against
 // processes that end, and against the loss of an acknowledged change.
 func TestDisksFullInTurn(t *testing.T) {
-	const ackTime, catchUpTime = 3 * time.Second, 8 * time.Second
+	const ackTime, ackTimeMeanwhile, catchUpTime = 3 * time.Second, 5 * time.Second, 8 * time.Second
 	for _, c := range []struct {
 		name   string
 		size   int
 		joiner bool
-	}{{"three voters", 3, false}, {"five voters", 5, false}, {"five voters and one that joins", 5, true}} {
+	}{{"three voters", 3, false}, {"three voters and one that joins", 3, true}, {"five voters", 5, false}, {"five voters and one that joins", 5, true}} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
-			var slowest time.Duration
+			var slowest, slowestEver time.Duration
 			count := 0
 			for i := range *fullDiskSeeds {
 				s := newSim(t, *fullDiskFirst+uint64(i), c.size, c.joiner)
-				s.run(3*time.Second, true)
+				s.run(formationTime, true)
 				s.fillDisks()
 				last := s.addChange()
 				s.run(ackTime, false)
@@ -576,8 +595,9 @@
 				s.run(catchUpTime, false)
 				s.check()
 				count += len(s.changes)
+				slowestEver = max(slowestEver, s.checkDelays(ackTimeMeanwhile))
 			}
-			t.Logf("%d schedules, %d changes, the last one acknowledged after %v at most", *fullDiskSeeds, count, slowest)
+			t.Logf("%d schedules, %d changes acknowledged after %v at most, the last ones after %v", *fullDiskSeeds, count, slowestEver, slowest)
 		})
 	}
 }
