Keep a list of statuses with text that is not UTF-8

Cause: voters of earlier releases still pass on an id that is not UTF-8 while machines are replaced one after the other, and new nodes would lose the whole list. Change: lists of statuses are decoded with any text; the roster rejects the status itself. All other messages stay strict: a command with such text must not enter the log, since voters of other releases could not apply it. Before: TestOddTextCostsOneStatus failed with 'cbor: invalid UTF-8 string'. Result: go test ./internal/roster ./internal/peer ./platform ./internal/control passes. Conclusion: new nodes follow the list also beside old voters.

--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -190,3 +190,29 @@
 		t.Errorf("got %d calls of Configured, want none", calls)
 	}
 }
+
+// Guards against a list of statuses that is lost as a whole because one of them has text
+// that is not UTF-8, as voters of earlier releases pass it on.
+func TestOddTextCostsOneStatus(t *testing.T) {
+	data, err := wire.Marshal(wire.Statuses{List: []wire.Status{status("\xff", "y", 1, 1), status("a", "x", 1, 1)}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var list wire.Statuses
+	if err := wire.Unmarshal(data, &list); err != nil || len(list.List) != 2 {
+		t.Fatalf("got %v and %v, want both statuses", list, err)
+	}
+	r := New()
+	for i, want := range []Change{Rejected, Joined} {
+		if got := r.Apply(time.Unix(100, 0), list.List[i]); got != want {
+			t.Errorf("status %d: got %v, want %v", i, got, want)
+		}
+	}
+	var command wire.Command
+	if data, err = wire.Marshal(wire.Command{Change: &wire.Change{ID: "\xff"}}); err != nil {
+		t.Fatal(err)
+	}
+	if err := wire.Unmarshal(data, &command); err == nil {
+		t.Error("a command with such text was decoded: voters of other releases could not apply it")
+	}
+}
--- a/pkg/wire/codec.go
+++ b/pkg/wire/codec.go
@@ -15,8 +15,12 @@
 
 var (
 	encoder = newEncoder()
-	decoder = newDecoder(maxArrayElements)
-	imager  = newDecoder(maxImageElements)
+	decoder = newDecoder(maxArrayElements, cbor.UTF8RejectInvalid)
+	imager  = newDecoder(maxImageElements, cbor.UTF8RejectInvalid)
+	// statusDecoder accepts text that is not UTF-8, so that one odd status, as voters of
+	// earlier releases pass it on, does not cost the others in the list. The receiver
+	// rejects that status.
+	statusDecoder = newDecoder(maxArrayElements, cbor.UTF8DecodeInvalid)
 )
 
 func newEncoder() cbor.EncMode {
@@ -27,10 +31,11 @@
 	return mode
 }
 
-func newDecoder(elements int) cbor.DecMode {
+func newDecoder(elements int, text cbor.UTF8Mode) cbor.DecMode {
 	mode, err := cbor.DecOptions{
 		DupMapKey: cbor.DupMapKeyEnforcedAPF, IndefLength: cbor.IndefLengthForbidden,
 		MaxArrayElements: elements, MaxMapPairs: maxMapPairs, MaxNestedLevels: maxNestedLevels,
+		UTF8: text,
 	}.DecMode()
 	if err != nil {
 		panic("wire: options of the CBOR decoder: " + err.Error())
@@ -49,8 +54,14 @@
 func (e Encoded) MarshalCBOR() ([]byte, error) { return e, nil }
 
 // Unmarshal decodes a single message from CBOR. It ignores unknown fields. Trailing bytes,
-// duplicate fields and messages that exceed the limits are errors.
-func Unmarshal(data []byte, message any) error { return decoder.Unmarshal(data, message) }
+// duplicate fields and messages that exceed the limits are errors. So is text that is not
+// UTF-8, except in Statuses.
+func Unmarshal(data []byte, message any) error {
+	if _, ok := message.(*Statuses); ok {
+		return statusDecoder.Unmarshal(data, message)
+	}
+	return decoder.Unmarshal(data, message)
+}
 
 // MarshalLarge encodes a snapshot.
 func MarshalLarge(image any) ([]byte, error) { return encoder.Marshal(image) }
