--- a/internal/replica/disk_test.go
+++ b/internal/replica/disk_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"os"
 	"path/filepath"
 	"sync"
@@ -193,6 +194,61 @@
 	}
 }
 
+// emptyFilesDisk is a full disk on which files can still be created, but not written.
+type emptyFilesDisk struct{ fullDisk }
+
+func (d emptyFilesDisk) Create(name string) (wal.File, error) {
+	f, err := d.OS.Create(name)
+	return fullFile{f, d.full}, err
+}
+
+// Guards against a voter that runs out of file descriptors while its disk is full, because
+// each attempt to open the directory leaves some open.
+func TestFailedOpensLeaveNoFileOpen(t *testing.T) {
+	full := &atomic.Bool{}
+	for name, disk := range map[string]wal.FS{"no new files": fullDisk{full: full}, "empty files": emptyFilesDisk{fullDisk{full: full}}} {
+		t.Run(name, func(t *testing.T) {
+			log := logrus.New()
+			log.SetOutput(io.Discard)
+			r, err := Open(Config{Entry: config.Node{Name: "a"}, Voter: true, DataDir: filepath.Join(t.TempDir(), "a"), Links: noLinks{}, Log: log, hooks: hooks{fs: disk}})
+			if err != nil {
+				t.Fatal(err)
+			}
+			if err := r.voter.log.Close(); err != nil {
+				t.Fatal(err)
+			}
+			full.Store(true)
+			const attempts = 100
+			before := openFiles(t)
+			for range attempts {
+				if err := r.voter.open(); !errors.Is(err, syscall.ENOSPC) {
+					t.Fatalf("got %v, want ENOSPC", err)
+				}
+			}
+			if after := openFiles(t); after-before >= attempts/2 {
+				t.Errorf("got %d open files after %d failed attempts, and %d before", after, attempts, before)
+			}
+			full.Store(false)
+			if err := r.voter.open(); err != nil {
+				t.Errorf("with room again: %v", err)
+			}
+			if err := r.voter.log.Close(); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+}
+
+// openFiles returns the number of open files of the process.
+func openFiles(t *testing.T) int {
+	t.Helper()
+	files, err := os.ReadDir("/proc/self/fd")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return len(files)
+}
+
 // noLinks reaches no other node.
 type noLinks struct{}
 
