Refuse at a stop before the account is charged

Seen by callers: a request that a stopping node refuses counts against the limit of its account, and its retry at another node counts again.

Cause: the window of the stop was asked at the choice of the upstream, after the charge. Found by the review.

Change: it is asked before the charge as well.

Result: TestRefusalOfAStopIsNotCharged failed 3 of 3 times and passes.

Conclusion: only a request that waited for a place or was retried may still be charged for nothing.

--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -74,6 +74,9 @@
 	if e := c.checkParts(c.view, time.Now()); e != nil {
 		return e
 	}
+	if !c.g.open.admits(time.Now(), c) {
+		return c.stopRefusal() // before the account pays for it
+	}
 	return c.charge()
 }
 
