Report the last usage of a node that stops

Seen by operators: requests that began within 0.3 s before a node ended are in no usage report, and other nodes do not learn their cost.

Cause: usage is reported every 0.3 s and not at the end.

Change: after its last period the exchange reports once more, for 0.1 s at most. A node ends its tasks before its session, which that report needs.

--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -213,7 +213,8 @@
 	stateCtx, stopState := context.WithCancel(runCtx)
 	stateResult := make(chan error, 1)
 	go func() { stateResult <- n.state.Run(stateCtx) }()
-	tasks := n.startBackground(runCtx)
+	tasksCtx, stopTasks := context.WithCancel(runCtx)
+	tasks := n.startBackground(tasksCtx)
 	event.With(n.options.Log, event.NodeStarted).WithFields(logrus.Fields{
 		"node": n.options.Host, "domain": n.options.Domain, "voter": n.options.Voter, "seeds": n.options.Seeds,
 		"lease_ms": n.options.LeaseTTL.Milliseconds(),
@@ -230,12 +231,12 @@
 	if err == nil {
 		n.drain()
 	}
-	stopState()
-	err = errors.Join(err, <-stateResult)
-	stop()
+	stopTasks()
 	for _, task := range tasks {
-		<-task
+		<-task // the last usage report needs the node's session
 	}
+	stopState()
+	err = errors.Join(err, <-stateResult)
 	stopLinks()
 	<-linksDone
 	for _, s := range n.servers {
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -26,6 +26,8 @@
 	// leader.
 	usageReportInterval = 300 * time.Millisecond
 	exchangeTimeout     = 500 * time.Millisecond
+	// lastReportTimeout bounds the report of a node that stops, whose time is almost over.
+	lastReportTimeout = 100 * time.Millisecond
 	// rosterRequestInterval is how often a node that knows no upstream requests the
 	// statuses of all upstreams.
 	rosterRequestInterval = time.Second
@@ -73,9 +75,23 @@
 	return e.Gateway.Detour.RunProbes(ctx, e.Gateway.probe)
 }
 
-// Run reports usage to the leader and closes expired idle connections until ctx ends. It
-// returns a channel that closes after that.
+// Run reports usage to the leader and closes expired idle connections until ctx ends, and then
+// reports the rest of the usage. It returns a channel that closes after that.
 func (e *Exchange) Run(ctx context.Context) <-chan struct{} {
+	done, reported := e.runPeriodic(ctx), make(chan struct{})
+	go func() {
+		defer close(reported)
+		<-done
+		if leader := e.State.Leader(); leader != "" {
+			ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), lastReportTimeout)
+			defer cancel()
+			e.reportUsage(ctx, leader)
+		}
+	}()
+	return reported
+}
+
+func (e *Exchange) runPeriodic(ctx context.Context) <-chan struct{} {
 	lastSweep := time.Now()
 	return periodic.Run(ctx, e.Gateway.Log, usageReportInterval, func(ctx context.Context, now time.Time) {
 		if now.Sub(lastSweep) >= idleSweepInterval {
