soak: Reproduce a stop that waits for a lost leader until it is killed

Cause: the drain ends 0.6 s before the end of the grace period, but the end of the session waits up to 1 s for the leader (closeTimeout in internal/replica). A node that has used its grace period up is then killed.

Change: TestStopEndsInTimeWithoutLeader ends the voters 1 s before the end of the grace period of a node that serves a long stream.

Result (go test -race -count=2 -run TestStopEndsInTimeWithoutLeader ./internal/soak): fails 2 of 2; SIGKILL 8.0 s after SIGTERM, want exit code 0 before.

Conclusion: a second fault of the stop. It cuts no request by itself: those are cut 7.4 s after the SIGTERM in any case.

--- a/internal/soak/stop_restart_test.go
+++ b/internal/soak/stop_restart_test.go
@@ -92,3 +92,23 @@
 	c.start(voters, false)
 	c.awaitReady(voters, 3*time.Second)
 }
+
+// Guards against a process that has used up its grace period and then waits for a leader that
+// is gone, until it is killed.
+func TestStopEndsInTimeWithoutLeader(t *testing.T) {
+	t.Parallel()
+	c := newStopCluster(t, 236, 1, stopGrace)
+	defer c.close(t)
+	p := newStopPlay(c, voters, 1500*time.Millisecond)
+	p.sendAt(wayNew, beforeStop, standardRequests[5]) // lasts longer than the grace period
+	p.clients.Add(1)
+	go func() {
+		defer p.clients.Done()
+		time.Sleep(time.Until(p.termAt.Add(stopGrace - time.Second)))
+		for v := range voters {
+			_ = c.running(v).cmd.Process.Kill()
+		}
+	}()
+	p.run()
+	p.stop.wantExit(t, stopGrace)
+}
