soak: Tell a stop from a busy machine by a node that is not stopped

Cause: with a load average of 66 on 8 cores nodes lost their lease, and requests were refused before the SIGTERM: the judgement took this for faults of the stop.

Change: a reference client sends short requests to an entry node that is not stopped.

--- a/internal/soak/stop_client_test.go
+++ b/internal/soak/stop_client_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -89,6 +90,11 @@
 	mu       sync.Mutex
 	outcomes []*stopOutcome
 	clients  sync.WaitGroup
+
+	// disturbances is read once watching has ended, after over is set.
+	disturbances []disturbance
+	watching     sync.WaitGroup
+	over         atomic.Bool
 }
 
 func newStopPlay(c *stopCluster, node int, after time.Duration) *stopPlay {
@@ -122,8 +128,14 @@
 func (p *stopPlay) finish() {
 	p.clients.Wait()
 	<-p.stop.process.exited
+	p.over.Store(true)
+	p.watching.Wait()
 	time.Sleep(200 * time.Millisecond) // the upstreams notice the end of connections
 	late := p.stop.at.Sub(p.termAt)
+	for i := range p.disturbances {
+		p.disturbances[i].from -= late
+		p.disturbances[i].to -= late
+	}
 	for _, o := range p.outcomes {
 		for _, at := range []*time.Duration{&o.opened, &o.firstSent, &o.lastSent, &o.due, &o.answered, &o.ended} {
 			*at -= late
--- a/internal/soak/stop_relay_test.go
+++ b/internal/soak/stop_relay_test.go
@@ -95,6 +95,7 @@
 	defer c.close(t)
 	c.losePath(voters)
 	p := newStopPlay(c, voters, 1500*time.Millisecond)
+	p.watch(voters + 1)
 	p.useRelayed()
 	p.run()
 	if got := p.runsFrom(voters); got > 0 {
@@ -113,6 +114,7 @@
 	relay := c.losePath(voters)
 	p := newStopPlay(c, relay, 1500*time.Millisecond)
 	p.entry = voters
+	p.watch(2*voters + 3 - relay) // the third entry node
 	p.useRelayed()
 	p.run()
 	if got := p.runsFrom(relay); got == 0 {
