End the session of a stopping node within its reserve

Seen by operators: a node that has used its grace period up while no leader is in reach waits up to 1 s for the end of its session, and is killed.

Cause: the wait was the same for all nodes, whatever was left of the grace period.

Change: an entry node waits a third of its reserve, 0.2 s of a grace period of 8 s; a voter without clients still has 1 s.

--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -125,7 +125,7 @@
 		Entry: config.Node{Name: o.Host, ProcessIncarnation: incarnation, Domain: o.Domain},
 		Voter: o.Voter, DataDir: o.DataDir, InitialVoters: o.Seeds, Seeds: o.Seeds, JoinOnly: !o.Bootstrap || !slices.Contains(o.Seeds, o.Host),
 		LeaseTTL: o.LeaseTTL, GroupSize: 2*o.FaultTolerance + 1, ElectionTimeout: electionTimeout,
-		SingleProcess: true, NoFileIDs: o.NoFileIDs, Links: n.links, Log: o.Log,
+		SingleProcess: true, NoFileIDs: o.NoFileIDs, CloseTimeout: n.closeTimeout(), Links: n.links, Log: o.Log,
 	})
 	if err != nil {
 		return nil, err
--- a/internal/deployment/stop.go
+++ b/internal/deployment/stop.go
@@ -23,6 +23,8 @@
 	// lastAnswersShare is the part of the reserve in which requests that are still open at its
 	// start are answered with their verdicts.
 	lastAnswersShare = 1.0 / 3
+	// closeShare is the part of the reserve in which the session ends.
+	closeShare = 1.0 / 3
 	// controlTimeout bounds the wait for calls of operators and upstreams, who turn to
 	// another voter after a second.
 	controlTimeout = 500 * time.Millisecond
@@ -99,6 +101,15 @@
 	return min(maxReserve, time.Duration(reserveShare*float64(n.options.GracePeriod)))
 }
 
+// closeTimeout returns how long the end of the session may take; zero for the default, since a
+// voter without clients has the grace period for it.
+func (n *Node) closeTimeout() time.Duration {
+	if n.options.ClientAddress == "" {
+		return 0
+	}
+	return time.Duration(closeShare * float64(n.reserve()))
+}
+
 func (n *Node) lastAnswersTimeout() time.Duration {
 	return time.Duration(lastAnswersShare * float64(n.reserve()))
 }
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -81,6 +81,9 @@
 	Seeds         []string
 	Links         Links
 	Log           logrus.FieldLogger
+	// CloseTimeout is how long the end of the session waits for the leader; zero selects the
+	// default.
+	CloseTimeout time.Duration
 	// ElectionTimeout is the shortest election timeout; zero selects the default.
 	ElectionTimeout time.Duration
 	// LeaseTTL is how long a session lease lasts after its renewal was sent; zero
@@ -144,6 +147,9 @@
 	if c.LeaseTTL == 0 {
 		c.LeaseTTL = defaultLeaseTTL
 	}
+	if c.CloseTimeout == 0 {
+		c.CloseTimeout = defaultCloseTimeout
+	}
 	r := &Replica{config: c, view: newViewer(c.hooks, c.LeaseTTL), background: background{stop: make(chan struct{})}}
 	r.session = newSession(r)
 	none := ""
@@ -184,7 +190,7 @@
 		event.With(r.config.Log, event.VoterFailed).WithError(failed).Error("voter failed and cannot continue")
 		voterEnd <- nil // for the last receive below
 	}
-	r.background.wait(closeTimeout)
+	r.background.wait(r.config.CloseTimeout)
 	stopSession()
 	<-sessionEnd
 	<-watchEnd
--- a/internal/replica/session.go
+++ b/internal/replica/session.go
@@ -17,8 +17,8 @@
 )
 
 const (
-	sessionRetryDelay = 100 * time.Millisecond
-	closeTimeout      = time.Second
+	sessionRetryDelay   = 100 * time.Millisecond
+	defaultCloseTimeout = time.Second
 	// wakeDelay bounds how often pushed changes cause a renewal, and wakeTimeEach is the part
 	// of that time that each node of the fleet adds, because all renew at about that time.
 	wakeDelay    = 10 * time.Millisecond
@@ -171,7 +171,7 @@
 	if incarnation == 0 {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, closeTimeout)
+	ctx, cancel := context.WithTimeout(ctx, s.r.config.CloseTimeout)
 	defer cancel()
 	_, err := s.r.submit(ctx, wire.Command{Session: &wire.Session{Node: s.r.config.Entry.Name, Incarnation: incarnation}})
 	if err != nil {
