Reset the connection of an HTTP/1.0 client whose stream is cut

Seen by callers: a part of a stream looks whole to a client of HTTP/1.0, at a stop or at any other end of its upstream.

Cause: such a response ends with its connection, and net/http ends it in an orderly way after an abort.

Change: the gateway takes the connection over and resets it. Clients of HTTP/1.1 see the missing last chunk as before.

Conclusion: no cut answer looks whole on this path.

--- a/internal/gateway/client.go
+++ b/internal/gateway/client.go
@@ -32,3 +32,16 @@
 
 // waitedFor returns how long the client has let the call wait.
 func (w *clientWriter) waitedFor() time.Duration { return time.Duration(w.waited.Load()) }
+
+// resetConnection resets the connection of a client of HTTP/1.0. Its response has no chunks, so
+// that a regular end would make a part of it look whole.
+func (c *call) resetConnection() {
+	conn, _, err := http.NewResponseController(c.w).Hijack()
+	if err != nil {
+		return // the connection has ended already
+	}
+	if tcp, ok := conn.(interface{ SetLinger(seconds int) error }); ok {
+		_ = tcp.SetLinger(0) // fails on a closed connection only
+	}
+	_ = conn.Close()
+}
--- a/internal/gateway/finish.go
+++ b/internal/gateway/finish.go
@@ -262,5 +262,8 @@
 // look complete.
 func (c *call) abort(e *verdict.Error) {
 	c.finish("broken-off", e)
+	if !c.r.ProtoAtLeast(1, 1) {
+		c.resetConnection()
+	}
 	panic(http.ErrAbortHandler)
 }
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -85,6 +85,14 @@
 	return c.Conn.SetReadDeadline(c.readDeadline)
 }
 
+// SetLinger sets what a close does with unsent bytes, as that of net.TCPConn.
+func (c *conn) SetLinger(seconds int) error {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		return tcp.SetLinger(seconds)
+	}
+	return errors.ErrUnsupported
+}
+
 // SetReadDeadline implements net.Conn.
 func (c *conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
