Claim networks for all process tests

Cause: test runs beside each other on one machine use the same loopback addresses, and answer for each other (address already in use, 401 and 404 of nodes that are not there).

Change: the soak, the tests of crashes, paths, limits and odd entries, and that of upgrades claim their networks as the stop tests do; spare ones are taken if another run holds the wanted one.

--- a/internal/soak/cluster_test.go
+++ b/internal/soak/cluster_test.go
@@ -28,6 +28,9 @@
 	revokeTimeout     = 4 * time.Second
 	drainTimeout      = 2 * time.Second
 	gracePeriod       = 4 * time.Second
+	// A network that another test run on this machine uses is replaced by one of these.
+	firstSpareNetwork, lastSpareNetwork = 50, 99
+	networkLockPort                     = 28099
 	// maxSeeds is the number of voters that the platform names in a settings file.
 	maxSeeds = 3
 )
@@ -66,6 +69,39 @@
 	ownEnds []string // processes that ended without a signal of the test
 }
 
+// claimNetwork returns a network, the given one if no other test run on this machine uses it.
+// The listener holds it until it is closed.
+func claimNetwork(t testing.TB, wanted byte) (byte, net.Listener) {
+	t.Helper()
+	networks := []byte{wanted}
+	for n := byte(firstSpareNetwork); n <= lastSpareNetwork; n++ {
+		networks = append(networks, n)
+	}
+	for _, n := range networks {
+		lock, err := net.Listen("tcp", fmt.Sprintf("127.%d.4.1:%d", n, networkLockPort))
+		if err != nil {
+			continue
+		}
+		// A test of another kind may use the network without the lock.
+		probe, err := net.Listen("tcp", fmt.Sprintf("127.%d.1.1:%d", n, controlPort))
+		if err == nil {
+			_ = probe.Close()
+			return n, lock
+		}
+		_ = lock.Close()
+	}
+	t.Fatal("no network is free")
+	return 0, nil
+}
+
+// useNetwork claims a network until the test ends.
+func useNetwork(t testing.TB, wanted byte) byte {
+	t.Helper()
+	network, lock := claimNetwork(t, wanted)
+	t.Cleanup(func() { _ = lock.Close() })
+	return network
+}
+
 func (c *cluster) host(i int) string { return fmt.Sprintf("127.%d.1.%d", c.network, i+1) }
 
 func newCluster(t testing.TB, network byte, binary, platformAddress string) *cluster {
--- a/internal/soak/crash_test.go
+++ b/internal/soak/crash_test.go
@@ -226,6 +226,7 @@
 func newCrashCluster(t *testing.T, network byte, upstreamCount int) *crashCluster {
 	t.Helper()
 	h := newHistory()
+	network = useNetwork(t, network)
 	c := &crashCluster{cluster: newCluster(t, network, buildBinary(t), h.startPlatform(t, network)), record: &crashRecord{}}
 	for i := range c.vms {
 		c.start(i, true)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -84,6 +84,7 @@
 // runSeed runs a new cluster under the faults of one seed and checks the guarantees.
 func runSeed(t *testing.T, binary string, seed uint64, network byte) {
 	h := newHistory()
+	network = useNetwork(t, network)
 	c := newCluster(t, network, binary, h.startPlatform(t, network))
 	for i := range c.vms {
 		c.start(i, true)
--- a/internal/soak/stop_cluster_test.go
+++ b/internal/soak/stop_cluster_test.go
@@ -22,36 +22,8 @@
 	stopPeerPort = 27600
 	// stopStartTime bounds the start of a cluster.
 	stopStartTime = 20 * time.Second
-	// A network that another test run on this machine uses is replaced by one of these.
-	firstSpareNetwork, lastSpareNetwork = 50, 99
-	networkLockPort                     = 28099
 )
 
-// claimNetwork returns a network, the given one if no other test run on this machine uses it.
-// The listener holds it until it is closed.
-func claimNetwork(t testing.TB, wanted byte) (byte, net.Listener) {
-	t.Helper()
-	networks := []byte{wanted}
-	for n := byte(firstSpareNetwork); n <= lastSpareNetwork; n++ {
-		networks = append(networks, n)
-	}
-	for _, n := range networks {
-		lock, err := net.Listen("tcp", fmt.Sprintf("127.%d.4.1:%d", n, networkLockPort))
-		if err != nil {
-			continue
-		}
-		// A test of another kind may use the network without the lock.
-		probe, err := net.Listen("tcp", fmt.Sprintf("127.%d.1.1:%d", n, controlPort))
-		if err == nil {
-			_ = probe.Close()
-			return n, lock
-		}
-		_ = lock.Close()
-	}
-	t.Fatal("no network is free")
-	return 0, nil
-}
-
 // stopProcess is one run of a node's process. The fields after exited are set before it closes.
 type stopProcess struct {
 	cmd     *exec.Cmd
--- a/internal/soak/upgrade_test.go
+++ b/internal/soak/upgrade_test.go
@@ -103,6 +103,7 @@
 	how := orders[seed%uint64(len(orders))]
 	t.Logf("seed %d: %d voters, %d entry nodes, order %s", seed, s.voters, s.entryNodes, how.name)
 	h := newHistory()
+	network = useNetwork(t, network)
 	c := newClusterOf(t, network, s, from, h.startPlatform(t, network))
 	u := &upgrade{cluster: c, t: t, h: h, from: from, to: to, balancer: &balancer{c: c, misses: make(map[int]int)}}
 	ctx, stop := context.WithTimeout(context.Background(), maxUpgradeTime)
