Read what has arrived after a pause before a stream counts as stalled

Seen by callers: when a node is paused for longer than 1.5 s, or gets no processor, sound streams that may be resumed are cut, also at a node that is not stopped.

Cause: the time-out of a read fires after the pause although the upstream's events have arrived meanwhile, and the resume of the stream finds the lease not renewed yet. Found by the review with SIGSTOP, and by the stop tests at load averages above 60 (trace: read time-out and 'process was paused' in the same millisecond, then configuration-lease-expired).

Change: a read that times out 0.1 s or more too late goes on for 0.25 s. A stream that has begun waits up to 0.5 s for the lease before it is resumed.

--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -16,6 +16,9 @@
 	// minCapacityWait lets calls with a short target latency wait long enough for one
 	// slot to become free.
 	minCapacityWait = 15 * time.Millisecond
+	// resumeLeaseWait is how long a stream that has begun waits for the lease before it is
+	// resumed: after a pause of the process, the lease is renewed first.
+	resumeLeaseWait = 500 * time.Millisecond
 	// minRemaining is the least time in which an upstream can respond at all.
 	minRemaining = 5 * time.Millisecond
 	// capacityPollInterval is how often a waiting call checks for capacity even without
@@ -37,10 +40,15 @@
 // choose picks an upstream for the call. It waits briefly if none has free capacity.
 func (c *call) choose() (choice, *verdict.Error) {
 	maxWait := max(minCapacityWait, time.Duration(capacityWaitShare*float64(c.route.TargetLatency)))
-	until := time.Now().Add(maxWait)
+	started := time.Now()
+	until := started.Add(maxWait)
 	for {
 		now := time.Now()
 		view, ok := c.g.State.View(now)
+		if !ok && c.headersSent && now.Sub(started) < resumeLeaseWait && c.ctx.Err() == nil {
+			time.Sleep(startupPollInterval)
+			continue
+		}
 		if !ok {
 			return choice{}, refusal(http.StatusServiceUnavailable, verdict.CodeLeaseExpired, minStateRetryAfter, "the node has lost touch with the replicated state")
 		}
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -30,6 +30,10 @@
 	// any case.
 	streamStallTimeout = 1500 * time.Millisecond
 	stallGapFactor     = 2
+	// A read that times out lateWake or more after its deadline shows that the process was
+	// paused. What the upstream has sent meanwhile is read within lateReadTimeout.
+	lateWake        = 100 * time.Millisecond
+	lateReadTimeout = 250 * time.Millisecond
 )
 
 var errBodyTooLong = errors.New("body without a length exceeds the size limit")
@@ -116,12 +120,21 @@
 	controller := http.NewResponseController(c.w)
 	splitter := stream.Splitter{MaxEventBytes: maxEventBytes}
 	var lastEvent time.Time // zero before the first one
+	var resumed time.Time   // until when reads may go on after a pause of the process; else zero
 	chunk := make([]byte, readBufferBytes)
 	for {
-		if err := a.conn.SetReadDeadline(c.eventDeadline(a, lastEvent)); err != nil {
+		deadline := c.eventDeadline(a, lastEvent)
+		if resumed.After(deadline) {
+			deadline = resumed
+		}
+		if err := a.conn.SetReadDeadline(deadline); err != nil {
 			return &failure{verdict: verdict.MayHaveRun, cause: "connection", err: err}
 		}
 		n, err := a.resp.Body.Read(chunk)
+		if now := time.Now(); n == 0 && err != nil && readCause(err) == "silent" && wokeLate(now, deadline, c.deadline) {
+			resumed = now.Add(lateReadTimeout)
+			continue
+		}
 		events, splitErr := splitter.Feed(chunk[:n])
 		if len(events) > 0 {
 			if f := c.writeEvents(a, events, controller); f != nil {
@@ -143,6 +156,12 @@
 	}
 }
 
+// wokeLate reports whether a read timed out so long after its deadline that the process must have
+// been paused, and the call has time left.
+func wokeLate(now, readDeadline, callDeadline time.Time) bool {
+	return now.Sub(readDeadline) >= lateWake && now.Before(callDeadline)
+}
+
 // endEvents forwards the comments after the last event. A stream without any event, or one
 // that ends within an event, was cut.
 func (c *call) endEvents(a *attempt, splitter *stream.Splitter) *failure {
