End the read of a body at the shutdown limit

Seen by callers: a request whose body arrived slowly, with a length or in chunks, had no answer when the node ended.

Cause: calls are canceled at the limit only once they are registered, which is after the body has been read.

Change: the read of a body is registered like a call. At the limit it ends, and the request is refused as not run (may have run with an idempotency key). A call or read that registers after the limit ends at once.

--- a/internal/caller/drain.go
+++ b/internal/caller/drain.go
@@ -19,23 +19,30 @@
 
 // drainState counts the open requests and can cancel their calls at shutdown.
 type drainState struct {
-	mu      sync.Mutex
-	closed  bool
+	mu     sync.Mutex
+	closed bool
+	// expired is true once the shutdown limit has passed. No call starts after it.
+	expired bool
 	open    int
 	nextID  uint64
 	cancels map[uint64]context.CancelCauseFunc
 }
 
+// shuttingDown returns the error for a request that ends because of the shutdown.
+func shuttingDown(v verdict.Verdict, cause error) *verdict.Error {
+	return &verdict.Error{
+		Verdict: v, Code: verdict.CodeShuttingDown, Status: http.StatusServiceUnavailable,
+		RetryAfter: time.Second, Detail: "the node shuts down", Cause: cause,
+	}
+}
+
 // startRequest counts one request unless the API is shutting down. The returned function
 // must be called at the end of the request.
 func (d *drainState) startRequest() (func(), error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.closed {
-		return nil, &verdict.Error{
-			Verdict: verdict.NotRun, Code: verdict.CodeShuttingDown, Status: http.StatusServiceUnavailable,
-			RetryAfter: time.Second, Detail: "the node shuts down",
-		}
+		return nil, shuttingDown(verdict.NotRun, nil)
 	}
 	d.open++
 	return func() {
@@ -45,10 +52,15 @@
 	}, nil
 }
 
-// register adds the function that cancels a call at the shutdown limit.
+// register adds the function that ends a call, or the read of a body, at the shutdown limit.
+// After the limit, it is called at once. It is never called after unregister.
 func (d *drainState) register(cancel context.CancelCauseFunc) (unregister func()) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if d.expired {
+		cancel(errShutdown)
+		return func() {}
+	}
 	if d.cancels == nil {
 		d.cancels = make(map[uint64]context.CancelCauseFunc)
 	}
@@ -62,6 +74,22 @@
 	}
 }
 
+// expire ends all registered calls and reads.
+func (d *drainState) expire() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.expired = true
+	for _, cancel := range d.cancels {
+		cancel(errShutdown)
+	}
+}
+
+func (d *drainState) hasExpired() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.expired
+}
+
 func (d *drainState) count() int {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -85,11 +113,7 @@
 		return 0
 	}
 	event.With(a.Log, event.RequestsEnded).WithField("requests", interrupted).Error("shutdown limit reached; canceling open requests")
-	a.drain.mu.Lock()
-	for _, cancelCall := range a.drain.cancels {
-		cancelCall(errShutdown)
-	}
-	a.drain.mu.Unlock()
+	a.drain.expire()
 	grace, cancel := context.WithTimeout(context.Background(), shutdownGrace)
 	defer cancel()
 	for a.drain.count() > 0 && grace.Err() == nil {
--- a/internal/caller/finish.go
+++ b/internal/caller/finish.go
@@ -153,10 +153,7 @@
 			Detail: "the answer was not complete within " + c.class.CompletionTarget.Std().String(), Cause: cause,
 		}
 	case errors.Is(cause, errShutdown):
-		return kindShutdown, &verdict.Error{
-			Verdict: v, Code: verdict.CodeShuttingDown, Status: http.StatusServiceUnavailable,
-			RetryAfter: time.Second, Detail: "the node shuts down", Cause: cause,
-		}
+		return kindShutdown, shuttingDown(v, cause)
 	}
 	// 499 is the status that servers commonly log for a client that closed the
 	// connection.
--- a/internal/caller/parse.go
+++ b/internal/caller/parse.go
@@ -47,11 +47,17 @@
 	return view, view.Accounts[name], nil
 }
 
-func readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+func (a *API) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(time.Now().Add(bodyReadTimeout))
+	unregister := a.drain.register(func(error) { _ = control.SetReadDeadline(time.Unix(1, 0)) })
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, MaxBodyBytes))
+	unregister()
 	_ = control.SetReadDeadline(time.Time{})
+	if a.drain.hasExpired() {
+		w.Header().Set("Connection", "close")
+		return nil, shuttingDown(verdict.NotRun, err)
+	}
 	if err == nil {
 		return body, nil
 	}
@@ -84,7 +90,7 @@
 	if err != nil {
 		return nil, err
 	}
-	body, err := readBody(w, r)
+	body, err := a.readBody(w, r)
 	if err != nil {
 		return nil, err
 	}
@@ -138,7 +144,7 @@
 			Detail: "no service has a route for " + r.Method + " " + r.URL.Path,
 		}
 	}
-	body, err := readBody(w, r)
+	body, err := a.readBody(w, r)
 	if err != nil {
 		return nil, err
 	}
