Send nothing after the shutdown limit

Seen by callers: a booking whose intent was being recorded when the limit passed was sent after it, without anyone to cancel it. If the service was slow, the process ended before the answer.

Cause: book starts a second call for the send, which registered after the limit had canceled all calls, and a free slot is taken without a look at the context.

--- a/internal/caller/send.go
+++ b/internal/caller/send.go
@@ -18,6 +18,9 @@
 // send sends the request to the attempt's upstream and returns the response once its
 // headers have arrived.
 func (a *API) send(ctx context.Context, c *call, at *attempt) (*http.Response, error) {
+	if ctx.Err() != nil {
+		return nil, a.contextError(ctx, c) // a free slot is taken even if the call has ended
+	}
 	now := a.Now()
 	if _, ok := a.Viewer.View(now); !ok && c.attempts == 0 {
 		return nil, leaseExpired()
