Answer bookings at the shutdown limit without waiting for the state

Seen by callers: a booking that was under way at the limit got no answer if the replicated state was out of reach, even if the service's answer had arrived.

Cause: abandoning or orphaning an intent takes up to 5 s, recording an answer 3 s, a lookup 2 s; the node ends 2 s after the limit.

Change: 1 s after the limit the answers are due. What still records then goes on without the request: an answer is delivered, a booking whose intent cannot be freed may have run. An intent that is recorded later than that is abandoned. A duplicate whose outcome is not known at the limit gets 503 with a Retry-After, since another node may still find it.

Ruled out: more than 2 s after the limit, since it comes on top of the operator's limit.

--- a/internal/caller/api.go
+++ b/internal/caller/api.go
@@ -77,6 +77,7 @@
 		Viewer: viewer, Upstreams: upstreams, Transport: upstream.NewTransport(), Log: log, Now: time.Now,
 		WriteTimeout: writeTimeout, Metrics: NewMetrics(), Suspects: NewSuspects(), Parts: NewParts(), Slots: NewSlots(now, self, slotPolicy()),
 	}
+	a.drain.init()
 	a.refreshSlots(now)
 	return a
 }
--- a/internal/caller/booking.go
+++ b/internal/caller/booking.go
@@ -6,6 +6,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"net/url"
@@ -76,8 +77,8 @@
 		}
 		if booked.State == state.StateAbandoned {
 			var attempt *replica.Attempt
-			if attempt, booked, err = a.Bookings.Begin(ctx, b); err != nil {
-				return beginError(err)
+			if attempt, booked, err = a.begin(ctx, b); err != nil {
+				return beginError(ctx, err)
 			}
 			if booked.Fresh {
 				b.Attempt = attempt.ID()
@@ -122,7 +123,7 @@
 	booked, err := a.lookup(context.WithoutCancel(ctx), b)
 	switch {
 	case err != nil:
-		return free, beginError(err)
+		return free, beginError(ctx, err)
 	case booked.State == state.StateAbandoned:
 		return free, refusal
 	}
@@ -130,11 +131,49 @@
 }
 
 func (a *API) lookup(ctx context.Context, b wire.Booking) (wire.Booked, error) {
-	ctx, cancel := context.WithTimeout(ctx, lookupTimeout)
+	ctx, cancel := a.lookupContext(ctx)
 	defer cancel()
 	return a.Bookings.Lookup(ctx, b)
 }
 
+// lookupContext returns the context of a lookup.
+func (a *API) lookupContext(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, stop := a.drain.beforeAnswersDue(ctx)
+	ctx, cancel := context.WithTimeout(ctx, lookupTimeout)
+	return ctx, func() { cancel(); stop() }
+}
+
+// begun is the result of Bookings.Begin.
+type begun struct {
+	attempt *replica.Attempt
+	booked  wire.Booked
+	err     error
+}
+
+// begin records the intent to send a booking. Without the state in reach that takes longer
+// than the shutdown, so when the answers are due the intent counts as open. It is abandoned
+// if it is recorded later.
+func (a *API) begin(ctx context.Context, b wire.Booking) (*replica.Attempt, wire.Booked, error) {
+	done := make(chan begun)
+	go func() {
+		var r begun
+		r.attempt, r.booked, r.err = a.Bookings.Begin(ctx, b)
+		select {
+		case done <- r:
+		case <-a.drain.answersDue.Done():
+			if r.err == nil && r.booked.Fresh {
+				_ = r.attempt.Abandon(ctx)
+			}
+		}
+	}()
+	select {
+	case r := <-done:
+		return r.attempt, r.booked, r.err
+	case <-a.drain.answersDue.Done():
+		return nil, wire.Booked{}, fmt.Errorf("%w: %w", replica.ErrIntentOpen, errShutdown)
+	}
+}
+
 // newBooking returns the booking of a call. Its hash binds the key to the method, path
 // and body of the request.
 func newBooking(c *call) (wire.Booking, error) {
@@ -162,11 +201,14 @@
 // beginError returns the error for a booking whose intent could not be recorded; the
 // request was not sent. If the intent may be recorded nevertheless, the verdict is
 // MayHaveRun, since a retry may find the key in use.
-func beginError(err error) error {
+func beginError(ctx context.Context, err error) error {
 	e := &verdict.Error{
 		Verdict: verdict.NotRun, Code: verdict.CodeStateUnavailable, Status: http.StatusServiceUnavailable,
 		RetryAfter: defaultRetryAfter, Detail: "the replicated state cannot be reached", Cause: err,
 	}
+	if errors.Is(context.Cause(ctx), errShutdown) {
+		e = shuttingDown(verdict.NotRun, err)
+	}
 	if errors.Is(err, replica.ErrIntentOpen) {
 		e.Verdict = verdict.MayHaveRun
 	}
@@ -184,7 +226,7 @@
 	case err == nil:
 		return a.recordAnswer(ctx, w, answer, attempt)
 	case verdict.Of(err) == verdict.NotRun:
-		if abandonErr := attempt.Abandon(ctx); abandonErr != nil {
+		if abandonErr := a.drain.commit(func() error { return attempt.Abandon(ctx) }); abandonErr != nil {
 			e := *verdict.From(err)
 			e.Verdict, e.Cause = verdict.MayHaveRun, errors.Join(err, abandonErr)
 			return &e
@@ -193,8 +235,8 @@
 	}
 	// If this fails, the intent stays in the state running until the node's session
 	// ends, and no node sends the request again.
-	_ = attempt.Orphan(ctx)
-	lookupCtx, cancelLookup := context.WithTimeout(context.WithoutCancel(ctx), lookupTimeout)
+	_ = a.drain.commit(func() error { return attempt.Orphan(ctx) })
+	lookupCtx, cancelLookup := a.lookupContext(context.WithoutCancel(ctx))
 	defer cancelLookup()
 	if booked, ok := a.settle(lookupCtx, c, b); ok {
 		return writeAnswer(w, booked.Answer)
@@ -210,6 +252,7 @@
 	select {
 	case <-attempt.Finish(ctx, answer):
 	case <-wait.C:
+	case <-a.drain.answersDue.Done():
 	}
 	return writeAnswer(w, &answer)
 }
@@ -294,11 +337,14 @@
 		}
 	}
 	b.Attempt = booked.Attempt
-	lookupCtx, cancel := context.WithTimeout(ctx, lookupTimeout)
+	lookupCtx, cancel := a.lookupContext(ctx)
 	defer cancel()
 	if settled, ok := a.settle(lookupCtx, c, b); ok {
 		return writeAnswer(w, settled.Answer)
 	}
+	if errors.Is(context.Cause(ctx), errShutdown) {
+		return shuttingDown(verdict.MayHaveRun, nil) // another node can still find the outcome
+	}
 	return &verdict.Error{Verdict: verdict.MayHaveRun, Code: verdict.CodeOutcomeUnknown, Status: http.StatusConflict, Detail: "a request with this idempotency key may have run; it is not sent again"}
 }
 
--- a/internal/caller/drain.go
+++ b/internal/caller/drain.go
@@ -15,6 +15,9 @@
 	// shutdownGrace is how long requests that were canceled at the shutdown limit may
 	// take to send their errors.
 	shutdownGrace = 2 * time.Second
+	// settleTime is the part of shutdownGrace in which bookings may still record their
+	// outcome before they are answered.
+	settleTime = shutdownGrace / 2
 )
 
 // drainState counts the open requests and can cancel their calls at shutdown.
@@ -26,6 +29,33 @@
 	open    int
 	nextID  uint64
 	cancels map[uint64]context.CancelCauseFunc
+	// answersDue ends settleTime after the limit.
+	answersDue    context.Context
+	endAnswersDue context.CancelFunc
+}
+
+func (d *drainState) init() {
+	d.answersDue, d.endAnswersDue = context.WithCancel(context.Background())
+}
+
+// beforeAnswersDue returns a context that also ends when the answers of the shutdown are due.
+func (d *drainState) beforeAnswersDue(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	stop := context.AfterFunc(d.answersDue, func() { cancel(errShutdown) })
+	return ctx, func() { stop(); cancel(nil) }
+}
+
+// commit runs f, which records something in the replicated state and may take longer than
+// the shutdown. When the answers are due, commit returns errShutdown, while f goes on.
+func (d *drainState) commit(f func() error) error {
+	done := make(chan error, 1)
+	go func() { done <- f() }()
+	select {
+	case err := <-done:
+		return err
+	case <-d.answersDue.Done():
+		return errShutdown
+	}
 }
 
 // shuttingDown returns the error for a request that ends because of the shutdown.
@@ -78,7 +108,10 @@
 func (d *drainState) expire() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.expired = true
+	if !d.expired {
+		d.expired = true
+		time.AfterFunc(settleTime, d.endAnswersDue)
+	}
 	for _, cancel := range d.cancels {
 		cancel(errShutdown)
 	}
