Declare the loss slack of the soak once

Cause: two merged tests declared the same constant, so that the package did not build.

Change: the upgrade test uses that of the stop tests.

Conclusion: one copy.

--- a/internal/soak/upgrade_load_test.go
+++ b/internal/soak/upgrade_load_test.go
@@ -22,9 +22,6 @@
 	// no new connections to a node.
 	missesUntilOut = 2
 	requestTimeout = 3 * time.Second
-	// lossSlack is the time after a request was sent from which a connection that ends
-	// without an answer has lost it.
-	lossSlack = 200 * time.Millisecond
 )
 
 // balancer selects the entry nodes that get new connections, as the platform does.
