--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -33,11 +34,6 @@
 	// electionTimeout is the minimum time without a heartbeat after which voters elect a
 	// leader: a few hundred round trips within a region.
 	electionTimeout = 200 * time.Millisecond
-	// unreadyDuration is how long a stopping node still accepts requests after it reports
-	// that it is not ready: the load balancer checks every second and needs two responses.
-	unreadyDuration = 2500 * time.Millisecond
-	// shutdownReserve is the part of the grace period that is reserved for exiting.
-	shutdownReserve = 600 * time.Millisecond
 	// readHeaderTimeout and idleTimeout limit connections on which clients send nothing.
 	// idleTimeout exceeds the idle timeout in every plan; clients comply with the latter.
 	readHeaderTimeout = 10 * time.Second
@@ -102,14 +98,19 @@
 	exchange     *gateway.Exchange
 	control      *control.Control
 	servers      []*server
-	clientServer *server
-	clients      *listener.Listener // of clientServer
-	tunnels      *tunnel.Server     // nil on a node that only votes
+	clientServer *server        // nil on a node that only votes
+	tunnels      *tunnel.Server // nil on a node that only votes
+	// controlServer is nil on a node that does not vote.
+	controlServer *server
+	// endControl ends the calls that controlServer serves.
+	endControl context.CancelFunc
+	// stopping is set once the node was told to stop.
+	stopping atomic.Bool
 }
 
 type server struct {
 	http.Server
-	listener net.Listener
+	listener *listener.Listener
 }
 
 // New opens the listeners and the node's copy of the replicated state.
@@ -163,8 +164,6 @@
 	}
 	n.clientServer = n.servers[len(n.servers)-1]
 	n.clientServer.IdleTimeout = idleTimeout
-	n.clients = listener.New(n.clientServer.listener)
-	n.clientServer.listener, n.clientServer.ConnState, n.clientServer.ConnContext = n.clients, n.clients.ConnState, n.clients.ConnContext
 	return n.listen("readiness", o.ReadinessAddress, o.ReadinessHandler(func() bool { return n.gateway.Ready(time.Now()) }))
 }
 
@@ -173,7 +172,13 @@
 	n.control.Platform, n.control.ScalingEnabled = n.options.Platform, n.options.ScalingEnabled
 	n.control.UsageWindow, n.control.MaxExposure, n.control.MinLeadTime = n.options.GatewaySettings.UsageWindow, n.options.MaxExposure, n.options.MinLeadTime
 	n.control.RegisterHandlers()
-	return n.listen("control", n.options.ControlAddress, n.options.ControlHandler(n.control))
+	if err := n.listen("control", n.options.ControlAddress, n.closeWhenStopping(n.options.ControlHandler(n.control))); err != nil {
+		return err
+	}
+	n.controlServer = n.servers[len(n.servers)-1]
+	ctx, cancel := context.WithCancel(context.Background())
+	n.controlServer.BaseContext, n.endControl = func(net.Listener) context.Context { return ctx }, cancel
+	return nil
 }
 
 func (n *Node) listen(purpose, address string, h http.Handler) error {
@@ -181,7 +186,10 @@
 	if err != nil {
 		return eris.Wrapf(err, "cannot listen for %s on %q; check that the address belongs to this VM and is not in use", purpose, address)
 	}
-	n.servers = append(n.servers, &server{http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout}, l})
+	tracked := listener.New(l)
+	n.servers = append(n.servers, &server{http.Server{
+		Handler: h, ReadHeaderTimeout: readHeaderTimeout, ConnState: tracked.ConnState, ConnContext: tracked.ConnContext,
+	}, tracked})
 	return nil
 }
 
@@ -218,6 +226,7 @@
 		stateResult <- nil // received again below
 	}
 	event.With(n.options.Log, event.NodeStopping).WithError(err).Info("node stopping")
+	n.stopping.Store(true)
 	if err == nil {
 		n.drain()
 	}
@@ -253,38 +262,3 @@
 	}
 	return tasks
 }
-
-// drain reports to the load balancer that the node is not ready, keeps serving for
-// unreadyDuration, while the balancer still sends clients to it, and then waits for open
-// requests up to the end of the grace period.
-func (n *Node) drain() {
-	if n.gateway == nil {
-		return
-	}
-	started := time.Now()
-	end := started.Add(n.options.GracePeriod - shutdownReserve)
-	n.gateway.Stop(started)
-	n.logClients(started)
-	time.Sleep(unreadyDuration)
-	n.logClients(started)
-	shutdownCtx, cancel := context.WithDeadline(context.Background(), end)
-	defer cancel()
-	tunnelsDone := make(chan error, 1)
-	go func() { tunnelsDone <- n.tunnels.Drain(shutdownCtx) }()
-	err := n.clients.Drain(shutdownCtx)
-	if err = errors.Join(err, <-tunnelsDone); err != nil {
-		event.With(n.options.Log, event.ShutdownCut).WithField("open", n.gateway.Open()).WithField("tunnels", n.tunnels.Open()).WithError(err).
-			Warn("grace period is over; closing connections with open requests")
-		n.gateway.LogOpen(time.Now())
-	}
-	n.logClients(started)
-	_ = n.clientServer.Close() // the listener is closed already, and without an error so are the connections
-}
-
-// logClients logs the connections of clients at a step of the stop that started at a time.
-func (n *Node) logClients(started time.Time) {
-	counts := n.clients.Counts()
-	event.With(n.options.Log, event.ClientsDraining).WithFields(logrus.Fields{
-		"unused": counts.Unused, "idle": counts.Idle, "busy": counts.Busy, "open": n.gateway.Open(), "since_ms": time.Since(started).Milliseconds(),
-	}).Info("connections of clients during the stop")
-}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"net/http"
 	"time"
 
@@ -16,6 +17,9 @@
 	g *Gateway
 	w http.ResponseWriter
 	r *http.Request
+	// ctx ends when the client leaves or, with the cause errStopped, at the end of a stop.
+	ctx    context.Context
+	cancel context.CancelCauseFunc
 
 	start time.Time
 	// deadline is when the response must be complete.
@@ -30,7 +34,9 @@
 	bodyRead time.Time
 	phase    phaseValue
 	prompt   placement.Request
-	cost     float64 // charged to the account, in the units of its limit
+	// maxOutput is the maximum number of output tokens; zero if the request names none.
+	maxOutput int
+	cost      float64 // charged to the account, in the units of its limit
 	// parts lists what other requests may share that crash upstreams: the parts of the
 	// prompt but the last, and, once the body was read, the request as a whole.
 	parts []poison.Part
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -5,6 +5,7 @@
 package gateway
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -14,6 +15,7 @@
 
 	"github.com/jaystage/jaystage/internal/config"
 	"github.com/jaystage/jaystage/internal/detour"
+	"github.com/jaystage/jaystage/pkg/drain"
 	"github.com/jaystage/jaystage/pkg/reach"
 )
 
@@ -118,6 +120,7 @@
 		Self: self, Domain: domain, Headers: headers, Settings: settings, State: state, Log: log, Metrics: NewMetrics(),
 		pool: newPool(settings.LocalIP), ledger: newLedger(settings.UsageWindow), parts: newPartRecords(), started: time.Now(), writeGrace: clientWriteGrace,
 	}
+	g.open.durations = drain.NewDurations()
 	g.upstreams, g.Detour = newUpstreamSet(g), detour.New()
 	g.Detour.Self, g.Detour.Nodes = reach.Node{Name: self, Domain: domain}, g.entryNodesOf
 	g.Detour.Log, g.Detour.Metrics, g.Detour.PathChanged = log, g.Metrics, g.upstreams.forgetUnreachable
@@ -134,6 +137,8 @@
 // ServeHTTP serves one request of a client.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c := &call{g: g, w: w, r: r, start: time.Now(), id: r.Header.Get(g.Headers.Attempt)}
+	c.ctx, c.cancel = context.WithCancelCause(r.Context())
+	defer c.cancel(nil)
 	g.open.add(c)
 	defer g.open.remove(c)
 	defer c.recoverPanic()
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -25,26 +25,106 @@
 	// pollInterval is the time between two checks for connections that became idle, or
 	// were accepted by the kernel, during a drain.
 	pollInterval = 10 * time.Millisecond
+	// unusedTimeout is how long a connection may be open without a byte before a drain
+	// closes it: the first request of a new connection is on its way.
+	unusedTimeout = 250 * time.Millisecond
 )
 
-// Listener is a net.Listener for one http.Server. Set ConnState as the server's hook
-// before it serves.
+// Listener is a net.Listener for one http.Server. Set ConnState and ConnContext as the
+// server's hooks before it serves.
 type Listener struct {
 	net.Listener
 	acceptEnd atomic.Int64 // when Accept must end, in Unix nanoseconds; zero while serving
+	// accepted is closed once Accept returns no more connections.
+	accepted chan struct{}
+	end      sync.Once // closes accepted
 
 	mu    sync.Mutex
-	conns map[*conn]bool // whether the connection is idle
+	conns map[*conn]bool
 }
 
 // conn is an accepted connection.
 type conn struct {
 	net.Conn
 	opened time.Time
-	// received is true once bytes of the next request have been read.
-	received atomic.Bool
 	// requests counts the requests whose head was read.
 	requests atomic.Int64
+
+	mu sync.Mutex
+	// idle is true while the answer to the last request is complete and the next request
+	// has not been read.
+	idle bool
+	// received is true once bytes of the next request have been read.
+	received bool
+	// ending is true while a read deadline in the past is in force, which makes the server
+	// close the connection. Bytes that were read nevertheless lift it.
+	ending bool
+	// readDeadline is the read deadline that the server has set.
+	readDeadline time.Time
+}
+
+// Read implements net.Conn.
+func (c *conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.received = true
+		err = errors.Join(err, c.resume())
+	}
+	return n, err
+}
+
+// resume lifts the end of the connection, since a request has arrived on it. c.mu must be
+// held.
+func (c *conn) resume() error {
+	if !c.ending {
+		return nil
+	}
+	c.ending = false
+	return c.Conn.SetReadDeadline(c.readDeadline)
+}
+
+// SetReadDeadline implements net.Conn.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.readDeadline = t
+	if c.ending {
+		return nil
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
+// endRequest records that the answer to a request is complete.
+func (c *conn) endRequest() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.idle, c.received = true, false
+}
+
+// beginRequest records that the head of a request was read. The server may have had it in
+// its buffer while the connection counted as idle.
+func (c *conn) beginRequest() {
+	c.requests.Add(1)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.idle = false
+	_ = c.resume() // fails on a closed connection, which the next read finds out
+}
+
+// endIfIdle ends the connection if it is idle or unused and has no unread bytes. The server
+// then closes it.
+func (c *conn) endIfIdle(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	unused := c.requests.Load() == 0 && now.Sub(c.opened) >= unusedTimeout
+	if c.ending || c.received || !c.idle && !unused || readable(c.Conn) {
+		return
+	}
+	// A deadline, unlike Close, ends only a read that has not returned any bytes yet. If it
+	// cannot be set, the connection is closed already.
+	c.ending = c.Conn.SetReadDeadline(time.Unix(1, 0)) == nil
 }
 
 // Info describes the connection of a request.
@@ -85,31 +165,24 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var n Counts
-	for c, idle := range l.conns {
+	for c := range l.conns {
+		c.mu.Lock()
 		switch {
-		case idle:
+		case c.idle:
 			n.Idle++
 		case c.requests.Load() == 0:
 			n.Unused++
 		default:
 			n.Busy++
 		}
+		c.mu.Unlock()
 	}
 	return n
 }
 
-// Read implements net.Conn.
-func (c *conn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	if n > 0 {
-		c.received.Store(true)
-	}
-	return n, err
-}
-
 // New returns a listener that accepts from l, which must be a *net.TCPListener.
 func New(l net.Listener) *Listener {
-	return &Listener{Listener: l, conns: make(map[*conn]bool)}
+	return &Listener{Listener: l, accepted: make(chan struct{}), conns: make(map[*conn]bool)}
 }
 
 // Accept implements net.Listener. During a drain, it ends once the backlog is empty.
@@ -119,23 +192,30 @@
 		if err == nil {
 			c := &conn{Conn: accepted, opened: time.Now()}
 			l.mu.Lock()
-			l.conns[c] = false
+			l.conns[c] = true
 			l.mu.Unlock()
 			return c, nil
 		}
 		end := l.acceptEnd.Load()
 		if end == 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+			if errors.Is(err, net.ErrClosed) {
+				l.endAccept()
+			}
 			return nil, err
 		}
 		if time.Now().UnixNano() >= end || !readable(l.Listener) {
+			l.endAccept()
 			return nil, net.ErrClosed
 		}
 		if err := l.setDeadline(time.Now().Add(pollInterval)); err != nil {
+			l.endAccept()
 			return nil, err
 		}
 	}
 }
 
+func (l *Listener) endAccept() { l.end.Do(func() { close(l.accepted) }) }
+
 func (l *Listener) setDeadline(t time.Time) error {
 	if d, ok := l.Listener.(interface{ SetDeadline(time.Time) error }); ok {
 		return d.SetDeadline(t)
@@ -150,39 +230,39 @@
 	if !ok {
 		return
 	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
 	switch state {
 	case http.StateClosed, http.StateHijacked:
+		l.mu.Lock()
+		defer l.mu.Unlock()
 		delete(l.conns, accepted)
 	case http.StateIdle:
-		accepted.received.Store(false)
-		l.conns[accepted] = true
+		accepted.endRequest()
 	case http.StateActive:
-		accepted.requests.Add(1)
-		l.conns[accepted] = false
-	default:
-		l.conns[accepted] = false
+		accepted.beginRequest()
 	}
 }
 
 // Drain accepts the connections that are in the backlog, then accepts no more. It closes
-// connections as they become idle, except those on which a request has arrived, and
-// returns when none is left or ctx ends. Meanwhile the server should end its responses
-// with "Connection: close", so that clients do not send another request.
+// connections as they become idle, and those that have carried no request, except those on
+// which a request has arrived. It returns when none is left or ctx ends. Meanwhile the server
+// should end its responses with "Connection: close", so that clients do not send another
+// request.
 func (l *Listener) Drain(ctx context.Context) error {
 	now := time.Now()
-	l.acceptEnd.Store(now.Add(backlogTimeout).UnixNano())
-	if err := l.setDeadline(now.Add(pollInterval)); err != nil {
+	l.acceptEnd.CompareAndSwap(0, now.Add(backlogTimeout).UnixNano())
+	if err := l.setDeadline(now.Add(pollInterval)); err != nil && !errors.Is(err, net.ErrClosed) {
 		return err
 	}
 	ticker := time.NewTicker(pollInterval)
 	defer ticker.Stop()
-	started := now
 	for {
-		open := l.closeIdle()
-		if open == 0 && time.Since(started) > 2*pollInterval {
-			return nil
+		select {
+		case <-l.accepted:
+			if l.closeIdle(time.Now()) == 0 {
+				return nil
+			}
+		default:
+			l.closeIdle(time.Now())
 		}
 		select {
 		case <-ctx.Done():
@@ -192,17 +272,13 @@
 	}
 }
 
-// closeIdle closes the idle connections without unread bytes and returns the number of
-// open connections.
-func (l *Listener) closeIdle() int {
+// closeIdle closes the idle and unused connections without unread bytes and returns the
+// number of open connections.
+func (l *Listener) closeIdle(now time.Time) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for c, idle := range l.conns {
-		if idle && !c.received.Load() && !readable(c.Conn) {
-			// A deadline, unlike Close, ends only a read that has not returned any bytes yet.
-			// The server then closes the connection.
-			_ = c.SetReadDeadline(time.Unix(1, 0))
-		}
+	for c := range l.conns {
+		c.endIfIdle(now)
 	}
 	return len(l.conns)
 }
