Do not wait for the body of a request that a stop has refused

Seen by operators: a stop takes 5 s longer and ends with an error when a refused request's body arrives slowly.

Cause: the refusal is sent at once, but before it closes the connection net/http reads the rest of the body, up to 256 KiB, without a time limit.

Change: while the node stops, that read has 500 ms, in which the client can read its refusal.

--- a/internal/caller/drain.go
+++ b/internal/caller/drain.go
@@ -19,6 +19,9 @@
 	// settleTime is the part of shutdownGrace in which bookings may still record their
 	// outcome before they are answered.
 	settleTime = shutdownGrace / 2
+	// bodyRestTimeout bounds the wait for the rest of the body of a refused request. The
+	// client needs the time to read the refusal.
+	bodyRestTimeout = 500 * time.Millisecond
 )
 
 // callPhase tells whether a call may still be refused as not run.
@@ -245,6 +248,9 @@
 	return aborted
 }
 
+// Open returns the number of open requests.
+func (a *API) Open() int { return a.drain.count() }
+
 // closeWhenUnready closes the connection after each response while the node shuts
 // down, so that clients open their next connection to another node.
 func (a *API) closeWhenUnready(next http.Handler) http.Handler {
@@ -253,5 +259,10 @@
 			w.Header().Set("Connection", "close")
 		}
 		next.ServeHTTP(w, r)
+		if a.Unready.Load() {
+			// Before it closes the connection, net/http waits for the rest of a body that was
+			// not read. Reading the next request on a kept connection lifts the deadline.
+			_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyRestTimeout))
+		}
 	})
 }
