Close the node's listeners independently of each other

Seen by operators: one connection of a client that was opened and never used, or whose head arrives slowly, makes the stop 5 s longer and the node exit with an error. An operator's call that is under way meanwhile is cut.

Cause: the three listeners were drained one after the other with 5 s in total, which such a connection used up; the others were then closed at once. A connection that is left counted as a failure of the stop, whether it carried a request or not.

The listener for clients closes unused connections (internal/listener) and waits 2 s for incomplete heads; what becomes a request has until the limit. Calls of operators and upstreams have 4 s of their own, then their contexts end and they have 1 s to answer. Their responses close their connections while the node stops. Only aborted requests make the exit an error; connections that are left are logged (event 1007). Other nodes' tunnels are told of the stop at once instead of after shutdown.unready.

The signals remain.

After the limit the process takes at most 2 s for verdicts, 2 s for heads and 5 s for calls of operators, in most cases a fraction of a second.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -35,9 +35,6 @@
 	readHeaderTimeout = 10 * time.Second
 	idleTimeout       = 2 * time.Minute
 	maxHeaderBytes    = 64 << 10
-	// closeTimeout limits how long the shutdown of the listeners waits for connections
-	// that have no open request.
-	closeTimeout = 5 * time.Second
 )
 
 // Node holds the components of one node: its listeners, its replica, its links to other
@@ -52,14 +49,24 @@
 	Cell        *cell.Cell
 	Rollouts    *rollouts.Controller
 	tunnels     *tunnel.Server
-	listeners   []endpoint // for clients, upstreams and operators, in this order
-	peers       *endpoint  // nil when the node has no listener for other nodes
-	incarnation uint64     // start time of this process, in nanoseconds since 1970
+	listeners   []*endpoint // for clients, upstreams and operators, in this order
+	peers       *endpoint   // nil when the node has no listener for other nodes
+	incarnation uint64      // start time of this process, in nanoseconds since 1970
 }
 
+// endpoint is a listener and its server.
 type endpoint struct {
 	*listener.Listener
 	server *http.Server
+	// endCalls cancels the contexts of the server's requests.
+	endCalls context.CancelFunc
+}
+
+func newEndpoint(l net.Listener, s *http.Server) *endpoint {
+	tracked := listener.New(l)
+	ctx, cancel := context.WithCancel(context.Background())
+	s.ConnState, s.ConnContext, s.BaseContext = tracked.ConnState, tracked.ConnContext, func(net.Listener) context.Context { return ctx }
+	return &endpoint{tracked, s, cancel}
 }
 
 // New opens the node's listeners, its replica and its links to other nodes. The
@@ -75,7 +82,7 @@
 	n.initCell()
 	announcements := &upstream.AnnounceAPI{HandleAnnounce: n.Cell.HandleAnnounce, Tokens: tokenHashes(s.Security.UpstreamTokens), Log: log, Now: time.Now}
 	operators := &operator.Server{State: n.State, Upstreams: n.Registry, Rollouts: n.Rollouts, Events: events, Vars: map[string]expvar.Var{"jaystage": n.Callers.Metrics}, Tokens: tokenHashes(s.Security.OperatorTokens), Log: log, Now: time.Now}
-	for i, handler := range []http.Handler{n.Callers.Handler(), announcements.Handler(), operators.Handler()} {
+	for i, handler := range []http.Handler{n.Callers.Handler(), n.closeWhenStopping(announcements.Handler()), n.closeWhenStopping(operators.Handler())} {
 		n.listeners[i].server.Handler = handler
 	}
 	return n, nil
@@ -111,10 +118,9 @@
 	if err != nil {
 		return eris.Wrapf(err, "cannot listen on %s %q; choose a free address", key, address)
 	}
-	tracked := listener.New(l)
-	n.listeners = append(n.listeners, endpoint{tracked, &http.Server{
-		ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: tracked.ConnState,
-	}})
+	n.listeners = append(n.listeners, newEndpoint(l, &http.Server{
+		ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+	}))
 	return nil
 }
 
@@ -138,8 +144,9 @@
 
 // Run serves until ctx ends or a component fails, then shuts down gracefully: the
 // readiness check fails, the node continues to serve for shutdown.unready so that the
-// load balancer notices, and then waits up to shutdown.limit for open requests. After
-// a failure it doesn't wait for the load balancer.
+// load balancer notices, and then waits up to shutdown.limit for open requests. All that
+// time it starts only requests that it expects to finish. After a failure it doesn't wait
+// for the load balancer.
 func (n *Node) Run(ctx context.Context) error {
 	serveErrs := make(chan error, len(n.listeners)+1)
 	stopState, stateDone := n.runState(ctx, serveErrs)
@@ -158,11 +165,11 @@
 	case err = <-serveErrs:
 	}
 	event.With(n.Log, event.NodeStopping).Info("node is shutting down")
-	n.Callers.Unready.Store(true)
-	if err == nil {
-		time.Sleep(n.Settings.Shutdown.UnreadyDelay.Std())
+	unready := n.Settings.Shutdown.UnreadyDelay.Std()
+	if err != nil {
+		unready = 0
 	}
-	err = errors.Join(err, n.drain(ctx))
+	err = errors.Join(err, n.drain(unready))
 	stopMaintenance()
 	<-maintenanceDone
 	<-probesDone
@@ -175,35 +182,6 @@
 	return err
 }
 
-// drain waits up to shutdown.limit for open requests, aborts the remaining ones with
-// their verdicts and closes the listeners. The listeners stay open until then, so that
-// a request that the load balancer still sends is refused with the verdict that it was
-// not run.
-func (n *Node) drain(ctx context.Context) error {
-	ctx = context.WithoutCancel(ctx)
-	drainCtx, cancelDrain := context.WithTimeout(ctx, n.Settings.Shutdown.Limit.Std())
-	defer cancelDrain()
-	var errs error
-	tunnelsDone := make(chan error, 1)
-	go func() { tunnelsDone <- n.tunnels.Drain(drainCtx) }()
-	aborted := n.Callers.Drain(drainCtx)
-	if err := <-tunnelsDone; err != nil {
-		event.With(n.Log, event.ShutdownCut).WithField("tunnels", n.tunnels.Open()).WithError(err).Warn("shutdown limit reached; closing connections of other nodes to upstreams")
-	}
-	if aborted > 0 {
-		errs = errors.Join(errs, eris.Errorf("%d open requests were aborted at the shutdown limit; raise shutdown.limit", aborted))
-	}
-	closeCtx, cancelClose := context.WithTimeout(ctx, closeTimeout)
-	defer cancelClose()
-	for _, l := range n.listeners {
-		if err := l.Drain(closeCtx); err != nil {
-			errs = errors.Join(errs, eris.Wrap(err, "close listener"))
-		}
-		errs = errors.Join(errs, l.server.Close())
-	}
-	return errs
-}
-
 // expireUpstreams removes upstreams that missed their heartbeats, until ctx ends. The
 // returned channel is closed after the last check.
 func (n *Node) expireUpstreams(ctx context.Context) <-chan struct{} {
--- a/internal/node/state.go
+++ b/internal/node/state.go
@@ -11,7 +11,6 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/jaystage/jaystage/internal/config"
-	"github.com/jaystage/jaystage/internal/listener"
 	"github.com/jaystage/jaystage/internal/peer"
 	"github.com/jaystage/jaystage/internal/replica"
 	"github.com/jaystage/jaystage/internal/settings"
@@ -86,8 +85,7 @@
 	if err != nil {
 		return eris.Wrapf(err, "cannot listen on listen.peers %q; choose a free address", s.Listen.Peers)
 	}
-	tracked := listener.New(l)
-	n.peers = &endpoint{tracked, &http.Server{Handler: n.Links.Handler(), ReadHeaderTimeout: readHeaderTimeout, TLSConfig: serverTLS, ConnState: tracked.ConnState}}
+	n.peers = newEndpoint(l, &http.Server{Handler: n.Links.Handler(), ReadHeaderTimeout: readHeaderTimeout, TLSConfig: serverTLS})
 	return nil
 }
 
