Keep repeated signals from cutting requests

Seen by callers: all open requests of a node are cut when it gets a SIGHUP, for instance from a supervisor that reloads settings or at the end of a terminal session, when a supervisor repeats its SIGTERM, and when a signal comes during the start.

Cause: SIGHUP was not handled. After the first SIGTERM, the default action was restored for SIGTERM too. The handlers were installed only when the replica was open.

Change: the handlers are installed first. SIGHUP does nothing, and neither do further SIGTERMs.

--- a/pkg/cmd/node/node.go
+++ b/pkg/cmd/node/node.go
@@ -36,6 +36,9 @@
 }
 
 func nodeRun(ctx context.Context, opts *Options) error {
+	// The start may take long, for a large log, so the signals are handled from here.
+	ctx, stop := notify(ctx)
+	defer stop()
 	if opts.Settings == "" {
 		return &factory.ExitError{Code: factory.ExitUsage, Err: errors.New("--settings is required; see docs/operators.md for the settings file")}
 	}
@@ -48,17 +51,23 @@
 	if err != nil {
 		return err
 	}
-	ctx, stop := signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM)
-	defer stop()
-	// After the first signal, restore the default handling, so that a second signal
-	// terminates the process immediately.
-	context.AfterFunc(ctx, stop)
 	if err := n.Run(ctx); err != nil {
 		return fmt.Errorf("node %s: %w", s.Node.Name, err)
 	}
 	return nil
 }
 
+// notify returns a context that ends with the first SIGTERM or SIGINT. A second SIGINT, from
+// an operator at a terminal, ends the process at once. Further SIGTERMs do nothing, because
+// supervisors repeat them, and neither does SIGHUP: the settings are read only at the start.
+func notify(ctx context.Context) (context.Context, context.CancelFunc) {
+	signal.Ignore(syscall.SIGHUP)
+	ctx, stopTerminate := signal.NotifyContext(ctx, syscall.SIGTERM)
+	interruptible, stopInterrupt := signal.NotifyContext(ctx, syscall.SIGINT)
+	context.AfterFunc(interruptible, stopInterrupt)
+	return interruptible, func() { stopInterrupt(); stopTerminate() }
+}
+
 // NewLogger returns a logger that writes to the error stream, as JSON if format is
 // "json" and as text otherwise.
 func NewLogger(streams factory.Streams, format string) *logrus.Logger {
