--- a/internal/caller/cluster_test.go
+++ b/internal/caller/cluster_test.go
@@ -51,11 +51,13 @@
 
 type clusterNode struct {
 	*replica.Replica
-	links  *partitionedLinks
-	api    *API
-	url    string
-	cancel context.CancelFunc
-	done   chan struct{}
+	links *partitionedLinks
+	api   *API
+	// tunnels serves the tunnels of other nodes.
+	tunnels *tunnel.Server
+	url     string
+	cancel  context.CancelFunc
+	done    chan struct{}
 }
 
 // partitionedLinks drops all messages while partitioned is set.
@@ -203,7 +205,8 @@
 		}
 		return nodes
 	}
-	links.HandleStream(tunnel.Kind, node.api.NewTunnelServer().Serve)
+	node.tunnels = node.api.NewTunnelServer()
+	links.HandleStream(tunnel.Kind, node.tunnels.Serve)
 	node.api.mutations = bookingMutations{sendFirst: *mutation == "sendFirst", resend: *mutation == "resend"}
 	clientServer, peerServer := httptest.NewServer(node.api.Handler()), httptest.NewServer(links.Handler())
 	node.url = clientServer.URL
