Require a response on kept connections of a stopping node

Cause: TestStopAnswersEveryRequest took a connection that ended without a byte for a closed idle one, so it could not show a request that the node had read and not answered.

Change: after a response that did not announce the close, the next request on the connection must get a response. Clients stop at an announced close. Only new connections, which may still be in the backlog of the closed listener, may end without a byte.

--- a/internal/node/stop_test.go
+++ b/internal/node/stop_test.go
@@ -225,7 +225,8 @@
 // connection is a client's connection to a node.
 type connection struct {
 	net.Conn
-	reader *bufio.Reader
+	reader  *bufio.Reader
+	closing bool
 }
 
 func (s *server) dial(t *testing.T) *connection {
@@ -235,7 +236,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = conn.Close() })
-	return &connection{conn, bufio.NewReader(conn)}
+	return &connection{Conn: conn, reader: bufio.NewReader(conn)}
 }
 
 func (c *connection) write(t *testing.T, text string) {
@@ -261,7 +262,8 @@
 	return text, err
 }
 
-// receive reads one response to its end.
+// receive reads one response to its end. closing is set if the server announces that it closes
+// the connection.
 func (c *connection) receive() (status int, text string, err error) {
 	_ = c.SetReadDeadline(time.Now().Add(testLimit))
 	resp, err := http.ReadResponse(c.reader, nil)
@@ -269,6 +271,7 @@
 		return 0, "", err
 	}
 	defer resp.Body.Close()
+	c.closing = resp.Close
 	body, err := io.ReadAll(resp.Body)
 	return resp.StatusCode, string(body), err
 }
@@ -361,13 +364,17 @@
 				if err != nil {
 					return // the node has closed its listener
 				}
-				c := &connection{conn, bufio.NewReader(conn)}
-				for more := true; more; more = i%2 == 0 {
-					if _, err := io.WriteString(c, chatRequest(20)); err != nil {
-						break // closed between two requests
+				c := &connection{Conn: conn, reader: bufio.NewReader(conn)}
+				for kept := false; !c.closing && (!kept || i%2 == 0); kept = true {
+					_, err := io.WriteString(c, chatRequest(20))
+					if err == nil {
+						_, err = c.reader.Peek(1)
 					}
-					if _, err := c.reader.Peek(1); err != nil {
-						break // closed before any byte of an answer, as an idle connection may be
+					if err != nil {
+						if kept {
+							t.Errorf("got %v on a kept connection that was not announced to close, want a response", err)
+						}
+						break // the listener was closed with the connection in its backlog
 					}
 					status, text, err := c.receive()
 					switch {
@@ -375,13 +382,11 @@
 						t.Errorf("got status %d, %.100q, %v, want a complete response", status, text, err)
 					case status == http.StatusOK:
 						served.Add(1)
-						continue
 					case status == http.StatusServiceUnavailable && strings.Contains(text, `"verdict":"not-run"`):
 						refused.Add(1)
 					default:
 						t.Errorf("got status %d, %q, want 503 and not-run", status, text)
 					}
-					break
 				}
 				_ = conn.Close()
 			}
