Count only requests that were sent as aborted by a stop

Cause: the exit code of a stop counts the requests that are open at the limit, with those that are just being refused as not run.

Change: Close counts the calls that were sent to an upstream.

Result: go test -race -run 'Stop|Shutdown|Drain|RefusalWithKey|Signals' ./internal/node ./internal/caller passes.

Conclusion: an exit code of 1 means that requests were cut.

--- a/internal/caller/drain.go
+++ b/internal/caller/drain.go
@@ -174,18 +174,23 @@
 	}
 }
 
-// expire ends all registered calls and reads, and returns the number of open requests.
-func (d *drainState) expire() int {
+// expire ends all registered calls and reads. It returns the number of calls that had been
+// sent; the others end as refused.
+func (d *drainState) expire() (aborted int) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if !d.expired {
 		d.expired = true
 		time.AfterFunc(settleTime, d.endAnswersDue)
 	}
+	sent := make(map[*call]bool)
 	for _, r := range d.ends {
+		if r.call != nil && callPhase(r.call.phase.Load()) == phaseStarted {
+			sent[r.call] = true
+		}
 		r.end(errShutdown)
 	}
-	return d.open
+	return len(sent)
 }
 
 func (d *drainState) hasExpired() bool {
@@ -232,14 +237,13 @@
 	return a.Close()
 }
 
-// Close refuses all further requests and aborts the open ones, which end with their
-// verdicts. It returns their number.
+// Close refuses all further requests and those that wait, and aborts those that were sent,
+// which end with their verdicts. It returns the number of aborted ones.
 func (a *API) Close() int {
 	aborted := a.drain.expire()
-	if aborted == 0 {
-		return 0
+	if aborted > 0 {
+		event.With(a.Log, event.RequestsEnded).WithField("requests", aborted).Error("shutdown limit reached; open requests were canceled")
 	}
-	event.With(a.Log, event.RequestsEnded).WithField("requests", aborted).Error("shutdown limit reached; open requests were canceled")
 	grace, cancel := context.WithTimeout(context.Background(), shutdownGrace)
 	defer cancel()
 	for a.drain.count() > 0 && grace.Err() == nil {
