--- a/internal/caller/booking_stop_test.go
+++ b/internal/caller/booking_stop_test.go
@@ -131,4 +131,26 @@
 			c.checkRanOnce("k")
 		})
 	}
+	t.Run("duplicate of a running booking has no answer", func(t *testing.T) {
+		c := newBookingCluster(t)
+		entered, unblock := make(chan struct{}), make(chan struct{})
+		release := sync.OnceFunc(func() { close(unblock) })
+		t.Cleanup(release)
+		block := sync.OnceFunc(func() { close(entered); <-unblock })
+		c.after.Store(&block)
+		first := make(chan *bookingResponse, 1)
+		go func() { got, _ := c.book("b", "k", "{}"); first <- &got }()
+		<-entered
+		observer := awaitObserver{c.nodes["a"].api.Bookings, make(chan struct{}, 1)}
+		c.nodes["a"].api.Bookings = observer
+		answered := c.bookAsync("k")
+		<-observer.awaited
+		<-stopAPI(c.nodes["a"].api, 0, limit)
+		c.wantBooked("k", answered, http.StatusConflict, http.StatusServiceUnavailable)
+		release()
+		if got := <-first; got.status != http.StatusCreated {
+			t.Errorf("got %+v for the first request, want it booked", *got)
+		}
+		c.checkRanOnce("k")
+	})
 }
--- a/internal/caller/drain.go
+++ b/internal/caller/drain.go
@@ -153,7 +153,10 @@
 
 // admitsIn implements admits for a window; d.mu must be held.
 func (d *drainState) admitsIn(w drain.Window, now time.Time, c *call) bool {
-	return !d.expired && w.Admits(now, c.deadline, d.durations.Estimate(now, c.kind()))
+	if d.expired || !w.Stopping() {
+		return !d.expired
+	}
+	return w.Admits(now, c.deadline, d.durations.Estimate(now, c.kind()))
 }
 
 // refuseWaiting ends the calls that wait and would not be sent any more.
--- a/internal/caller/stop_test.go
+++ b/internal/caller/stop_test.go
@@ -243,6 +243,20 @@
 		<-done
 		wantNoneUnanswered(t, f.api)
 	})
+	t.Run("plain response is cut without a visible end", func(t *testing.T) {
+		f := newFixture(t, nil)
+		f.announce("b", "booking", rawUpstream(t, func(_ int, conn net.Conn, _ *http.Request, _ []byte) bool {
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nfirst\r\n")
+			return true
+		}), 1, nil)
+		resp := f.post(t, "/s/booking/list", "")
+		done := stopAPI(f.api, 0, 100*time.Millisecond)
+		if text, err := io.ReadAll(resp.Body); err == nil || string(text) != "first" {
+			t.Errorf("got %q, %v, want the part and a broken connection", text, err)
+		}
+		<-done
+		wantNoneUnanswered(t, f.api)
+	})
 	t.Run("request between two attempts is cut", func(t *testing.T) {
 		f := newFixture(t, nil)
 		begun := make(chan (<-chan int), 1)
