--- a/internal/caller/booking_stop_test.go
+++ b/internal/caller/booking_stop_test.go
@@ -73,7 +73,9 @@
 		api, begun := c.nodes["a"].api, make(chan struct{})
 		api.Bookings = limitBegin{api.Bookings, func(ctx context.Context) context.Context {
 			close(begun)
-			<-ctx.Done()
+			for !api.drain.hasExpired() {
+				time.Sleep(time.Millisecond)
+			}
 			return context.WithoutCancel(ctx)
 		}}
 		answered := c.bookAsync("k")
