Judge late requests by what open ones have waited, not by slow clients

Seen by callers: possible. A stopping node starts a request because earlier answers were quick, although its service has just become slow; and one client that takes a long answer slowly makes it refuse all requests of the kind.

Cause: only complete answers counted, and their time ran to the last byte that the client took.

Change: open calls that have waited for longer raise the longest time of their kind, as do answers that fail; waits for the client are left out. Routes have their own kind (pkg/drain). Duplicates of bookings are neither counted nor refused like calls that wait.

--- a/internal/caller/api.go
+++ b/internal/caller/api.go
@@ -129,11 +129,9 @@
 	defer endRequest()
 	c, err := parse(w, r, a.Now())
 	if err == nil {
-		started := a.Now()
+		c.readAt = a.Now()
 		err = a.run(r.Context(), w, c)
-		if now := a.Now(); c.answered && c.status < http.StatusInternalServerError {
-			a.drain.record(now, c, now.Sub(started))
-		}
+		a.drain.recordEnd(a.Now(), c)
 	}
 	if err != nil {
 		a.writeFailure(w, r, c, err)
--- a/internal/caller/booking.go
+++ b/internal/caller/booking.go
@@ -86,7 +86,7 @@
 			}
 		}
 		a.releaseAdmission(c) // a duplicate needs no slot
-		c.changePhase(phaseWaiting, phaseStarted)
+		c.changePhase(phaseWaiting, phaseDuplicate)
 		if booked.State == state.StateRunning {
 			if booked, err = a.Bookings.Await(ctx, b); err != nil {
 				return &verdict.Error{
--- a/internal/caller/call.go
+++ b/internal/caller/call.go
@@ -59,6 +59,10 @@
 	// or the refusal.
 	queueID  uint64
 	admitted chan *verdict.Error
+	// readAt is when the request was read in full; clientWait is the time that writes to the
+	// client took, in nanoseconds.
+	readAt     time.Time
+	clientWait atomic.Int64
 	// phase is a callPhase.
 	phase atomic.Int32
 	// answered is true once the answer is complete.
@@ -116,11 +120,17 @@
 // kind names the requests whose answers take a time like this one's.
 func (c *call) kind() drain.Kind {
 	if c.transcript == nil {
-		return drain.Kind{Service: c.service.Name + " " + c.route}
+		return drain.Kind{Service: c.service.Name, Route: c.route}
 	}
 	return drain.Kind{Service: c.service.Name, Size: bits.Len(uint(max(0, c.transcript.Request.MaxTokens)))}
 }
 
+// took returns how long the call has waited since it was read, without the waits for its
+// client.
+func (c *call) took(now time.Time) time.Duration {
+	return now.Sub(c.readAt) - time.Duration(c.clientWait.Load())
+}
+
 // maxTokens returns the maximum number of prompt and output tokens of the call; 1
 // for a plain service.
 func (c *call) maxTokens() float64 {
--- a/internal/caller/drain.go
+++ b/internal/caller/drain.go
@@ -30,8 +30,10 @@
 const (
 	// phaseWaiting means that no upstream has run the call.
 	phaseWaiting callPhase = iota
-	// phaseStarted means that the call was sent, or is a duplicate of one that was.
+	// phaseStarted means that the call was sent.
 	phaseStarted
+	// phaseDuplicate means that the call is a duplicate of a booking that may have been sent.
+	phaseDuplicate
 	// phaseRefused means that the shutdown ended the call while it waited.
 	phaseRefused
 )
@@ -126,11 +128,19 @@
 	}
 }
 
-// record records how long the answer to a call took.
-func (d *drainState) record(now time.Time, c *call, took time.Duration) {
+// recordEnd records how long the answer to a call took. An upstream that fails may do so sooner
+// than it answers. A client that reads slowly says nothing of its upstream.
+func (d *drainState) recordEnd(now time.Time, c *call) {
+	if c.attempts == 0 {
+		return
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.durations.Record(now, c.kind(), took)
+	if c.answered && c.status < http.StatusInternalServerError {
+		d.durations.Record(now, c.kind(), c.took(now))
+	} else {
+		d.durations.RecordUnfinished(now, c.kind(), c.took(now))
+	}
 }
 
 // admits reports whether a call may be sent: its answer is expected to be complete before
@@ -138,7 +148,10 @@
 func (d *drainState) admits(now time.Time, c *call) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.admitsIn(d.window, now, c)
+	if d.expired || !d.window.Stopping() {
+		return !d.expired
+	}
+	return d.window.Admits(now, c.deadline, d.estimate(now, c.kind()))
 }
 
 // admitsAgain reports whether a call that may have run can be sent again. No other node can
@@ -146,17 +159,23 @@
 func (d *drainState) admitsAgain(now time.Time, c *call) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	w := d.window
-	w.Settled = w.End
-	return d.admitsIn(w, now, c)
+	if d.expired || !d.window.Stopping() {
+		return !d.expired
+	}
+	e := d.estimate(now, c.kind())
+	return !e.Known || !now.Add(e.Mean).After(d.window.End)
 }
 
-// admitsIn implements admits for a window; d.mu must be held.
-func (d *drainState) admitsIn(w drain.Window, now time.Time, c *call) bool {
-	if d.expired || !w.Stopping() {
-		return !d.expired
+// estimate returns how long answers of a kind take. What open calls have waited so far shows
+// that their upstreams have become slow. d.mu must be held.
+func (d *drainState) estimate(now time.Time, kind drain.Kind) drain.Estimate {
+	e := d.durations.Estimate(now, kind)
+	for _, r := range d.ends {
+		if r.call != nil && callPhase(r.call.phase.Load()) == phaseStarted && r.call.kind() == kind {
+			e.Longest = max(e.Longest, r.call.took(now))
+		}
 	}
-	return w.Admits(now, c.deadline, d.durations.Estimate(now, c.kind()))
+	return e
 }
 
 // refuseWaiting ends the calls that wait and would not be sent any more.
@@ -166,8 +185,16 @@
 	if !d.window.Stopping() {
 		return
 	}
+	estimates := make(map[drain.Kind]drain.Estimate)
 	for _, r := range d.ends {
-		if r.call == nil || d.admitsIn(d.window, now, r.call) {
+		if r.call == nil || callPhase(r.call.phase.Load()) != phaseWaiting && !r.call.isRefused() {
+			continue
+		}
+		kind := r.call.kind()
+		if _, ok := estimates[kind]; !ok {
+			estimates[kind] = d.estimate(now, kind)
+		}
+		if d.window.Admits(now, r.call.deadline, estimates[kind]) {
 			continue
 		}
 		// A booking has two registrations, both of which must end.
--- a/internal/caller/relay.go
+++ b/internal/caller/relay.go
@@ -145,8 +145,13 @@
 	}
 	control := http.NewResponseController(w)
 	at.pause()
-	defer func() { at.recordProgress(a.Now()) }()
-	_ = control.SetWriteDeadline(a.Now().Add(a.WriteTimeout))
+	started := a.Now()
+	defer func() {
+		now := a.Now()
+		c.clientWait.Add(int64(now.Sub(started)))
+		at.recordProgress(now)
+	}()
+	_ = control.SetWriteDeadline(started.Add(a.WriteTimeout))
 	if _, err := w.Write(b); err != nil {
 		return errors.Join(errClientGone, err)
 	}
--- a/internal/caller/send.go
+++ b/internal/caller/send.go
@@ -66,7 +66,7 @@
 	if callPhase(c.phase.Load()) == phaseWaiting && !a.drain.admits(now, c) {
 		return shuttingDown(verdict.NotRun, nil)
 	}
-	if !c.changePhase(phaseWaiting, phaseStarted) && c.isRefused() {
+	if !c.changePhase(phaseWaiting, phaseStarted) && !c.changePhase(phaseDuplicate, phaseStarted) && c.isRefused() {
 		return shuttingDown(verdict.NotRun, errShutdown)
 	}
 	return nil
--- a/internal/caller/stop_test.go
+++ b/internal/caller/stop_test.go
@@ -155,16 +155,68 @@
 	const tokens = 60
 	f := newFixture(t, nil)
 	f.addModel(t, "m1", &fake.Model{InterTokenLatency: 50 * time.Millisecond}, nil)
-	f.answerMany(t, 20, tokens)
+	f.answerMany(t, 40, tokens) // the last ones may not be recorded yet
 	done := stopAPI(f.api, 2*time.Second, time.Millisecond)
 	wantRefusal(t, f.post(t, "/v1/chat/completions", chatBody("late", tokens, true)), "not-run")
-	if got := f.models["m1"].Runs.Load(); got != 20 {
-		t.Errorf("got %d runs, want the 20 before the stop", got)
+	if got := f.models["m1"].Runs.Load(); got != 40 {
+		t.Errorf("got %d runs, want the 40 before the stop", got)
 	}
 	<-done
 	wantNoneUnanswered(t, f.api)
 }
 
+// Planned stop when a service has just become slow. Guards against starting a request because
+// earlier answers were quick, although open ones have waited for longer.
+func TestSlowOpenRequestsCountAtStop(t *testing.T) {
+	const tokens, limit = 4, 600 * time.Millisecond
+	f := newFixture(t, nil)
+	f.addModel(t, "m1", fastModel(), nil)
+	f.answerMany(t, 40, tokens)
+	f.models["m1"].Stalled.Store(true)
+	go func() {
+		if resp, err := f.try("/v1/chat/completions", chatBody("open", tokens, true), nil); err == nil {
+			_ = resp.Body.Close()
+		}
+	}()
+	eventually(t, "the upstream runs the request", func() bool { return f.models["m1"].Running.Load() == 1 })
+	time.Sleep(limit)
+	done := stopAPI(f.api, 0, limit)
+	wantRefusal(t, f.post(t, "/v1/chat/completions", chatBody("late", tokens, true)), "not-run")
+	if got := f.models["m1"].Runs.Load(); got != 41 {
+		t.Errorf("got %d runs, want the 41 before the stop", got)
+	}
+	<-done
+}
+
+// A client that takes its answer slowly. Guards against refusing all requests of its kind
+// during a stop.
+func TestSlowClientDoesNotLengthenEstimate(t *testing.T) {
+	const pause, size = 2 * time.Second, 16 << 20
+	f := newFixture(t, nil)
+	f.announce("b", "booking", rawUpstream(t, func(n int, conn net.Conn, req *http.Request, _ []byte) bool {
+		body := "small"
+		if n == 1 {
+			body = strings.Repeat("x", size)
+		}
+		respond(conn, req.Header.Get(RequestIDHeader), body)
+		return true
+	}), 1, nil)
+	get := func() *http.Response { return f.post(t, "/s/booking/list", "") }
+	slow := get()
+	time.Sleep(pause)
+	if n, err := io.Copy(io.Discard, slow.Body); err != nil || n != size {
+		t.Fatalf("got %d bytes, %v, want %d", n, err, size)
+	}
+	for range 20 {
+		_, _ = io.Copy(io.Discard, get().Body)
+	}
+	f.api.drain.mu.Lock()
+	defer f.api.drain.mu.Unlock()
+	if got := f.api.drain.durations.Estimate(time.Now(), drain.Kind{Service: "booking", Route: "/"}); !got.Known || got.Longest >= pause {
+		t.Errorf("got %+v, want a longest answer below the %v that the client paused", got, pause)
+	}
+}
+
 // Planned stop while requests wait. Guards against holding them until the limit although they
 // cannot be done in time.
 func TestWaitingRequestIsRefusedAtStop(t *testing.T) {
