--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -125,7 +125,7 @@
 		Entry: config.Node{Name: o.Host, ProcessIncarnation: incarnation, Domain: o.Domain},
 		Voter: o.Voter, DataDir: o.DataDir, InitialVoters: o.Seeds, Seeds: o.Seeds, JoinOnly: !o.Bootstrap || !slices.Contains(o.Seeds, o.Host),
 		LeaseTTL: o.LeaseTTL, GroupSize: 2*o.FaultTolerance + 1, ElectionTimeout: electionTimeout,
-		SingleProcess: true, NoFileIDs: o.NoFileIDs, Links: n.links, Log: o.Log,
+		SingleProcess: true, NoFileIDs: o.NoFileIDs, CloseTimeout: n.closeTimeout(), Links: n.links, Log: o.Log,
 	})
 	if err != nil {
 		return nil, err
@@ -213,7 +213,8 @@
 	stateCtx, stopState := context.WithCancel(runCtx)
 	stateResult := make(chan error, 1)
 	go func() { stateResult <- n.state.Run(stateCtx) }()
-	tasks := n.startBackground(runCtx)
+	tasksCtx, stopTasks := context.WithCancel(runCtx)
+	tasks := n.startBackground(tasksCtx)
 	event.With(n.options.Log, event.NodeStarted).WithFields(logrus.Fields{
 		"node": n.options.Host, "domain": n.options.Domain, "voter": n.options.Voter, "seeds": n.options.Seeds,
 		"lease_ms": n.options.LeaseTTL.Milliseconds(),
@@ -230,12 +231,12 @@
 	if err == nil {
 		n.drain()
 	}
-	stopState()
-	err = errors.Join(err, <-stateResult)
-	stop()
+	stopTasks()
 	for _, task := range tasks {
-		<-task
+		<-task // the last usage report needs the node's session
 	}
+	stopState()
+	err = errors.Join(err, <-stateResult)
 	stopLinks()
 	<-linksDone
 	for _, s := range n.servers {
