Reset the connection of an HTTP/1.0 client whose response is cut

Seen by callers: a part of a plain response looks complete to a client of HTTP/1.0, at the limit of a stop or at any other end of its upstream.

Cause: such a response ends with its connection, and net/http ends it in an orderly way after an abort.

Change: the API takes the connection over and resets it. Streams are left: their error event tells, and a reset could drop it.

--- a/internal/caller/finish.go
+++ b/internal/caller/finish.go
@@ -223,13 +223,30 @@
 		writeProblem(w, e)
 		return
 	}
-	if c.transcript != nil && c.transcript.Request.Stream && e.Code != verdict.CodeCallerGone {
+	streamed := c.transcript != nil && c.transcript.Request.Stream
+	if streamed && e.Code != verdict.CodeCallerGone {
 		writeStreamError(w, e)
 	}
+	if !streamed && !r.ProtoAtLeast(1, 1) {
+		resetConnection(w)
+	}
 	// Closing the connection shows the client that the response is truncated.
 	panic(http.ErrAbortHandler)
 }
 
+// resetConnection resets the connection of a client of HTTP/1.0. Its response has no chunks, so
+// that a regular end would make a part of it look complete.
+func resetConnection(w http.ResponseWriter) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return // the connection has ended already
+	}
+	if tcp, ok := conn.(interface{ SetLinger(seconds int) error }); ok {
+		_ = tcp.SetLinger(0) // fails on a closed connection only
+	}
+	_ = conn.Close()
+}
+
 // keyStateUnknown reports whether the node refused the request without knowing the
 // state of its idempotency key. If a client retried a booking after a lost answer and
 // a node without access to the state answered that it was not run, the client would
--- a/internal/caller/stop_test.go
+++ b/internal/caller/stop_test.go
@@ -309,6 +309,20 @@
 		<-done
 		wantNoneUnanswered(t, f.api)
 	})
+	t.Run("plain response to an HTTP/1.0 client looks complete", func(t *testing.T) {
+		f := newFixture(t, nil)
+		f.announce("b", "booking", rawUpstream(t, func(_ int, conn net.Conn, _ *http.Request, _ []byte) bool {
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nfirst\r\n")
+			return true
+		}), 1, nil)
+		resp := receive(t, f.send(t, "GET /s/booking/list HTTP/1.0\r\nAuthorization: Bearer "+testToken+"\r\n\r\n"))
+		done := stopAPI(f.api, 0, 100*time.Millisecond)
+		if text, err := io.ReadAll(resp.Body); err == nil {
+			t.Errorf("got %q as a complete response, want a reset connection", text)
+		}
+		<-done
+		wantNoneUnanswered(t, f.api)
+	})
 	t.Run("request between two attempts is cut", func(t *testing.T) {
 		f := newFixture(t, nil)
 		begun := make(chan (<-chan int), 1)
