Link the nodes of a test before their maintenance starts

Cause: newLinkedNodes set the hooks that send to other nodes while the maintenance of the nodes already read them. One run of go test -race ./internal/caller in three reported the race in TestNamedLimitHoldsInCell: Parts.Broadcast, written in link, read in Parts.decide.

Change: the nodes are linked first, as the product does it.

--- a/internal/caller/parts_test.go
+++ b/internal/caller/parts_test.go
@@ -20,6 +20,7 @@
 type linkedNode struct {
 	api         *API
 	url         string
+	server      *httptest.Server
 	partitioned atomic.Bool
 }
 
@@ -38,20 +39,22 @@
 		}
 		api.refreshSlots(time.Now())
 		server := httptest.NewServer(api.Handler())
-		nodes = append(nodes, &linkedNode{api: api, url: server.URL})
+		nodes = append(nodes, &linkedNode{api: api, url: server.URL, server: server})
+	}
+	for _, from := range nodes {
+		from.link(nodes)
+	}
+	for _, n := range nodes {
 		ctx, stop := testContext()
-		done := api.StartMaintenance(ctx)
+		done := n.api.StartMaintenance(ctx)
 		t.Cleanup(func() {
-			server.CloseClientConnections()
-			server.Close()
+			n.server.CloseClientConnections()
+			n.server.Close()
 			stop()
 			<-done
-			api.Transport.Close()
+			n.api.Transport.Close()
 		})
 	}
-	for _, from := range nodes {
-		from.link(nodes)
-	}
 	return nodes
 }
 
