--- a/internal/caller/api.go
+++ b/internal/caller/api.go
@@ -77,6 +77,7 @@
 		Viewer: viewer, Upstreams: upstreams, Transport: upstream.NewTransport(), Log: log, Now: time.Now,
 		WriteTimeout: writeTimeout, Metrics: NewMetrics(), Suspects: NewSuspects(), Parts: NewParts(), Slots: NewSlots(now, self, slotPolicy()),
 	}
+	a.drain.init()
 	a.refreshSlots(now)
 	return a
 }
@@ -120,7 +121,7 @@
 
 // serve handles one request from parsing to the last byte of the response.
 func (a *API) serve(w http.ResponseWriter, r *http.Request, parse func(http.ResponseWriter, *http.Request, time.Time) (*call, error)) {
-	endRequest, err := a.drain.startRequest()
+	endRequest, err := a.drain.startRequest(a.Now())
 	if err != nil {
 		a.writeFailure(w, r, nil, err)
 		return
@@ -128,7 +129,9 @@
 	defer endRequest()
 	c, err := parse(w, r, a.Now())
 	if err == nil {
+		c.readAt = a.Now()
 		err = a.run(r.Context(), w, c)
+		a.drain.recordEnd(a.Now(), c)
 	}
 	if err != nil {
 		a.writeFailure(w, r, c, err)
@@ -137,6 +140,9 @@
 
 // run admits a call and makes attempts until one is answered or the call fails.
 func (a *API) run(ctx context.Context, w http.ResponseWriter, c *call) error {
+	if !a.drain.admits(a.Now(), c) {
+		return shuttingDown(verdict.NotRun, nil)
+	}
 	ctx, endCall := a.startCall(ctx, c)
 	defer endCall()
 	if c.atMostOnce && a.Bookings != nil {
