replica: show that a replaced voter stays while leaders change

Nobody removed it: the newcomer joined before it had been silent for replaceAfter (2.5 s), and each new leader starts to count its silence from its own election (recordContact), while leaders changed every 1 to 2 s. 9.5 s after the stop one more voter lost its disk, and the two others never got a quorum of three again. All acknowledged changes are lost with that.

Ruled out: the upgrade itself. The group was stuck with both builds, and the test here has one.

Change: TestReplacedVoterLeavesDespiteLeaderChanges replaces one of three voters, moves the leadership every 1.5 s for the time to catch up (4 s), and stops one more.

Conclusion: open. The silence of a voter should not start anew with each leader.

--- a/internal/replica/replace_test.go
+++ b/internal/replica/replace_test.go
@@ -196,3 +196,25 @@
 	c.wantGroup("a", "a", "c", "d")
 	c.wantOneLeader("a", "c", "d")
 }
+
+// Guards against a replaced voter that stays a member, because no leader lasts long enough
+// to see it silent for replaceAfter: the loss of one more voter then stops the group for
+// good, although the newcomer has had the time to catch up (bounds.catch_up_s, 4 s).
+func TestReplacedVoterLeavesDespiteLeaderChanges(t *testing.T) {
+	const catchUp, leadership = 4 * time.Second, 1500 * time.Millisecond
+	c := newCluster(t, "a", "b", "c")
+	c.joiners, c.groupSize = []string{"d"}, 3
+	c.start("a", "b", "c")
+	c.ready("a", "b", "c")
+	c.kill("c")
+	c.start("d")
+	c.join("d")
+	eventually(t, "the newcomer votes", func() bool { return contains(c.node("a").voters(), "d") })
+	for start := time.Now(); time.Since(start) < catchUp; time.Sleep(leadership) {
+		c.node(c.leader("a", "b", "d")).voter.transferLeadership(t.Context())
+	}
+	t.Logf("members before the next loss: %v", c.node("a").voters())
+	c.kill("b")
+	c.leader("a", "d")
+	c.change("a", "after", "domain/after", `{"name":"after"}`)
+}
