soak: give each upgrade a network that no other run uses

Another checkout on the same machine ran the same test with the same networks.

Change: each run holds a listener in a network from 127.242.0.0 to 127.254.0.0 and takes the next one if it is in use. Logs are kept with -soak.logs for runs that pass, too.

Conclusion: runs in several checkouts no longer meet.

--- a/internal/soak/upgrade_test.go
+++ b/internal/soak/upgrade_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -98,11 +99,28 @@
 	}
 }
 
+// reserveNetwork returns a network that no other run on this machine uses until the test ends:
+// nodes of two runs with the same addresses would join each other's groups.
+func reserveNetwork(t *testing.T) byte {
+	t.Helper()
+	const first, last = 242, 254
+	for network := first; network <= last; network++ {
+		l, err := net.Listen("tcp", fmt.Sprintf("127.%d.5.1:%d", network, firstInternalPort))
+		if err == nil {
+			t.Cleanup(func() { _ = l.Close() })
+			return byte(network)
+		}
+	}
+	t.Fatalf("all networks from 127.%d.0.0 to 127.%d.0.0 are in use by other runs of this test; wait for them", first, last)
+	return 0
+}
+
 func runUpgrade(t *testing.T, from, to string, seed uint64, undone bool) {
-	network, stream := byte(240), uint64(3)
+	stream := uint64(3)
 	if undone {
-		network, stream = 241, 4
+		stream = 4
 	}
+	network := reserveNetwork(t)
 	rng := rand.New(rand.NewPCG(seed, stream))
 	s := shape{voters: 5 - int(seed%2)*2, entryNodes: entryNodes}
 	s.spareVoters, s.spareEntryNodes = 2*s.voters, 2*s.entryNodes
@@ -487,7 +505,7 @@
 	}
 }
 
-// report reports the violations and keeps the log of a failed run.
+// report reports the violations and keeps the log of the run.
 func (u *upgrade) report(seed uint64, undone bool) {
 	u.h.mu.Lock()
 	for _, violation := range u.h.violations {
@@ -496,7 +514,7 @@
 	u.t.Logf("seed %d: %d attempts, %d served, %d refused, %d changes, %d usage windows, %d processes killed after the grace period, slowed in %d samples, relayed: %v",
 		seed, len(u.attempts), u.h.served, len(u.h.refusedWith), len(u.changes), len(u.h.usageReports), u.killed, len(u.slowedAt), u.relayed)
 	u.h.mu.Unlock()
-	if !u.t.Failed() || *logDir == "" {
+	if *logDir == "" {
 		return
 	}
 	data, err := os.ReadFile(u.log.Name())
