Test what a release reads of a later one

Cause: docs/operators.md says what releases must keep so that they run side by side; no test held the code to it.

--- a/pkg/state/machine_test.go
+++ b/pkg/state/machine_test.go
@@ -337,3 +337,37 @@
 		}
 	}
 }
+
+// Guards against a voter that fails on a command of a later release. It does not execute the
+// command, so that its state then differs from that of later releases: they must not use a
+// new kind of command before all voters know it.
+func TestCommandOfLaterReleaseIsNotExecuted(t *testing.T) {
+	m := New()
+	m.Apply(wire.Command{Time: 1, Change: &wire.Change{ID: "c", Items: []wire.Item{{Key: "k", Value: []byte("v")}}}})
+	want := m.Space.Version
+	data, err := wire.Marshal(map[string]any{"time": 2, "added": map[string]any{"key": "k"}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var later wire.Command
+	if err := wire.Unmarshal(data, &later); err != nil {
+		t.Fatal(err)
+	}
+	if got := m.Apply(later).Fault; got != FaultInvalid {
+		t.Errorf("fault: got %q, want %q", got, FaultInvalid)
+	}
+	if got := m.Space.Version; got != want {
+		t.Errorf("version of the key space: got %d, want %d", got, want)
+	}
+}
+
+// Guards against a snapshot of another format that is read as if it were of this one.
+func TestSnapshotOfOtherFormatIsRefused(t *testing.T) {
+	data, err := wire.MarshalLarge(wire.Image{Format: snapshotFormat + 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := New().Restore(data); err == nil {
+		t.Error("snapshot of a later format: got no error, want one")
+	}
+}
