soak: excuse only failed requests while a VM is slowed

Change: a request that was answered counts always; one that failed while a VM was slowed is left out. The number of changes in a stable core leaves out only the times around stops and starts of voters.

--- a/internal/soak/upgrade_checks_test.go
+++ b/internal/soak/upgrade_checks_test.go
@@ -123,8 +123,6 @@
 // checkAcks checks the time until changes are acknowledged while the core is stable. Those of
 // the set-up fill the log and are no part of the upgrade.
 func (u *upgrade) checkAcks() {
-	// The core is stable from contactTime after an event until the next one.
-	starts := slices.SortedFunc(slices.Values(append(slices.Clone(u.coreEvents), u.slowedAt...)), time.Time.Compare)
 	longest, judged := time.Duration(0), 0
 	for _, ch := range u.changes[u.setUpChanges:] {
 		if ch.ackedAt.IsZero() {
@@ -132,20 +130,11 @@
 			continue
 		}
 		longest = max(longest, ch.ackedAt.Sub(ch.sentAt))
-		for n, event := range starts {
-			from, to := event.Add(contactTime), ch.ackedAt
-			if n+1 < len(starts) && starts[n+1].Before(to) {
-				to = starts[n+1]
-			}
-			if from.Before(ch.sentAt) {
-				from = ch.sentAt
-			}
-			if to.After(from) {
-				judged++
-			}
-			if waited := to.Sub(from); waited > ackTimeout {
-				u.t.Errorf("plan version %d: not acknowledged for %v while the core was stable, want at most %v", ch.version, waited, ackTimeout)
-			}
+		if stableTime(u.coreEvents, ch) > 0 {
+			judged++
+		}
+		if waited := stableTime(append(slices.Clone(u.coreEvents), u.slowedAt...), ch); waited > ackTimeout {
+			u.t.Errorf("plan version %d: not acknowledged for %v while the core was stable, want at most %v", ch.version, waited, ackTimeout)
 		}
 	}
 	if judged < 5 {
@@ -154,6 +143,23 @@
 	u.t.Logf("longest time until a change was acknowledged: %v; %d changes while the core was stable", longest.Round(time.Millisecond), judged)
 }
 
+// stableTime returns the longest time for which a change waited while the core was stable: from
+// contactTime after an event until the next one.
+func stableTime(events []time.Time, ch change) (longest time.Duration) {
+	slices.SortFunc(events, time.Time.Compare)
+	for n, event := range events {
+		from, to := event.Add(contactTime), ch.ackedAt
+		if n+1 < len(events) && events[n+1].Before(to) {
+			to = events[n+1]
+		}
+		if from.Before(ch.sentAt) {
+			from = ch.sentAt
+		}
+		longest = max(longest, to.Sub(from))
+	}
+	return longest
+}
+
 // checkExtraRoute checks that requests on the route extra are handled by the plan in force.
 func (u *upgrade) checkExtraRoute() {
 	for _, a := range u.attempts {
@@ -220,12 +226,13 @@
 }
 
 // checkServed checks that requests with the key and on routes that every plan has are served
-// throughout, by both builds. checkLostPaths judges nodes without a path; the time in which a
-// VM is slowed does not count.
+// throughout, by both builds. checkLostPaths judges nodes without a path; requests that fail
+// while a VM is slowed do not count.
 func (u *upgrade) checkServed() {
 	var judged []attempt
 	for _, a := range u.attempts {
-		if a.key == "k1" && a.kind != "extra" && (a.node < 0 || !u.pathLost(a)) && !u.slowedDuring(a.sentAt, a.endAt) {
+		excused := a.node >= 0 && u.pathLost(a) || !a.served() && u.slowedDuring(a.sentAt, a.endAt)
+		if a.key == "k1" && a.kind != "extra" && !excused {
 			judged = append(judged, a)
 		}
 	}
@@ -272,7 +279,9 @@
 	for _, l := range u.lostPaths {
 		served, sent := map[bool]int{}, map[bool]int{}
 		for _, a := range u.attempts {
-			if a.key != "k1" || a.kind == "extra" || a.node < 0 || u.slowedDuring(a.sentAt, a.endAt) || a.sentAt.Before(l.from.Add(contactTime)) || a.sentAt.After(l.to) {
+			during := a.sentAt.After(l.from.Add(contactTime)) && a.sentAt.Before(l.to)
+			excused := !a.served() && u.slowedDuring(a.sentAt, a.endAt)
+			if a.key != "k1" || a.kind == "extra" || a.node < 0 || !during || excused {
 				continue
 			}
 			sent[a.node == l.node]++
--- a/internal/soak/upgrade_test.go
+++ b/internal/soak/upgrade_test.go
@@ -8,9 +8,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
-	"slices"
 	"sync"
-	"syscall"
 	"testing"
 	"time"
 )
@@ -120,47 +118,21 @@
 	if undone {
 		stream = 4
 	}
-	network := reserveNetwork(t)
 	rng := rand.New(rand.NewPCG(seed, stream))
 	s := shape{voters: 5 - int(seed%2)*2, entryNodes: entryNodes}
 	s.spareVoters, s.spareEntryNodes = 2*s.voters, 2*s.entryNodes
 	how := orders[seed%uint64(len(orders))]
 	t.Logf("seed %d: %d voters, %d entry nodes, order %s", seed, s.voters, s.entryNodes, how.name)
-	h := newHistory()
-	c := newClusterOf(t, network, s, from, h.startPlatform(t, network))
-	u := &upgrade{cluster: c, t: t, h: h, from: from, to: to, balancer: &balancer{c: c, misses: make(map[int]int)}, terminatedAt: make(map[int][]time.Time)}
+	u := newUpgrade(t, s, from, to)
 	ctx, stop := context.WithTimeout(context.Background(), maxUpgradeTime)
 	defer stop()
-	for _, i := range c.members(true) {
-		u.recordCoreEvent(i)
-		c.start(i, true)
-	}
-	for n := range upstreamCount + 2 {
-		up, cut := newCutUpstream(t, h, network, n+1)
-		u.upstreams, u.cuts = append(u.upstreams, up), append(u.cuts, cut)
-	}
 	workerCtx, stopWorkers := context.WithCancel(ctx)
 	var workers sync.WaitGroup
 	spawn := func(f func(context.Context)) { workers.Go(func() { f(workerCtx) }) }
-	spawn(func(ctx context.Context) { h.announceUpstreams(ctx, c, u.upstreams[:upstreamCount]) })
-	for range snapshotPlans {
-		u.putUpgradePlan(ctx, true, false, planPadding)
-	}
-	u.putUpgradePlan(ctx, true, false, 0)
-	u.setUpChanges = len(u.changes)
-	for _, i := range c.members(false) {
-		c.start(i, true)
-	}
-	waitReady(ctx, t, c)
+	u.startVMs(ctx, spawn)
 	changeCtx, stopChanges := context.WithCancel(workerCtx)
 	changesDone := make(chan struct{})
 	go func() { defer close(changesDone); u.changePlan(changeCtx) }()
-	spawn(func(ctx context.Context) { h.checkPlanReads(ctx, c) })
-	spawn(u.balancer.run)
-	spawn(u.watchProcessors)
-	for n := range clientCount {
-		spawn(func(ctx context.Context) { u.runUpgradeClient(ctx, n, n%2 == 0) })
-	}
 
 	replaced := shape{voters: s.voters, entryNodes: s.entryNodes}
 	if undone {
@@ -179,242 +151,45 @@
 	u.checkEnd(ctx, rng, target)
 	stopWorkers()
 	workers.Wait()
-	h.checkBookings()
+	u.h.checkBookings()
 	u.checkHistory()
 	u.report(seed, undone)
 }
 
-// replace gives a program to some voters and entry nodes that have another one. With spawn,
-// paths are lost and upstreams drained between the steps.
-func (u *upgrade) replace(ctx context.Context, rng *rand.Rand, how order, count shape, spawn func(func(context.Context)), binary string) {
-	voterRNG, entryRNG := rand.New(rand.NewPCG(rng.Uint64(), 1)), rand.New(rand.NewPCG(rng.Uint64(), 2))
-	how.run(func() {
-		methods := voterRNG.Perm(len(voterMethods))
-		for n, i := range u.others(voterRNG, true, binary, count.voters) {
-			m := voterMethods[methods[n%len(methods)]]
-			u.mark("voter %d: %s", i, m.name)
-			m.replace(u, voterRNG, i, binary)
-			sleep(ctx, catchUpTime+500*time.Millisecond)
-			u.awaitCalm(ctx)
-			if spawn != nil && n == 0 {
-				sleep(ctx, stableHold-catchUpTime) // both builds are part of a stable core
-			}
-		}
-	}, func() {
-		for n, i := range u.others(entryRNG, false, binary, count.entryNodes) {
-			u.replaceEntryNode(ctx, entryRNG, i, binary)
-			if spawn == nil || n >= 2 {
-				continue
-			}
-			u.drainUpstream(n, spawn)
-			// The only node of its build loses its path, so that it has to go through the other.
-			alone := u.aloneInBuild()
-			u.losePath(ctx, alone, []loss{silent, refusing, partial}[entryRNG.IntN(3)])
-		}
-	})
-}
-
-// others returns some VMs of the deployment, in random order, whose program is another one.
-func (u *upgrade) others(rng *rand.Rand, voter bool, binary string, count int) []int {
-	list := slices.DeleteFunc(u.members(voter), func(i int) bool { return u.binaryOf(i) == binary })
-	rng.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
-	return list[:min(count, len(list))]
-}
-
-func (c *cluster) binaryOf(i int) string {
-	v := c.vms[i]
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	return v.binary
-}
-
-// aloneInBuild returns the entry node that no other one shares its program with.
-func (u *upgrade) aloneInBuild() int {
-	byBinary := make(map[string][]int)
-	for _, i := range u.members(false) {
-		byBinary[u.binaryOf(i)] = append(byBinary[u.binaryOf(i)], i)
-	}
-	for _, list := range byBinary {
-		if len(list) == 1 {
-			return list[0]
-		}
-	}
-	u.t.Fatalf("entry nodes by program: got %v, want one that is alone", byBinary)
-	return -1
-}
-
-// voterMethod is a way to replace a voter.
-type voterMethod struct {
-	name    string
-	replace func(u *upgrade, rng *rand.Rand, i int, binary string)
-}
-
-var voterMethods = []voterMethod{
-	{"in place", func(u *upgrade, _ *rand.Rand, i int, binary string) {
-		u.terminate(i)
-		u.startWith(i, binary)
-	}},
-	{"in place, disk lost", func(u *upgrade, rng *rand.Rand, i int, binary string) {
-		u.kill(i)
-		u.wipeDisk(i)
-		sleepRandom(rng, 100*time.Millisecond, time.Second)
-		u.startEmpty(i, binary)
-	}},
-	{"planned, at another address", func(u *upgrade, rng *rand.Rand, i int, binary string) {
-		u.terminate(i)
-		u.remove(i)
-		sleepRandom(rng, 100*time.Millisecond, time.Second)
-		u.startEmpty(u.spare(true), binary)
-	}},
-	{"lost, at another address", func(u *upgrade, rng *rand.Rand, i int, binary string) {
-		u.kill(i)
-		u.remove(i)
-		sleepRandom(rng, 100*time.Millisecond, time.Second)
-		u.startEmpty(u.spare(true), binary)
-	}},
-}
-
-// replaceEntryNode replaces an entry node in place, or by another VM that starts first, and
-// waits until the new process is ready.
-func (u *upgrade) replaceEntryNode(ctx context.Context, rng *rand.Rand, i int, binary string) {
-	next := i
-	if rng.IntN(2) == 0 {
-		u.mark("entry node %d: in place", i)
-		u.terminate(i)
-		u.startWith(i, binary)
-	} else {
-		next = u.spare(false)
-		u.mark("entry node %d: replaced by %d", i, next)
-		u.startWith(next, binary)
-		u.terminate(i)
-		u.remove(i)
-	}
-	for ctx.Err() == nil && !u.ready(ctx, next) {
-		sleep(ctx, 50*time.Millisecond)
-	}
-	sleep(ctx, probeInterval) // until the balancer uses it
-}
-
-// terminate sends SIGTERM, and SIGKILL at the end of the grace period, as the platform does.
-func (u *upgrade) terminate(i int) {
-	u.recordCoreEvent(i)
-	u.mu.Lock()
-	u.terminatedAt[i] = append(u.terminatedAt[i], time.Now())
-	u.mu.Unlock()
-	exited := u.signal(i, syscall.SIGTERM)
-	select {
-	case <-exited:
-	case <-time.After(gracePeriod):
-		u.mu.Lock()
-		u.killed++
-		u.mu.Unlock()
-		<-u.signal(i, syscall.SIGKILL)
-	}
-	u.recordCoreEvent(i)
-}
-
-func (u *upgrade) kill(i int) {
-	u.recordCoreEvent(i)
-	<-u.signal(i, syscall.SIGKILL)
-}
-
-func (u *upgrade) startWith(i int, binary string) {
-	v := u.vms[i]
-	v.mu.Lock()
-	v.binary, v.removed = binary, false
-	v.mu.Unlock()
-	u.recordCoreEvent(i)
-	u.start(i, false)
-}
-
-func (u *upgrade) startEmpty(i int, binary string) {
-	u.mu.Lock()
-	u.joined = append(u.joined, i)
-	u.mu.Unlock()
-	u.startWith(i, binary)
-}
-
-func (u *upgrade) remove(i int) {
-	v := u.vms[i]
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	v.removed = true
-}
-
-// spare returns a VM that has not been used yet.
-func (u *upgrade) spare(voter bool) int {
-	for i, v := range u.vms {
-		v.mu.Lock()
-		unused := v.voter == voter && v.removed && v.exited == nil
-		v.mu.Unlock()
-		if unused {
-			return i
-		}
-	}
-	u.t.Fatal("there is no spare VM left")
-	return -1
-}
-
-func (u *upgrade) recordCoreEvent(i int) {
-	if !u.vms[i].voter {
-		return
+func newUpgrade(t *testing.T, s shape, from, to string) *upgrade {
+	t.Helper()
+	h, network := newHistory(), reserveNetwork(t)
+	c := newClusterOf(t, network, s, from, h.startPlatform(t, network))
+	u := &upgrade{cluster: c, t: t, h: h, from: from, to: to, balancer: &balancer{c: c, misses: make(map[int]int)}, terminatedAt: make(map[int][]time.Time)}
+	for n := range upstreamCount + 2 {
+		up, cut := newCutUpstream(t, h, network, n+1)
+		u.upstreams, u.cuts = append(u.upstreams, up), append(u.cuts, cut)
 	}
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	u.coreEvents = append(u.coreEvents, time.Now())
-}
-
-// mark writes a step of the test into the log of the processes.
-func (u *upgrade) mark(format string, args ...any) {
-	_, _ = fmt.Fprintf(u.log, "{\"test\":%q,\"time\":%q}\n", fmt.Sprintf(format, args...), time.Now().Format(time.RFC3339Nano))
+	return u
 }
 
-// drainUpstream makes an upstream leave and starts another one.
-func (u *upgrade) drainUpstream(n int, spawn func(func(context.Context))) {
-	u.mark("upstream %s leaves", u.upstreams[n].id)
-	u.h.mu.Lock()
-	u.upstreams[n].draining = true
-	u.h.mu.Unlock()
-	added := u.upstreams[upstreamCount+n]
-	spawn(func(ctx context.Context) { u.h.announceUpstreams(ctx, u.cluster, []*upstream{added}) })
-}
-
-// losePath cuts an entry node off from all upstreams for detourTime and checks that its
-// requests went through the other nodes.
-func (u *upgrade) losePath(ctx context.Context, node int, mode loss) {
-	u.mark("entry node %d loses its path to the upstreams, mode %d", node, mode)
-	offset, err := u.log.Seek(0, 1)
-	if err != nil {
-		u.t.Error(err)
-	}
-	start := time.Now()
-	for _, cut := range u.cuts {
-		cut.set(u.host(node), mode)
+// startVMs starts the VMs, fills the log of the voters up to a snapshot, and starts the load.
+func (u *upgrade) startVMs(ctx context.Context, spawn func(func(context.Context))) {
+	for _, i := range u.members(true) {
+		u.recordCoreEvent(i)
+		u.start(i, true)
 	}
-	sleep(ctx, detourTime)
-	healed := time.Now()
-	for _, cut := range u.cuts {
-		cut.set(u.host(node), noLoss)
+	spawn(func(ctx context.Context) { u.h.announceUpstreams(ctx, u.cluster, u.upstreams[:upstreamCount]) })
+	for range snapshotPlans {
+		u.putUpgradePlan(ctx, true, false, planPadding)
 	}
-	u.mark("entry node %d has its path again", node)
-	u.mu.Lock()
-	u.lostPaths = append(u.lostPaths, lostPath{node, start, healed})
-	u.mu.Unlock()
-	relayed := u.relayedFor(node, offset)
-	if relayed == 0 && mode != partial { // the connections that live on may be enough
-		u.t.Errorf("entry node %d (%s) lost its path: got no connection through nodes of the other build, want some", node, u.buildName(u.binaryOf(node)))
+	u.putUpgradePlan(ctx, true, false, 0)
+	u.setUpChanges = len(u.changes)
+	for _, i := range u.members(false) {
+		u.start(i, true)
 	}
-	u.mu.Lock()
-	u.relayed = append(u.relayed, fmt.Sprintf("%d connections of the %s build through the other", relayed, u.buildName(u.binaryOf(node))))
-	u.mu.Unlock()
-	sleep(ctx, time.Second)
-}
-
-func (u *upgrade) buildName(binary string) string {
-	if binary == u.to {
-		return "new"
+	waitReady(ctx, u.t, u.cluster)
+	spawn(func(ctx context.Context) { u.h.checkPlanReads(ctx, u.cluster) })
+	spawn(u.balancer.run)
+	spawn(u.watchProcessors)
+	for n := range clientCount {
+		spawn(func(ctx context.Context) { u.runUpgradeClient(ctx, n, n%2 == 0) })
 	}
-	return "old"
 }
 
 // checkEnd checks that all VMs run the program of the target, hold the newest plan and serve,
