soak: send the last change of an upgrade to its end

The operator's context ended while it sent its last change, right before the checks at the end sent the next version.

Change: the operator ends between two changes. The balancer does not use a node before its first good check; it counted one miss as good enough, and requests reached a node without a session.

--- a/internal/soak/upgrade_load_test.go
+++ b/internal/soak/upgrade_load_test.go
@@ -31,7 +31,9 @@
 type balancer struct {
 	c *cluster
 
-	mu     sync.Mutex
+	mu sync.Mutex
+	// misses holds the failed checks of each node since its last good one. Nodes that were
+	// never ready are missing.
 	misses map[int]int
 }
 
@@ -44,9 +46,11 @@
 				ready := b.c.ready(ctx, i)
 				b.mu.Lock()
 				defer b.mu.Unlock()
-				if ready {
+				_, known := b.misses[i]
+				switch {
+				case ready:
 					b.misses[i] = 0
-				} else {
+				case known:
 					b.misses[i]++
 				}
 			})
@@ -242,11 +246,11 @@
 	return strings.Replace(text, `"routes":[`, `"routes":[`+routes, 1)
 }
 
-// changePlan changes the plan until ctx is done.
-func (u *upgrade) changePlan(ctx context.Context) {
+// changePlan changes the plan until stop is done, and sends the last change until ctx is.
+func (u *upgrade) changePlan(ctx, stop context.Context) {
 	secondKey, extra := true, false
 	keyToggled, extraToggled := time.Now(), time.Now()
-	for ctx.Err() == nil {
+	for stop.Err() == nil {
 		now := time.Now()
 		if now.Sub(keyToggled) > togglePause {
 			secondKey, keyToggled = !secondKey, now
@@ -255,7 +259,7 @@
 			extra, extraToggled = !extra, now
 		}
 		u.putUpgradePlan(ctx, secondKey, extra, 0)
-		sleep(ctx, 200*time.Millisecond+rand.N(600*time.Millisecond))
+		sleep(stop, 200*time.Millisecond+rand.N(600*time.Millisecond))
 	}
 }
 
--- a/internal/soak/upgrade_test.go
+++ b/internal/soak/upgrade_test.go
@@ -132,7 +132,7 @@
 	u.startVMs(ctx, spawn)
 	changeCtx, stopChanges := context.WithCancel(workerCtx)
 	changesDone := make(chan struct{})
-	go func() { defer close(changesDone); u.changePlan(changeCtx) }()
+	go func() { defer close(changesDone); u.changePlan(workerCtx, changeCtx) }()
 
 	replaced := shape{voters: s.voters, entryNodes: s.entryNodes}
 	if undone {
