soak: Remove the shared binary after the tests

Cause: each run of the tests of a stop left its binary in the temporary directory.

Change: TestMain removes it.

Result (go test -race -count=1 -run TestHangup ./internal/soak): passes, and no directory is left; before, each run left one.

Conclusion: nothing else of the package needs it.

--- a/internal/soak/stop_cluster_test.go
+++ b/internal/soak/stop_cluster_test.go
@@ -130,6 +130,15 @@
 	sharedBinaryPath string
 )
 
+// TestMain removes the shared binary after all tests.
+func TestMain(m *testing.M) {
+	code := m.Run()
+	if sharedBinaryPath != "" {
+		_ = os.RemoveAll(filepath.Dir(sharedBinaryPath))
+	}
+	os.Exit(code)
+}
+
 // sharedBinary builds the binary once for all clusters of this test run.
 func sharedBinary(t testing.TB) string {
 	t.Helper()
