Keep the event number of the line of a broken stream

Seen by operators: the line of a stream that has sent events is not found by its number, 2008, and that of one that could not be resumed says that it has not run.

Cause: the ID of the last event of the stream overwrote the field event; the end of a resume was logged with its own verdict.

Change: the field is last_event, and the verdict of a stream that has begun is ran.

--- a/internal/gateway/finish.go
+++ b/internal/gateway/finish.go
@@ -216,7 +216,9 @@
 // failChoice ends a call for which no upstream could be chosen.
 func (c *call) failChoice(e *verdict.Error) {
 	if c.headersSent {
-		c.abort(e)
+		broken := *e
+		broken.Verdict = verdict.Ran // whatever ended the resume, an upstream has run the request
+		c.abort(&broken)
 		return
 	}
 	if v := c.overallVerdict(); v != verdict.NotRun {
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -55,7 +55,7 @@
 		}
 	}
 	if c.lastEventID != "" {
-		fields["event"] = c.lastEventID
+		fields["last_event"] = c.lastEventID
 	}
 	if e != nil && e.Verdict == verdict.NotRun && c.service != nil {
 		fields["candidates"], fields["bars"] = c.candidates, c.exclusions
