Accept connections of the backlog until the end of a drain

Seen by callers: possible. On a busy machine, connections that the kernel has accepted before a stop are reset, since the node accepts for 0.5 s only.

Cause: the bound was meant for a backlog that never empties under load, but it also cuts one that takes longer to empty.

Change: the drain accepts until the backlog is empty or its own deadline has come, which it now requires.

Conclusion: a request in the backlog is answered as long as the process has time.

--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -19,9 +19,6 @@
 )
 
 const (
-	// backlogTimeout bounds how long connections are still accepted once a drain has
-	// started: under steady load the backlog may never be empty.
-	backlogTimeout = 500 * time.Millisecond
 	// pollInterval is the time between two checks for connections that became idle, or
 	// were accepted by the kernel, during a drain.
 	pollInterval = 10 * time.Millisecond
@@ -250,14 +247,19 @@
 	}
 }
 
-// Drain accepts the connections that are in the backlog, then accepts no more. It closes
+// Drain accepts connections until the backlog is empty, but not after the deadline of ctx,
+// since under steady load it may never be: then it accepts no more. It closes
 // connections as they become idle, and those that have carried no request, except those on
 // which a request has arrived. It returns when none is left or ctx ends. Meanwhile the server
 // should end its responses with "Connection: close", so that clients do not send another
 // request.
 func (l *Listener) Drain(ctx context.Context) error {
 	now := time.Now()
-	l.acceptEnd.CompareAndSwap(0, now.Add(backlogTimeout).UnixNano())
+	end, ok := ctx.Deadline()
+	if !ok {
+		return errors.New("a drain needs a context with a deadline")
+	}
+	l.acceptEnd.CompareAndSwap(0, end.UnixNano())
 	if err := l.setDeadline(now.Add(pollInterval)); err != nil && !errors.Is(err, net.ErrClosed) {
 		return err
 	}
