Answer duplicates of bookings at a stop

Seen by callers: the duplicate of a booking whose answer is recorded gets 503 and may have run from a stopping node, instead of the answer.

Cause: the window of the stop was asked before the key was looked up.

Change: a booking asks it where it would wait for admission; like any refusal there, it stands only if the key is unused.

Conclusion: what has run is told as such.

--- a/internal/caller/api.go
+++ b/internal/caller/api.go
@@ -140,12 +140,13 @@
 
 // run admits a call and makes attempts until one is answered or the call fails.
 func (a *API) run(ctx context.Context, w http.ResponseWriter, c *call) error {
-	if !a.drain.admits(a.Now(), c) {
+	booking := c.atMostOnce && a.Bookings != nil
+	if !booking && !a.drain.admits(a.Now(), c) {
 		return shuttingDown(verdict.NotRun, nil)
 	}
 	ctx, endCall := a.startCall(ctx, c)
 	defer endCall()
-	if c.atMostOnce && a.Bookings != nil {
+	if booking {
 		return a.book(ctx, w, c)
 	}
 	if err := a.admit(ctx, c); err != nil {
--- a/internal/caller/booking.go
+++ b/internal/caller/booking.go
@@ -108,7 +108,7 @@
 // found the key unused.
 func (a *API) admitBooking(ctx context.Context, c *call, b wire.Booking) (wire.Booked, error) {
 	free := wire.Booked{State: state.StateAbandoned}
-	refusal := a.enqueue(c)
+	refusal := a.enqueueBooking(c)
 	if refusal == nil && len(c.admitted) == 0 && !c.keyOptional {
 		// If this lookup fails, Begin detects the duplicate later.
 		if booked, err := a.lookup(ctx, b); err == nil && booked.State != state.StateAbandoned {
@@ -131,6 +131,15 @@
 	return booked, nil
 }
 
+// enqueueBooking adds a booking to its queue unless the node stops and cannot finish it. A
+// duplicate is answered all the same, since its answer needs no upstream.
+func (a *API) enqueueBooking(c *call) error {
+	if !a.drain.admits(a.Now(), c) {
+		return shuttingDown(verdict.NotRun, nil)
+	}
+	return a.enqueue(c)
+}
+
 func (a *API) lookup(ctx context.Context, b wire.Booking) (wire.Booked, error) {
 	ctx, cancel := a.lookupContext(ctx)
 	defer cancel()
