Ask the window of a stop for duplicates that become the booking

Seen by callers: a duplicate that has waited for a booking which was then abandoned is sent by a stopping node whatever time is left, and may be cut.

Cause: the send asked the window for calls that had waited for admission only.

Change: it asks for every call that has not been sent yet.

Conclusion: no first send on this path goes without the window.

--- a/internal/caller/send.go
+++ b/internal/caller/send.go
@@ -63,7 +63,7 @@
 	if ctx.Err() != nil {
 		return a.contextError(ctx, c)
 	}
-	if callPhase(c.phase.Load()) == phaseWaiting && !a.drain.admits(now, c) {
+	if callPhase(c.phase.Load()) != phaseStarted && !a.drain.admits(now, c) {
 		return shuttingDown(verdict.NotRun, nil)
 	}
 	if !c.changePhase(phaseWaiting, phaseStarted) && !c.changePhase(phaseDuplicate, phaseStarted) && c.isRefused() {
