Claim the networks of upgrade tests like all others

Cause: two functions reserved networks for process tests, each without regard to the other.

Change: the test of upgrades uses that of the other process tests.

Conclusion: one copy.

--- a/internal/soak/upgrade_test.go
+++ b/internal/soak/upgrade_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -26,6 +25,8 @@
 	stableHold = contactTime + ackTimeout + 500*time.Millisecond
 	// detourTime is how long a node's path to the upstreams is lost.
 	detourTime = contactTime + 3*time.Second
+	// upgradeNetwork is the network of a run; one beside it takes a spare one.
+	upgradeNetwork = 240
 	// maxUpgradeTime bounds a run whose steps do not end.
 	maxUpgradeTime = 3 * time.Minute
 )
@@ -97,22 +98,6 @@
 	}
 }
 
-// reserveNetwork returns a network that no other run on this machine uses until the test ends:
-// nodes of two runs with the same addresses would join each other's groups.
-func reserveNetwork(t *testing.T) byte {
-	t.Helper()
-	const first, last = 242, 254
-	for network := first; network <= last; network++ {
-		l, err := net.Listen("tcp", fmt.Sprintf("127.%d.5.1:%d", network, firstInternalPort))
-		if err == nil {
-			t.Cleanup(func() { _ = l.Close() })
-			return byte(network)
-		}
-	}
-	t.Fatalf("all networks from 127.%d.0.0 to 127.%d.0.0 are in use by other runs of this test; wait for them", first, last)
-	return 0
-}
-
 func runUpgrade(t *testing.T, from, to string, seed uint64, undone bool) {
 	stream := uint64(3)
 	if undone {
@@ -158,7 +143,7 @@
 
 func newUpgrade(t *testing.T, s shape, from, to string) *upgrade {
 	t.Helper()
-	h, network := newHistory(), reserveNetwork(t)
+	h, network := newHistory(), useNetwork(t, upgradeNetwork)
 	c := newClusterOf(t, network, s, from, h.startPlatform(t, network))
 	u := &upgrade{cluster: c, t: t, h: h, from: from, to: to, balancer: &balancer{c: c, misses: make(map[int]int)}, terminatedAt: make(map[int][]time.Time)}
 	for n := range upstreamCount + 2 {
