Count the silence of a lost voter across leaders

Seen by operators: a voter that was replaced stays a member while leaders change every 1.5 s; the loss of one more voter leaves the group without a leader for good.

Cause: a leader removes a voter that has not answered it for 2.5 s, and each new leader counted from the start of its own term. No leader lasted long enough.

Change: a heartbeat names the members that have not answered for 0.5 s, and for how long. A new leader goes on counting from there, once the members have had an election timeout to answer it. Heartbeats of a group whose members answer stay as they were. A leader of an earlier release names nobody, which counts as answered, as before.

--- a/internal/replica/fulldisk_sim_test.go
+++ b/internal/replica/fulldisk_sim_test.go
@@ -268,7 +268,7 @@
 		}
 		change := raft.Change{Kind: changeKinds[step.Verb], Member: member}
 		isMember := slices.ContainsFunc(l.v.status.Members, func(m raft.Member) bool { return m.Name == step.Name })
-		if unresponsive, found := l.v.unresponsiveVoter(s.now); step.Verb == VerbAdd && !isMember && found {
+		if unresponsive, found := l.v.unresponsiveVoter(); step.Verb == VerbAdd && !isMember && found {
 			change = raft.Change{Kind: raft.ChangeRemove, Member: unresponsive}
 		}
 		l.v.inbox <- request{change: &change, answer: make(chan result, 1)}
--- a/internal/replica/join.go
+++ b/internal/replica/join.go
@@ -107,31 +107,16 @@
 	return own, v.inService
 }
 
-// recordContact records when each voter last answered the leader. A voter that has
-// never answered counts as seen at the first call.
-func (v *voter) recordContact(now time.Time) {
-	for _, m := range v.status.Members {
-		if _, seen := v.leaderState.lastContact[m.Name]; !seen || m.Name == v.r.config.Entry.Name {
-			v.leaderState.lastContact[m.Name] = now
-		}
-	}
-	for _, p := range v.status.Progress {
-		if p.Alive {
-			v.leaderState.lastContact[p.Member.Name] = now
-		}
-	}
-}
-
 // unresponsiveVoter returns a voter that has not answered for replaceAfter, if any.
 // Only the voter's loop may call it.
-func (v *voter) unresponsiveVoter(now time.Time) (raft.Member, bool) {
-	i := slices.IndexFunc(v.status.Members, func(m raft.Member) bool {
-		return !m.Learner && now.Sub(v.leaderState.lastContact[m.Name]) >= replaceAfter
+func (v *voter) unresponsiveVoter() (raft.Member, bool) {
+	i := slices.IndexFunc(v.status.Progress, func(p raft.MemberStatus) bool {
+		return !p.Member.Learner && p.Silent >= replaceAfter
 	})
 	if i < 0 {
 		return raft.Member{}, false
 	}
-	return v.status.Members[i], true
+	return v.status.Progress[i].Member, true
 }
 
 // removeUnresponsiveVoter removes an unresponsive voter before the named new voter is
@@ -142,7 +127,7 @@
 	err := v.linearizableRead(func(*leaderState) {
 		known := slices.ContainsFunc(v.status.Members, func(m raft.Member) bool { return m.Name == name })
 		if !known {
-			unresponsive, found = v.unresponsiveVoter(v.r.now())
+			unresponsive, found = v.unresponsiveVoter()
 		}
 	})
 	if err != nil || !found {
@@ -171,7 +156,7 @@
 	if size := v.r.config.GroupSize; size == 0 || voters <= size || v.status.ChangePending || now.Sub(l.lastRemoval) < joinTimeout {
 		return
 	}
-	unresponsive, found := v.unresponsiveVoter(now)
+	unresponsive, found := v.unresponsiveVoter()
 	if !found {
 		return
 	}
--- a/internal/replica/leader.go
+++ b/internal/replica/leader.go
@@ -43,9 +43,7 @@
 	startingSessions map[string]uint64
 	// sessions holds the state of each node's live session.
 	sessions map[string]*sessionState
-	// lastContact holds when each voter last answered this leader.
-	lastContact map[string]time.Time
-	waiters     []waiter
+	waiters  []waiter
 	// voterPush and nodePush are the changes to push to the voters and to other nodes.
 	voterPush, nodePush pendingPush
 }
@@ -80,7 +78,7 @@
 func newLeaderState(v *voter) *leaderState {
 	return &leaderState{
 		v: v, term: v.status.Term, firstScan: true, sessions: make(map[string]*sessionState),
-		lastContact: make(map[string]time.Time), startingSessions: make(map[string]uint64),
+		startingSessions: make(map[string]uint64),
 	}
 }
 
@@ -117,7 +115,6 @@
 		return
 	}
 	l.lastScan = now
-	v.recordContact(now)
 	l.removeExcessVoter(now)
 	live := v.machine.Sessions()
 	for _, name := range sortedKeys(live) {
--- a/pkg/raft/election.go
+++ b/pkg/raft/election.go
@@ -37,6 +37,7 @@
 		n.term, n.votedFor, n.hardStateChanged = term, Member{}, true
 	}
 	if n.role == Leader {
+		n.recordSilences(n.silences())
 		n.failReads()
 		n.progress = map[string]*progress{}
 		n.transferTarget = ""
--- a/pkg/raft/follower.go
+++ b/pkg/raft/follower.go
@@ -86,6 +86,7 @@
 	if term, ok := n.log.term(m.Index); ok && term == m.Prior {
 		n.commit = max(n.commit, min(m.Index, m.Commit))
 	}
+	n.recordSilences(m.Silent)
 	n.send(n.replyTo(m, Message{
 		Kind: KindHeartbeatReply, Term: n.term, Index: n.log.last(), Sent: m.Sent,
 	}))
--- a/pkg/raft/leader.go
+++ b/pkg/raft/leader.go
@@ -16,6 +16,7 @@
 	n.termStartIndex = n.log.last() + 1
 	n.progress = map[string]*progress{}
 	n.updateProgress()
+	n.inheritSilences()
 	n.uncommittedBytes = 0
 	for _, e := range n.log.slice(n.commit+1, 1<<62) {
 		n.uncommittedBytes += entrySize(e)
@@ -128,6 +129,7 @@
 // members and requests the transfer target to start an election.
 func (n *Node) sendHeartbeats() {
 	n.nextHeartbeatAt = n.now.Add(n.cfg.HeartbeatInterval)
+	silent := n.silences()
 	for _, m := range n.members() {
 		p := n.progress[m.Name]
 		if p == nil {
@@ -137,7 +139,7 @@
 		prior, _ := n.log.term(index)
 		n.send(Message{
 			Kind: KindHeartbeat, To: m.Name, Target: m.Incarnation, Term: n.term,
-			Index: index, Prior: prior, Commit: n.commit, Sent: uint64(n.elapsed()),
+			Index: index, Prior: prior, Commit: n.commit, Sent: uint64(n.elapsed()), Silent: silent,
 		})
 		if p.regressed {
 			n.send(Message{Kind: KindRegressed, To: m.Name, Target: m.Incarnation, Term: n.term})
--- a/pkg/raft/node.go
+++ b/pkg/raft/node.go
@@ -85,6 +85,7 @@
 	transferElection bool            // the leader requested the election (KindTimeoutNow)
 	selfVoteWrite    uint64          // number of the write with this member's own vote; 0 if none is unsynced
 
+	silentSince      map[string]time.Time // last reply of the members that the last leader reported as silent
 	progress         map[string]*progress
 	leaderSince      time.Duration // elapsed() when this member became leader
 	uncommittedBytes int           // size of uncommitted entries
--- a/pkg/raft/progress.go
+++ b/pkg/raft/progress.go
@@ -24,6 +24,7 @@
 	snapshotOffset  uint64        // number of snapshot bytes that the member has
 	awaitingReply   bool          // no reply yet to a probe or a snapshot part
 	regressed       bool          // the member lacks entries that it acknowledged
+	heardAt         time.Time     // time of the last reply to this or an earlier leader
 }
 
 // updateProgress adds and removes progress records to match the membership in effect.
@@ -35,7 +36,7 @@
 		}
 		p := n.progress[m.Name]
 		if p == nil || p.member.Incarnation != m.Incarnation {
-			p = &progress{next: n.log.last() + 1}
+			p = &progress{next: n.log.last() + 1, heardAt: n.now}
 		}
 		p.member = m
 		next[m.Name] = p
@@ -134,7 +135,7 @@
 	if n.hooks.leaseFromReceipt {
 		sent = n.elapsed()
 	}
-	p.lastContact = max(p.lastContact, sent)
+	p.lastContact, p.heardAt = max(p.lastContact, sent), n.now
 	switch m.Kind {
 	case KindAppendReply:
 		n.onAppendReply(p, m)
--- a/pkg/raft/status.go
+++ b/pkg/raft/status.go
@@ -1,12 +1,15 @@
 package raft
 
+import "time"
+
 // MemberStatus is the leader's view of another member.
 type MemberStatus struct {
 	Member     Member
-	MatchIndex uint64 // index up to which the member has synced the leader's log
-	Alive      bool   // it replied within the lease duration
-	CaughtUp   bool   // it is alive and has all committed entries; a learner may be promoted
-	Regressed  bool   // it lacks entries that it acknowledged
+	MatchIndex uint64        // index up to which the member has synced the leader's log
+	Alive      bool          // it replied within the lease duration
+	CaughtUp   bool          // it is alive and has all committed entries; a learner may be promoted
+	Regressed  bool          // it lacks entries that it acknowledged
+	Silent     time.Duration // since its last reply to this leader or an earlier one
 }
 
 // Status describes a member as of its last step.
@@ -42,7 +45,7 @@
 	for _, m := range n.members() {
 		if p := n.progress[m.Name]; p != nil {
 			s.Progress = append(s.Progress, MemberStatus{
-				Member: m, MatchIndex: p.match, Alive: n.alive(p), CaughtUp: n.caughtUp(p), Regressed: p.regressed,
+				Member: m, MatchIndex: p.match, Alive: n.alive(p), CaughtUp: n.caughtUp(p), Regressed: p.regressed, Silent: n.silentFor(p),
 			})
 		}
 	}
--- a/pkg/raft/types.go
+++ b/pkg/raft/types.go
@@ -15,6 +15,8 @@
 	HardState = wire.RaftState
 	// Member is a voter or learner of the group.
 	Member = wire.RaftMember
+	// Silence is how long a member has not answered the leader.
+	Silence = wire.RaftSilence
 	// Message is a message between two members.
 	Message = wire.RaftMessage
 	// Snapshot is the state machine's state that replaces the log up to its index.
--- a/pkg/wire/raft.go
+++ b/pkg/wire/raft.go
@@ -76,6 +76,9 @@
 	// clock; replies repeat it.
 	Sent uint64 `json:"sent,omitempty,omitzero"`
 
+	// In a heartbeat, the members that have not answered for some time.
+	Silent []RaftSilence `json:"silent,omitempty,omitzero"`
+
 	// Snapshot corresponds to the JSON schema field "snapshot".
 	Snapshot *RaftSnapshot `json:"snapshot,omitempty,omitzero"`
 
@@ -108,6 +111,15 @@
 	State *RaftState `json:"state,omitempty,omitzero"`
 }
 
+// RaftSilence tells how long a member has not answered the leader.
+type RaftSilence struct {
+	// Time since the member's last answer in milliseconds.
+	Ms uint64 `json:"ms"`
+
+	// Name of the member.
+	Name string `json:"name"`
+}
+
 // RaftSnapshot replaces the log up to and including its index.
 type RaftSnapshot struct {
 	// State of the state machine; in a message, one chunk of it.
