Let a learner find its group after the voters it knew are gone

Seen by operators: a new voter that stays a learner, or no member at all, for good.

A learner that was removed while it was down believes its own log and asks for its promotion, which the leader refuses for good. It also takes its old leader for known, as only members that campaign forget a leader.

Change: a learner that has heard of no leader for a second asks to be added, like a voter. A member that may not campaign forgets a silent leader too.

--- a/internal/replica/join.go
+++ b/internal/replica/join.go
@@ -27,9 +27,9 @@
 
 // Join makes this voter a full member of the group and keeps checking until ctx ends.
 // It requests to be added under the incarnation of its data directory, and to be promoted
-// once it holds everything that is committed. A voter that was removed while it was down
-// does not know it, because nobody sends it the log any more: it asks too once it has heard
-// of no leader for unheardAfter, and the leader refuses if it is still a member.
+// once it holds everything that is committed. A member that was removed while it was down
+// does not know it, because nobody sends it the log any more: it asks to be added once it has
+// heard of no leader for unheardAfter, and the leader refuses if it is still a member.
 func (r *Replica) Join(ctx context.Context) {
 	ticker := time.NewTicker(joinInterval)
 	defer ticker.Stop()
@@ -62,7 +62,7 @@
 // leader has been heard of for the time unheard.
 func (r *Replica) joinStep(own membership, unheard time.Duration) (step wire.Voters, due bool) {
 	step = wire.Voters{Verb: VerbAdd, Name: r.config.Entry.Name, Incarnation: own.incarnation}
-	if own.learner {
+	if own.learner && unheard < unheardAfter {
 		step.Verb = VerbPromote
 	}
 	return step, !own.voter || unheard >= unheardAfter
--- a/internal/replica/join_test.go
+++ b/internal/replica/join_test.go
@@ -97,3 +97,20 @@
 		return len(got) == 3 && contains(got, "d") && !contains(got, "c")
 	})
 }
+
+// Guards against a learner that was removed while it was down and asks for its promotion for
+// good, which the leader refuses.
+func TestRemovedLearnerAsksToBeAdded(t *testing.T) {
+	c := newCluster(t, "a")
+	c.joiners = []string{"b"}
+	c.start("a", "b")
+	own := membership{incarnation: 7, learner: true}
+	for _, tc := range []struct {
+		unheard time.Duration
+		want    string
+	}{{0, VerbPromote}, {unheardAfter, VerbAdd}} {
+		if got, due := c.node("b").joinStep(own, tc.unheard); got.Verb != tc.want || !due {
+			t.Errorf("step of a learner without a leader for %v: got %q, due %t, want %q, due", tc.unheard, got.Verb, due, tc.want)
+		}
+	}
+}
--- /dev/null
+++ b/pkg/raft/member_test.go
@@ -0,0 +1,46 @@
+package raft
+
+import "testing"
+
+// Guards against a new voter that is added but never replies, because all voters that it could
+// ask for its group have been replaced.
+func TestLearnerLearnsGroupFromLeader(t *testing.T) {
+	s, leader := newIdleGroup(t, 3, Config{})
+	newcomer := New(Config{Name: "n", Incarnation: 9, Peers: []string{"gone"}, ElectionTimeout: simElectionTimeout, HeartbeatInterval: simHeartbeatInterval})
+	newcomer.Step(s.clock(leader), Input{})
+	wantErr(t, proposeChange(t, s, leader, Change{Kind: ChangeAdd, Member: Member{Name: "n", Incarnation: 9}}), nil)
+	for range 10 {
+		s.now += simHeartbeatInterval
+		for _, m := range leader.node.Step(s.clock(leader), Input{}).Messages {
+			if m.To == "n" {
+				newcomer.Step(s.clock(leader), Input{Message: &m})
+			}
+		}
+	}
+	if got, want := newcomer.Status().Group, leader.node.Status().Group; got != want {
+		t.Errorf("group of the new voter: got %q, want %q", got, want)
+	}
+}
+
+// Guards against a learner that was removed while it was down and waits for its old leader for
+// good instead of asking to be added.
+func TestRemovedLearnerForgetsLeader(t *testing.T) {
+	s, leader := newIdleGroup(t, 3, Config{})
+	learner := New(Config{
+		Name: "n", Incarnation: 9, Group: "group", Peers: []string{"a"}, ElectionTimeout: simElectionTimeout, HeartbeatInterval: simHeartbeatInterval,
+		Snapshot: Snapshot{Index: 1, Term: 1, Members: []Member{{Name: leader.name, Incarnation: leader.disk.incarnation}, {Name: "n", Incarnation: 9, Learner: true}}},
+		State:    HardState{Term: 1},
+	})
+	heartbeat := Message{Kind: KindHeartbeat, Group: "group", From: leader.name, Incarnation: leader.disk.incarnation, To: "n", Target: 9, Term: 1}
+	learner.Step(s.clock(leader), Input{Message: &heartbeat})
+	if got, want := learner.Status().Leader, leader.name; got != want {
+		t.Fatalf("leader of the learner: got %q, want %q", got, want)
+	}
+	for range 20 {
+		s.now += simElectionTimeout / 2
+		learner.Step(s.clock(leader), Input{})
+	}
+	if got := learner.Status().Leader; got != "" {
+		t.Errorf("leader of the removed learner: got %q, want none", got)
+	}
+}
--- a/pkg/raft/node.go
+++ b/pkg/raft/node.go
@@ -242,7 +242,11 @@
 	n.joinOrBootstrap()
 	if n.mayCampaign() {
 		n.startCampaign(false)
+		return
 	}
+	// A learner that was removed while it was down learns so from its runner, which asks to
+	// be added when no leader is known.
+	n.leader = ""
 }
 
 // diskStalled reports whether a write has been unsynced for two election timeouts. Such
