Take a stopping voter out of a group that has a surplus

Cause: a group has more voters than its size while an old voter and its successor are both members, and a process ended without telling the group. The quorum went on counting it until the leader had not heard of it for 2.5 s: four of six, of which three were left. Removals were also 2 s apart. A shorter time would not help: the quorum must not count a process from the moment it ends.

Change: a voter that stops hands its leadership over and asks the leader to go on without it; the process ends once that is committed. The leader removes it only from a group that is larger than its size, which the consensus core checks when it appends the change, so that two requests cannot use one surplus. Without a surplus nothing changes, since the process may come back: a restart, and a stop of all, leave the membership alone. The voter waits while a learner is about to become a voter, and until half of the grace period if nobody answers; if its own log shows no surplus, a second. Leadership goes to a random voter that is not known to stop, as several that stop at once handed it round among themselves. Where a voter could not ask, the leader removes it from a surplus after three heartbeats without an answer and without a session. Silent learners leave too.

--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -226,6 +226,7 @@
 	case err = <-stateResult:
 		stateResult <- nil // received again below
 	}
+	stoppedAt := time.Now()
 	event.With(n.options.Log, event.NodeStopping).WithError(err).Info("node stopping")
 	n.stopping.Store(true)
 	if err == nil {
@@ -235,6 +236,9 @@
 	for _, task := range tasks {
 		<-task // the last usage report needs the node's session
 	}
+	if err == nil {
+		n.leaveGroup(stoppedAt)
+	}
 	stopState()
 	err = errors.Join(err, <-stateResult)
 	stopLinks()
--- a/internal/deployment/stop.go
+++ b/internal/deployment/stop.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/jaystage/jaystage/internal/event"
+	"github.com/jaystage/jaystage/internal/replica"
 	"github.com/jaystage/jaystage/pkg/drain"
 )
 
@@ -25,6 +26,11 @@
 	lastAnswersShare = 1.0 / 3
 	// closeShare is the part of the reserve in which the session ends.
 	closeShare = 1.0 / 3
+	// leaveShare is the part of the grace period until which a voter may wait for the group
+	// to go on without it.
+	leaveShare = 0.5
+	// voterCloseShare is the part of the grace period in which a voter's session ends.
+	voterCloseShare = 0.125
 	// controlTimeout bounds the wait for calls of operators and upstreams, who turn to
 	// another voter after a second.
 	controlTimeout = 500 * time.Millisecond
@@ -101,11 +107,20 @@
 	return min(maxReserve, time.Duration(reserveShare*float64(n.options.GracePeriod)))
 }
 
-// closeTimeout returns how long the end of the session may take; zero for the default, since a
-// voter without clients has the grace period for it.
+// leaveGroup makes the group go on without this voter, if it has a surplus of voters. The
+// process ends in any case: a group that cannot answer finds the voter silent.
+func (n *Node) leaveGroup(stoppedAt time.Time) {
+	ctx, cancel := context.WithDeadline(context.Background(), stoppedAt.Add(time.Duration(leaveShare*float64(n.options.GracePeriod))))
+	defer cancel()
+	if err := n.state.Leave(ctx); err != nil {
+		event.With(n.options.Log, event.VoterChanged).WithField("voter", n.options.Host).WithField("verb", replica.VerbLeave).WithError(err).Warn("stopping without an answer of the group; it may still count this voter")
+	}
+}
+
+// closeTimeout returns how long the end of the session may take.
 func (n *Node) closeTimeout() time.Duration {
 	if n.options.ClientAddress == "" {
-		return 0
+		return time.Duration(voterCloseShare * float64(n.options.GracePeriod))
 	}
 	return time.Duration(closeShare * float64(n.reserve()))
 }
--- a/internal/replica/fulldisk_sim_test.go
+++ b/internal/replica/fulldisk_sim_test.go
@@ -47,7 +47,11 @@
 	storedAt time.Time
 
 	lastHeard, nextJoin time.Time
-	restartAt           time.Time // of a process that ended by itself
+	session             uint64 // incarnation of the process's session; zero before its first one
+	nextRenewal         time.Time
+	restartAt           time.Time // of a process that ended
+	gone                bool      // the VM does not come back
+	stop                *simStop  // of a process that was told to stop
 	exits               []error
 }
 
@@ -104,20 +108,9 @@
 )
 
 func newSim(t *testing.T, seed uint64, size int, joiner bool) *sim {
-	log := logrus.New()
-	log.SetOutput(io.Discard)
-	s := &sim{t: t, seed: seed, rng: rand.New(rand.NewPCG(seed, 7)), now: time.Unix(1_000_000, 0), size: size, log: log}
-	s.start = s.now
-	for i := range size {
-		s.initial = append(s.initial, string(rune('a'+i)))
-	}
-	names := slices.Clone(s.initial)
+	s := newEmptySim(t, seed, size)
 	if joiner {
-		names = append(names, "j")
-	}
-	for _, name := range names {
-		p := &simVoter{name: name, disk: &simDisk{rng: s.rng, files: map[string]*simFile{}}, joinOnly: name == "j"}
-		s.voters = append(s.voters, p)
+		s.voters = append(s.voters, s.newVoter("j"))
 	}
 	if s.rng.IntN(3) == 0 { // a disk is full when the group is formed
 		first := s.voters[s.rng.IntN(len(s.voters))].disk
@@ -130,10 +123,30 @@
 	return s
 }
 
+// newEmptySim returns a simulation whose first voters are not started yet.
+func newEmptySim(t *testing.T, seed uint64, size int) *sim {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	s := &sim{t: t, seed: seed, rng: rand.New(rand.NewPCG(seed, 7)), now: time.Unix(1_000_000, 0), size: size, log: log}
+	s.start = s.now
+	for i := range size {
+		s.initial = append(s.initial, string(rune('a'+i)))
+	}
+	for _, name := range s.initial {
+		s.voters = append(s.voters, s.newVoter(name))
+	}
+	return s
+}
+
+func (s *sim) newVoter(name string) *simVoter {
+	return &simVoter{name: name, disk: &simDisk{rng: s.rng, files: map[string]*simFile{}}, joinOnly: !slices.Contains(s.initial, name)}
+}
+
 // startProcess starts a voter's process. One that ends at once is counted.
 func (s *sim) startProcess(p *simVoter) {
+	seeds := s.seeds()
 	r, err := Open(Config{
-		Entry: config.Node{Name: p.name, Domain: "d"}, Voter: true, JoinOnly: p.joinOnly, GroupSize: s.size, DataDir: "/data", InitialVoters: s.initial, Seeds: s.initial,
+		Entry: config.Node{Name: p.name, Domain: "d"}, Voter: true, JoinOnly: p.joinOnly, GroupSize: s.size, DataDir: "/data", InitialVoters: seeds, Seeds: seeds,
 		Links: simLinks{s, p.name}, Log: s.log, hooks: hooks{
 			fs: p.disk, now: func() time.Time { return s.now }, seed: s.rng.Uint64, random: randomReader{s.rng}, snapshotEach: 40, segmentBytes: 2000,
 		},
@@ -142,10 +155,26 @@
 		s.exited(p, err)
 		return
 	}
-	p.r, p.v, p.batch, p.lastHeard = r, r.voter, nil, s.now
+	p.r, p.v, p.batch, p.lastHeard, p.session = r, r.voter, nil, s.now, 0
 	p.serving, p.reopenAt = p.v.inService, s.now.Add(reopenInterval)
 }
 
+// seeds lists the voters that a starting process is told: all first ones, or later three of
+// those that run.
+func (s *sim) seeds() []string {
+	if s.now.Sub(s.start) < formationTime {
+		return s.initial
+	}
+	var running []string
+	for _, p := range s.voters {
+		if p.r != nil {
+			running = append(running, p.name)
+		}
+	}
+	s.rng.Shuffle(len(running), func(i, j int) { running[i], running[j] = running[j], running[i] })
+	return running[:min(3, len(running))]
+}
+
 type randomReader struct{ rng *rand.Rand }
 
 func (r randomReader) Read(b []byte) (int, error) {
@@ -157,7 +186,7 @@
 
 // kill ends a process, with a loss of power half of the time.
 func (s *sim) kill(p *simVoter) {
-	p.r, p.v, p.serving, p.batch = nil, nil, false, nil
+	p.r, p.v, p.serving, p.batch, p.stop = nil, nil, false, nil, nil
 	if s.rng.IntN(2) == 0 {
 		p.disk.losePower()
 	}
@@ -193,6 +222,8 @@
 // runVoter does what the goroutines of a process would do in one simStep.
 func (s *sim) runVoter(p *simVoter) {
 	switch {
+	case p.gone:
+		return
 	case p.r == nil:
 		if !s.now.Before(p.restartAt) {
 			s.startProcess(p)
@@ -248,7 +279,7 @@
 
 // join does what Replica.Join and the leader's Replica.onVoters do.
 func (s *sim) join(p *simVoter) {
-	if p.r == nil || s.now.Before(p.nextJoin) {
+	if p.r == nil || p.stop != nil || s.now.Before(p.nextJoin) {
 		return
 	}
 	p.nextJoin = s.now.Add(joinInterval)
@@ -275,6 +306,32 @@
 	}}
 }
 
+// renewSession keeps up the session of a process, as session.run does.
+func (s *sim) renewSession(p *simVoter) {
+	l := s.leader()
+	if p.r == nil || l == nil || s.now.Before(p.nextRenewal) {
+		return
+	}
+	p.nextRenewal = s.now.Add(renewInterval)
+	if p.session == 0 {
+		p.session = uint64(s.now.UnixNano())
+		s.sendSession(l, p, true)
+		return
+	}
+	renewal, process := wire.Renew{Node: p.name, Incarnation: p.session, Version: p.v.machine.Space.Version}, p.r
+	l.v.inbox <- request{read: func(err error) {
+		if err == nil && l.v.leaderState.renew(renewal).Ended && p.r == process {
+			p.session = 0
+		}
+	}}
+}
+
+// sendSession starts or ends the session of a process.
+func (s *sim) sendSession(l, p *simVoter, up bool) {
+	command := &wire.Command{Session: &wire.Session{Node: p.name, Incarnation: p.session, Up: up, Value: []byte(`{}`)}}
+	l.v.inbox <- request{command: command, answer: make(chan result, 1)}
+}
+
 // runClients sends a new change from time to time and repeats those without an answer.
 func (s *sim) runClients(newChanges bool) {
 	if newChanges && s.rng.IntN(8) == 0 {
@@ -330,7 +387,9 @@
 		}
 		for _, p := range s.voters {
 			s.runVoter(p)
+			s.renewSession(p)
 			s.join(p)
+			s.leave(p)
 		}
 		s.runClients(newChanges)
 	}
--- a/internal/replica/join.go
+++ b/internal/replica/join.go
@@ -13,13 +13,15 @@
 const (
 	// joinInterval is how often a voter outside the group requests its next join step.
 	joinInterval = 200 * time.Millisecond
-	// joinTimeout bounds one such request; it covers an election. It is also the minimum
-	// time between two removals of excess voters.
+	// joinTimeout bounds one such request; it covers an election.
 	joinTimeout = 2 * time.Second
 	// replaceAfter is how long a voter must be unresponsive before a new voter may
 	// replace it. It is longer than the restart of a process or the resume of a VM
 	// usually takes, so that a voter that returns with its disk stays a member.
 	replaceAfter = 2500 * time.Millisecond
+	// goneHeartbeats is the number of heartbeats that a voter without a session must not have
+	// answered before it counts as gone.
+	goneHeartbeats = 3
 	// unheardAfter is how long a voter hears of no leader before it asks to be added
 	// although its own log says that it is a voter. Elections take less.
 	unheardAfter = time.Second
@@ -143,28 +145,49 @@
 	return err
 }
 
-// removeExcessVoter requests the removal of an unresponsive voter when the group has more
-// voters than its configured size. That happens when a new voter joins before the lost
-// one has been unresponsive for replaceAfter. Only the voter's loop may call it.
-func (l *leaderState) removeExcessVoter(now time.Time) {
-	v, voters := l.v, 0
-	for _, m := range v.status.Members {
-		if !m.Learner {
-			voters++
-		}
-	}
-	if size := v.r.config.GroupSize; size == 0 || voters <= size || v.status.ChangePending || now.Sub(l.lastRemoval) < joinTimeout {
+// removeExcessMember requests the removal of a member that the group does not need: a voter
+// beyond the group's size that is gone, or a learner that does not answer. There is a
+// surplus while a lost voter and its successor are both members. Only the voter's loop may
+// call it.
+func (l *leaderState) removeExcessMember() {
+	v := l.v
+	if v.r.config.GroupSize == 0 || v.status.ChangePending {
 		return
 	}
-	unresponsive, found := v.unresponsiveVoter()
-	if !found {
+	surplus := v.surplus() > 0
+	i := slices.IndexFunc(v.status.Progress, func(p raft.MemberStatus) bool {
+		if p.Member.Learner {
+			return p.Silent >= replaceAfter
+		}
+		return surplus && p.Silent >= l.goneAfter(p.Member.Name)
+	})
+	if i < 0 {
 		return
 	}
-	l.lastRemoval = now
-	event.With(v.r.config.Log, event.VoterChanged).WithField("voter", unresponsive.Name).
-		WithField("verb", VerbRemove).Warn("removing unresponsive voter beyond the size of the group")
+	excess := v.status.Progress[i].Member
+	change := &raft.Change{Kind: raft.ChangeRemove, Member: excess, MinVoters: v.r.config.GroupSize}
 	select {
-	case v.inbox <- request{change: &raft.Change{Kind: raft.ChangeRemove, Member: unresponsive}, answer: make(chan result, 1)}:
+	case v.inbox <- request{change: change, answer: make(chan result, 1)}:
+		event.With(v.r.config.Log, event.VoterChanged).WithField("voter", excess.Name).
+			WithField("verb", VerbRemove).Warn("removing a member that the group does not need")
 	default: // retried later
 	}
 }
+
+// goneAfter returns how long a voter beyond the group's size must not have answered before it
+// is removed. A process that stops ends its session last, also one of an earlier release,
+// which does not ask to leave.
+func (l *leaderState) goneAfter(name string) time.Duration {
+	if _, hasSession := l.v.machine.Session(name); hasSession {
+		return replaceAfter
+	}
+	return goneHeartbeats * l.v.r.config.ElectionTimeout / heartbeatsPerElection
+}
+
+// recordSession records that the session of a node has started or ended.
+func (l *leaderState) recordSession(s wire.Session) {
+	if s.Up {
+		delete(l.startingSessions, s.Node)
+		delete(l.stopping, s.Node)
+	}
+}
--- a/internal/replica/leader.go
+++ b/internal/replica/leader.go
@@ -36,8 +36,9 @@
 	term      uint64
 	firstScan bool // the sessions have not been scanned yet
 	lastScan  time.Time
-	// lastRemoval is when the removal of an excess voter was last requested.
-	lastRemoval time.Time
+	// stopping holds the voters that have asked this leader to leave, until a new session of
+	// theirs starts.
+	stopping map[string]bool
 	// startingSessions holds the incarnation of each node's session whose start is
 	// proposed but not yet applied.
 	startingSessions map[string]uint64
@@ -78,7 +79,7 @@
 func newLeaderState(v *voter) *leaderState {
 	return &leaderState{
 		v: v, term: v.status.Term, firstScan: true, sessions: make(map[string]*sessionState),
-		startingSessions: make(map[string]uint64),
+		stopping: make(map[string]bool), startingSessions: make(map[string]uint64),
 	}
 }
 
@@ -97,7 +98,7 @@
 }
 
 // tick runs after each step of the Raft core. It pushes the changes since oldVersion
-// and, at most once in half a tick interval, removes an excess voter, ends the sessions
+// and, at most once in half a tick interval, removes an excess member, ends the sessions
 // whose lease has expired, has expired records removed and answers waiting requests.
 func (l *leaderState) tick(now time.Time, oldVersion uint64) {
 	v := l.v
@@ -115,7 +116,7 @@
 		return
 	}
 	l.lastScan = now
-	l.removeExcessVoter(now)
+	l.removeExcessMember()
 	live := v.machine.Sessions()
 	for _, name := range sortedKeys(live) {
 		s := l.session(name, live[name])
--- a/internal/replica/lifecycle.go
+++ b/internal/replica/lifecycle.go
@@ -39,18 +39,22 @@
 	v.log, v.machine, v.writer = log, state.New(), newWriter(log, c.hooks.syncEach)
 	v.appliedIndex, v.entriesSinceSnapshot, v.bytesSinceSnapshot, v.lastSnapshotBytes = 0, 0, 0, 0
 	v.status, v.transferTarget = raft.Status{}, ""
-	seed := rand.Uint64()
-	if c.hooks.seed != nil {
-		seed = c.hooks.seed()
-	}
 	v.node = raft.New(raft.Config{
 		Name: c.Entry.Name, Incarnation: id.Incarnation, Group: id.Group, Restarted: id.Group != "", Peers: c.InitialVoters,
-		Bootstrap: !c.JoinOnly, NewGroup: newID(), ElectionTimeout: c.ElectionTimeout, HeartbeatInterval: c.ElectionTimeout / heartbeatsPerElection, Seed: seed,
+		Bootstrap: !c.JoinOnly, NewGroup: newID(), ElectionTimeout: c.ElectionTimeout, HeartbeatInterval: c.ElectionTimeout / heartbeatsPerElection, Seed: v.r.random(),
 		State: recovered.State, Snapshot: recovered.Snapshot, Entries: recovered.Entries,
 	})
 	return nil
 }
 
+// random returns a random number.
+func (r *Replica) random() uint64 {
+	if r.config.hooks.seed != nil {
+		return r.config.hooks.seed()
+	}
+	return rand.Uint64()
+}
+
 // isRefused reports whether a directory cannot be opened until an operator acts. Other
 // errors, such as a full disk, may pass.
 func isRefused(err error) bool {
--- a/internal/replica/membership.go
+++ b/internal/replica/membership.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"time"
 
@@ -16,9 +15,11 @@
 	VerbAdd     = "add"
 	VerbPromote = "promote"
 	VerbRemove  = "remove"
+	// VerbLeave removes a member that is about to stop, if the group can do without it.
+	VerbLeave = "leave"
 )
 
-var changeKinds = map[string]raft.ChangeKind{VerbAdd: raft.ChangeAdd, VerbPromote: raft.ChangePromote, VerbRemove: raft.ChangeRemove}
+var changeKinds = map[string]raft.ChangeKind{VerbAdd: raft.ChangeAdd, VerbPromote: raft.ChangePromote, VerbRemove: raft.ChangeRemove, VerbLeave: raft.ChangeRemove}
 
 // ChangeVoters changes the membership of the Raft group by one step: add a learner,
 // promote it once it holds everything committed, or remove a member.
@@ -32,7 +33,7 @@
 		return err
 	}
 	if got.Outcome != nil && got.Outcome.Fault != "" {
-		return errors.New(got.Outcome.Fault)
+		return refusal(got.Outcome.Fault)
 	}
 	return nil
 }
@@ -67,6 +68,9 @@
 	if incarnation == 0 {
 		return fmt.Errorf("voter %s has not asked to join and is no member; start it with its settings first", w.Name)
 	}
+	if w.Verb == VerbLeave {
+		return v.removeLeaving(ctx, raft.Member{Name: w.Name, Incarnation: incarnation})
+	}
 	if w.Verb == VerbAdd && w.Incarnation != 0 {
 		if err := v.removeUnresponsiveVoter(ctx, w.Name); err != nil {
 			return err
@@ -122,7 +126,9 @@
 }
 
 // startTransfer starts a leadership transfer. It returns true when there is nothing
-// left to do: this voter does not lead, or no other voter is caught up.
+// left to do: this voter does not lead, or no other voter is caught up. The target is random
+// among the voters that are not known to stop: several voters may stop at once, and leadership
+// must not go around among them.
 func (v *voter) startTransfer() bool {
 	if v.status.Role != raft.Leader {
 		return true
@@ -130,11 +136,22 @@
 	if v.status.TransferTarget != "" {
 		return false
 	}
+	var targets, stopping []string
 	for _, p := range v.status.Progress {
-		if !p.Member.Learner && p.CaughtUp {
-			v.transferTarget = p.Member.Name
-			return false
+		switch {
+		case p.Member.Learner || !p.CaughtUp:
+		case v.leaderState != nil && v.leaderState.stopping[p.Member.Name]:
+			stopping = append(stopping, p.Member.Name)
+		default:
+			targets = append(targets, p.Member.Name)
 		}
 	}
-	return true
+	if len(targets) == 0 {
+		targets = stopping
+	}
+	if len(targets) == 0 {
+		return true
+	}
+	v.transferTarget = targets[v.r.random()%uint64(len(targets))]
+	return false
 }
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -96,8 +96,9 @@
 	// JoinOnly is true when a voter with an empty directory must join the group of the
 	// seeds and never bootstrap one.
 	JoinOnly bool
-	// GroupSize is the number of voters that the group needs. An unresponsive voter
-	// beyond it is removed; zero keeps every voter until an operator removes it.
+	// GroupSize is the number of voters that the group needs. A voter beyond it is removed
+	// when it stops or does not answer, and a learner when it does not answer; zero keeps
+	// every member until an operator removes it.
 	GroupSize int
 	// NoFileIDs is true when the file system of DataDir has no stable inode numbers.
 	NoFileIDs bool
@@ -117,7 +118,7 @@
 	ignoreExpiry bool                       // admit after the lease has expired
 	fs           wal.FS                     // file system of the voter's directory
 	now          func() time.Time           // replaces the boot-time clock
-	seed         func() uint64              // replaces the random seed of the Raft core
+	seed         func() uint64              // replaces random numbers
 	random       io.Reader                  // replaces the source of the voter's incarnation
 	snapshotEach int                        // entries after which a snapshot is taken; zero selects the default
 	segmentBytes int64                      // size of the log's segments; zero selects the default
--- a/internal/replica/voter.go
+++ b/internal/replica/voter.go
@@ -260,8 +260,8 @@
 				return fmt.Errorf("cannot decode log entry %d: %w", e.Index, err)
 			}
 			outcome = v.machine.Apply(c)
-			if c.Session != nil && c.Session.Up && v.leaderState != nil {
-				delete(v.leaderState.startingSessions, c.Session.Node)
+			if c.Session != nil && v.leaderState != nil {
+				v.leaderState.recordSession(*c.Session)
 			}
 		}
 		v.appliedIndex = e.Index
--- a/pkg/raft/member_test.go
+++ b/pkg/raft/member_test.go
@@ -2,6 +2,26 @@
 
 import "testing"
 
+// Guards against two voters that leave at the same time, each by a surplus that is there once.
+func TestRemovalKeepsMinVoters(t *testing.T) {
+	s, leader := newIdleGroup(t, 4, Config{})
+	removal := Change{Kind: ChangeRemove, MinVoters: 3}
+	removal.Member, _ = leader.node.member(s.follower(leader).name)
+	wantErr(t, proposeChange(t, s, leader, removal), nil)
+	for i := 0; leader.node.pendingChange(); i++ {
+		if i == 100 {
+			t.Fatal("the removal is not committed")
+		}
+		s.run(simHeartbeatInterval)
+	}
+	for _, m := range leader.node.members() {
+		if m.Name != leader.name {
+			removal.Member = m
+		}
+	}
+	wantErr(t, proposeChange(t, s, leader, removal), ErrTooFewVoters)
+}
+
 // Guards against a new voter that is added but never replies, because all voters that it could
 // ask for its group have been replaced.
 func TestLearnerLearnsGroupFromLeader(t *testing.T) {
--- a/pkg/raft/membership.go
+++ b/pkg/raft/membership.go
@@ -78,6 +78,8 @@
 		members = append(members, next)
 	case !sameIncarnation || (c.Kind != ChangePromote && c.Kind != ChangeRemove):
 		return nil, ErrUnknownMember
+	case c.Kind == ChangeRemove && !old.Learner && n.voterCount() <= c.MinVoters:
+		return nil, ErrTooFewVoters
 	case c.Kind == ChangePromote && !old.Learner:
 		return nil, ErrAlreadyMember
 	case c.Kind == ChangePromote:
--- a/pkg/raft/types.go
+++ b/pkg/raft/types.go
@@ -59,6 +59,7 @@
 	ErrUnknownMember      = errors.New("raft: no such member")
 	ErrAlreadyMember      = errors.New("raft: the member is already part of the group")
 	ErrLastVoter          = errors.New("raft: the group would be left without a voter")
+	ErrTooFewVoters       = errors.New("raft: the group would be left with fewer voters than required")
 	ErrOverloaded         = errors.New("raft: too much waits to be committed")
 	ErrRegressed          = errors.New("raft: the data directory lacks entries or votes that this member acknowledged; " +
 		"empty it, so that this member rejoins as a learner")
@@ -116,6 +117,8 @@
 	ID     uint64 // chosen by the runner; returned in the Result
 	Kind   ChangeKind
 	Member Member // name and incarnation; Learner is ignored
+	// MinVoters is the number of voters that must be left if ChangeRemove removes a voter.
+	MinVoters int
 }
 
 // Compaction contains the serialized state machine at an applied index.
