Remove stopped voters under a leader of the release before

Seen by operators: in an upgrade by replacement the leader may be of the release in production. It counts a voter that has stopped until it has been silent for 2.5 s, so that the loss of two disks a second after a planned replacement ends the group for good.

Cause: a process of that release does not ask to leave, and a leader of that release removes only what is silent. It does execute a removal that another node asks for.

A voter that sees a surplus and a member whose session has ended asks the leader for its removal: by the new request, which a leader of this release checks, and if the leader does not know that one, by the old one. All voters take the first such member in the order of their logs, so that they do not remove two.

--- a/internal/replica/join.go
+++ b/internal/replica/join.go
@@ -19,8 +19,8 @@
 	// replace it. It is longer than the restart of a process or the resume of a VM
 	// usually takes, so that a voter that returns with its disk stays a member.
 	replaceAfter = 2500 * time.Millisecond
-	// goneHeartbeats is the number of heartbeats that a voter without a session must not have
-	// answered before it counts as gone.
+	// goneHeartbeats is the number of heartbeats that a voter whose session has ended must not
+	// have answered before it counts as gone.
 	goneHeartbeats = 3
 	// unheardAfter is how long a voter hears of no leader before it asks to be added
 	// although its own log says that it is a voter. Elections take less.
@@ -47,6 +47,9 @@
 		if own.leaderKnown {
 			lastHeard = now
 		}
+		if ok && own.stopped.Name != "" {
+			r.removeStopped(ctx, own.stopped)
+		}
 		step, due := r.joinStep(own, now.Sub(lastHeard))
 		if !ok || !due {
 			continue
@@ -76,6 +79,9 @@
 	learner, voter bool
 	// leaderKnown is true while the voter hears of a leader, or leads.
 	leaderKnown bool
+	// stopped is a voter beyond the group's size whose process has ended its session; zero if
+	// there is none.
+	stopped raft.Member
 }
 
 func (v *voter) ownMembership(ctx context.Context) (membership, bool) {
@@ -106,9 +112,41 @@
 			own.learner, own.voter = m.Learner, !m.Learner
 		}
 	}
+	if v.inService && v.leaderState == nil && v.r.config.GroupSize > 0 && v.surplus() > 0 {
+		own.stopped = v.stoppedVoter()
+	}
 	return own, v.inService
 }
 
+// stoppedVoter returns a voter whose process has ended its session, if any. Only the voter's
+// loop may call it.
+func (v *voter) stoppedVoter() raft.Member {
+	i := slices.IndexFunc(v.status.Members, func(m raft.Member) bool {
+		return !m.Learner && m.Name != v.r.config.Entry.Name && v.machine.SessionEnded(m.Name)
+	})
+	if i < 0 {
+		return raft.Member{}
+	}
+	return v.status.Members[i]
+}
+
+// removeStopped asks the leader to remove a voter beyond the group's size that has stopped. A
+// leader of this release removes it without being asked. One of an earlier release does not
+// know VerbLeave and would count the voter until it has been silent for replaceAfter.
+func (r *Replica) removeStopped(ctx context.Context, member raft.Member) {
+	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
+	defer cancel()
+	removal := wire.Voters{Verb: VerbLeave, Name: member.Name, Incarnation: member.Incarnation}
+	err := r.ChangeVoters(ctx, removal)
+	if isRefusal(err, raft.ErrUnknownMember.Error()) {
+		removal.Verb = VerbRemove
+		err = r.ChangeVoters(ctx, removal)
+	}
+	if err != nil {
+		event.With(r.config.Log, event.VoterChanged).WithField("voter", member.Name).WithField("verb", removal.Verb).WithError(err).Debug("stopped voter not removed; retrying")
+	}
+}
+
 // unresponsiveVoter returns a voter that has not answered for replaceAfter, if any.
 // Only the voter's loop may call it.
 func (v *voter) unresponsiveVoter() (raft.Member, bool) {
@@ -151,7 +189,7 @@
 // call it.
 func (l *leaderState) removeExcessMember() {
 	v := l.v
-	if v.r.config.GroupSize == 0 || v.status.ChangePending {
+	if v.r.config.GroupSize == 0 || v.status.ChangePending || v.status.TransferTarget != "" {
 		return
 	}
 	surplus := v.surplus() > 0
@@ -178,10 +216,10 @@
 // is removed. A process that stops ends its session last, also one of an earlier release,
 // which does not ask to leave.
 func (l *leaderState) goneAfter(name string) time.Duration {
-	if _, hasSession := l.v.machine.Session(name); hasSession {
-		return replaceAfter
+	if l.v.machine.SessionEnded(name) {
+		return goneHeartbeats * l.v.r.config.ElectionTimeout / heartbeatsPerElection
 	}
-	return goneHeartbeats * l.v.r.config.ElectionTimeout / heartbeatsPerElection
+	return replaceAfter
 }
 
 // recordSession records that the session of a node has started or ended.
--- a/internal/soak/replace_test.go
+++ b/internal/soak/replace_test.go
@@ -223,6 +223,40 @@
 	}
 }
 
+// Voters of the release in production are replaced by voters of this one, one at a time, and
+// two disks are lost a second after the last old process has ended. Guards against a leader of
+// the earlier release that counts a stopped voter until it has been silent for some seconds.
+func TestReplacementsDuringUpgradeThenLostDisks(t *testing.T) {
+	t.Parallel()
+	const pause = time.Second
+	next := sharedBinary(t)
+	for count := 1; count <= 2; count++ {
+		t.Run(fmt.Sprintf("%d replaced", count), func(t *testing.T) {
+			t.Parallel()
+			g := newReplacedGroup(t, replaceNetwork+13+byte(count), buildCommit(t, productionCommit(t)))
+			for i := range count {
+				g.vms[replaceVoters+i].binary = next
+			}
+			successors := g.startSuccessors(count)
+			leader := g.leader()
+			var old []int
+			for i := range replaceVoters {
+				if i != leader {
+					old = append(old, i)
+				}
+			}
+			for _, i := range old[:count] {
+				g.wantEnd(i, g.stopForGood(i))
+				time.Sleep(pause)
+			}
+			g.confirmPlan(replaceRecovery)
+			g.loseDisks([]int{old[count], successors[0]})
+			g.wantPlan(replaceRecovery)
+			g.confirmPlan(replaceRecovery)
+		})
+	}
+}
+
 // A process is not told whether it will return. Guards against restarts, of one voter after
 // the other and of all at once, that take voters out of a group without a surplus, and against
 // a successor that a restart takes out for good.
--- a/pkg/state/session.go
+++ b/pkg/state/session.go
@@ -127,6 +127,12 @@
 	return live
 }
 
+// SessionEnded reports whether the node has had a session and has none now.
+func (m *Machine) SessionEnded(node string) bool {
+	s := m.sessions[node]
+	return s != nil && !s.live
+}
+
 // Session returns the incarnation of the node's live session.
 func (m *Machine) Session(node string) (incarnation uint64, live bool) {
 	if s := m.sessions[node]; s != nil && s.live {
