Begin no late stream that may outlast a stopping node

Seen by callers: a stream that a stopping node reads late (its head arrives slowly, 3.2 to 5 s after the SIGTERM) gets 200 and its first events, and is broken off at 7.4 s.

Cause: late requests were begun if the longest recent answer, with a quarter on top, fitted. An upstream that has become slower than all recent answers breaks that. For other requests the verdict at the end takes the place of the answer; a stream that has begun cannot be replaced.

Change: once the load balancer has noticed, a stream begins only if its deadline fits. Clients that come that late are refused, not run, and served by another node at once.

Result: TestStopBeginsNoStreamThatMayBeCut (real processes) failed with 3 of 3 late streams cut and passes. Lookups are served as before.

--- a/internal/caller/drain.go
+++ b/internal/caller/drain.go
@@ -144,14 +144,15 @@
 }
 
 // admits reports whether a call may be sent: its answer is expected to be complete before
-// the end of a shutdown. Otherwise another node should serve it.
+// the end of a shutdown. Otherwise another node should serve it. A stream that has begun ends
+// with an event that holds its verdict, so that it counts like any other answer.
 func (d *drainState) admits(now time.Time, c *call) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.expired || !d.window.Stopping() {
 		return !d.expired
 	}
-	return d.window.Admits(now, c.deadline, d.estimate(now, c.kind()))
+	return d.window.Admits(now, c.deadline, false, d.estimate(now, c.kind()))
 }
 
 // admitsAgain reports whether a call that may have run can be sent again. No other node can
@@ -194,7 +195,7 @@
 		if _, ok := estimates[kind]; !ok {
 			estimates[kind] = d.estimate(now, kind)
 		}
-		if d.window.Admits(now, r.call.deadline, estimates[kind]) {
+		if d.window.Admits(now, r.call.deadline, false, estimates[kind]) {
 			continue
 		}
 		// A booking has two registrations, both of which must end.
--- a/internal/gateway/open.go
+++ b/internal/gateway/open.go
@@ -14,6 +14,7 @@
 	"github.com/jaystage/jaystage/internal/event"
 	"github.com/jaystage/jaystage/internal/listener"
 	"github.com/jaystage/jaystage/pkg/drain"
+	"github.com/jaystage/jaystage/pkg/traffic"
 	"github.com/jaystage/jaystage/pkg/verdict"
 )
 
@@ -98,7 +99,7 @@
 func (o *openCalls) admits(now time.Time, c *call) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return !o.window.Stopping() || o.window.Admits(now, c.deadline.Add(deadlineGrace), o.estimate(now, c))
+	return !o.window.Stopping() || o.window.Admits(now, c.deadline.Add(deadlineGrace), c.route.Kind == traffic.Stream, o.estimate(now, c))
 }
 
 // estimate returns how long the answer to a call takes. What other calls of the kind have waited
--- a/internal/soak/stop_client_test.go
+++ b/internal/soak/stop_client_test.go
@@ -33,6 +33,8 @@
 	chunked bool
 	// unfinished requests end before their body does.
 	unfinished bool
+	// unsized requests name no number of output tokens.
+	unsized bool
 	// troubled requests meet an upstream in trouble, so that any final status will do.
 	troubled bool
 }
@@ -293,7 +295,7 @@
 		framing = "Transfer-Encoding: chunked\r\n"
 	}
 	list = append(list, piece{0, fmt.Sprintf("POST /%s/x HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: %s\r\nX-Deadline-Ms: 14000\r\n", r.route, o.id)})
-	if mode, work := parseWork(r.work); mode == workStream {
+	if mode, work := parseWork(r.work); mode == workStream && !r.unsized {
 		list = append(list, piece{0, fmt.Sprintf("X-Token-Usage: 100,%d\r\n", work/stopTokenTime)})
 	}
 	for i, after := range r.head {
--- a/internal/soak/stop_test.go
+++ b/internal/soak/stop_test.go
@@ -353,3 +353,37 @@
 	p.judge(t, waySignals)
 	p.wantExit(t, stopGrace)
 }
+
+const (
+	wayUsual  = "a request before the stop is cut"
+	wayLonger = "a late stream that is longer than all before it is cut"
+)
+
+// Guards against a stream that is begun late because all recent ones were short, and is then
+// cut (the class of review/3): once a stream has begun, no refusal can take its place.
+func TestStopBeginsNoStreamThatMayBeCut(t *testing.T) {
+	const (
+		clients, each = 20, 12 // enough that the longest answer counts as known
+		lead          = 4 * time.Second
+	)
+	t.Parallel()
+	c := newStopCluster(t, 235, 1, stopGrace)
+	defer c.close(t)
+	p := newStopPlay(c, voters, lead)
+	for range clients {
+		p.use(wayUsual, func(w *stopWay) {
+			w.at(-lead + 500*time.Millisecond)
+			if conn := w.open(); conn != nil {
+				for range each {
+					conn.send(stopRequest{route: "chat", work: streamFor(100 * time.Millisecond), unsized: true})
+				}
+			}
+		})
+	}
+	const headStart = balancerDelay - 100*time.Millisecond
+	for _, sent := range seconds(3.2, 4.2, 5) {
+		p.sendAt(wayLonger, headStart, stopRequest{route: "chat", work: streamFor(4500 * time.Millisecond), unsized: true, head: []time.Duration{sent - headStart}})
+	}
+	p.run()
+	p.judge(t, wayUsual, wayLonger)
+}
--- a/pkg/drain/drain.go
+++ b/pkg/drain/drain.go
@@ -35,13 +35,17 @@
 // Until the load balancer has noticed the stop, but no longer than earlyShare of the window, a
 // request is admitted unless its usual time is longer than what is left, since clients have no
 // other node yet. Later, the longest recent time must fit: a client that is refused is served
-// by another node at once, one whose answer is cut may not repeat its request.
-func (w Window) Admits(now, deadline time.Time, e Estimate) bool {
+// by another node at once, one whose answer is cut may not repeat its request. What is breakable,
+// since no verdict can take the place of the end of its answer once that has begun, must then
+// fit by its deadline: an upstream may have become slower than all recent answers tell.
+func (w Window) Admits(now, deadline time.Time, breakable bool, e Estimate) bool {
 	switch {
 	case !w.Stopping(), !deadline.Add(headroom).After(w.End):
 		return true
 	case now.Before(w.Settled) && now.Sub(w.Start) < time.Duration(earlyShare*float64(w.End.Sub(w.Start))):
 		return !e.Known || !now.Add(e.Mean).After(w.End)
+	case breakable:
+		return false
 	}
 	factor := headroomFactor
 	if e.Count < manySamples {
--- a/pkg/drain/drain_test.go
+++ b/pkg/drain/drain_test.go
@@ -17,7 +17,7 @@
 
 func wantAdmits(t *testing.T, w Window, now, timeout time.Duration, e Estimate, want bool) {
 	t.Helper()
-	if got := w.Admits(at(now), at(now+timeout), e); got != want {
+	if got := w.Admits(at(now), at(now+timeout), false, e); got != want {
 		t.Errorf("request %v after the signal, timeout %v, %+v: got admitted %v, want %v", now, timeout, e, got, want)
 	}
 }
@@ -52,6 +52,17 @@
 		wantAdmits(t, window, 6*time.Second, limit, known(30*time.Millisecond, 200*time.Millisecond), true)
 		wantAdmits(t, window, 4*time.Second, 2*time.Second, Estimate{}, true)
 	})
+	t.Run("a late stream is begun that may take longer than any before", func(t *testing.T) {
+		usual := known(30*time.Millisecond, 100*time.Millisecond)
+		for now, want := range map[time.Duration]bool{time.Second: true, 2600 * time.Millisecond: false, 6 * time.Second: false} {
+			if got := window.Admits(at(now), at(now+limit), true, usual); got != want {
+				t.Errorf("stream %v after the signal: got admitted %v, want %v", now, got, want)
+			}
+		}
+		if !window.Admits(at(4*time.Second), at(6*time.Second), true, Estimate{}) {
+			t.Error("stream whose deadline is before the end: got refused, want admitted")
+		}
+	})
 	t.Run("a request is begun at the end", func(t *testing.T) {
 		wantAdmits(t, window, 7300*time.Millisecond, limit, known(30*time.Millisecond, 100*time.Millisecond), false)
 		wantAdmits(t, window, 7400*time.Millisecond, 0, Estimate{}, false)
@@ -133,8 +144,16 @@
 	for _, c := range []struct {
 		name    string
 		shortly bool
+		stream  bool
 		usual   time.Duration
-	}{{"lookups", true, 30 * time.Millisecond}, {"chats", false, time.Second}, {"plans", false, 3 * time.Second}} {
+	}{
+		{"lookups", true, false, 30 * time.Millisecond},
+		{"drafts", false, false, time.Second},
+		{"reports", false, false, 3 * time.Second},
+		{"short chats", false, true, 30 * time.Millisecond},
+		{"chats", false, true, time.Second},
+		{"plans", false, true, 3 * time.Second},
+	} {
 		t.Run(c.name, func(t *testing.T) {
 			cut, unforeseen, served, sent := 0, 0, 0, 0
 			for node := range nodes {
@@ -158,7 +177,7 @@
 					if early {
 						sent++
 					}
-					if !window.Admits(at(now), at(now+limit), d.Estimate(at(now), chat)) {
+					if !window.Admits(at(now), at(now+limit), c.stream, d.Estimate(at(now), chat)) {
 						continue
 					}
 					if early {
@@ -176,6 +195,9 @@
 			if cut > 0 {
 				t.Errorf("got %d answers cut at %d stops, want none", cut, nodes)
 			}
+			if c.stream && unforeseen > 0 {
+				t.Errorf("got %d streams cut that took longer than any before, want none", unforeseen)
+			}
 			if share := float64(served) / float64(sent); c.shortly && share < minShare {
 				t.Errorf("got %.2f of the requests served, want %.2f", share, minShare)
 			}
