--- a/internal/soak/replace_test.go
+++ b/internal/soak/replace_test.go
@@ -229,11 +229,11 @@
 func TestReplacementsDuringUpgradeThenLostDisks(t *testing.T) {
 	t.Parallel()
 	const pause = time.Second
-	next := sharedBinary(t)
+	production, next := buildCommit(t, productionCommit(t)), sharedBinary(t)
 	for count := 1; count <= 2; count++ {
 		t.Run(fmt.Sprintf("%d replaced", count), func(t *testing.T) {
 			t.Parallel()
-			g := newReplacedGroup(t, replaceNetwork+13+byte(count), buildCommit(t, productionCommit(t)))
+			g := newReplacedGroup(t, replaceNetwork+13+byte(count), production)
 			for i := range count {
 				g.vms[replaceVoters+i].binary = next
 			}
