Keep the candidate of a transfer while its disk is slow

Where several voters stop at once on slow disks, the last ones may wait for a leader for 2 s, and with a grace period of 4 s end without having left.

Cause: a transfer is given up after an election timeout (0.2 s), and the next one went to another random voter. With syncs of some 50 ms the first candidate was still collecting votes, and the second one split them.

Change: a leader keeps its choice as long as that voter is caught up and not known to stop. A voter may wait for the group for 0.7 of its grace period, not half of it; its session ends in a tenth. A failed test writes the lines of leaders and members.

--- a/internal/deployment/stop.go
+++ b/internal/deployment/stop.go
@@ -28,9 +28,9 @@
 	closeShare = 1.0 / 3
 	// leaveShare is the part of the grace period until which a voter may wait for the group
 	// to go on without it.
-	leaveShare = 0.5
+	leaveShare = 0.7
 	// voterCloseShare is the part of the grace period in which a voter's session ends.
-	voterCloseShare = 0.125
+	voterCloseShare = 0.1
 	// controlTimeout bounds the wait for calls of operators and upstreams, who turn to
 	// another voter after a second.
 	controlTimeout = 500 * time.Millisecond
--- a/internal/replica/leader.go
+++ b/internal/replica/leader.go
@@ -39,6 +39,8 @@
 	// stopping holds the voters that have asked this leader to leave, until a new session of
 	// theirs starts.
 	stopping map[string]bool
+	// successor is the voter to which leadership was last transferred; empty if none.
+	successor string
 	// startingSessions holds the incarnation of each node's session whose start is
 	// proposed but not yet applied.
 	startingSessions map[string]uint64
--- a/internal/replica/membership.go
+++ b/internal/replica/membership.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/jaystage/jaystage/internal/event"
@@ -126,32 +127,41 @@
 }
 
 // startTransfer starts a leadership transfer. It returns true when there is nothing
-// left to do: this voter does not lead, or no other voter is caught up. The target is random
-// among the voters that are not known to stop: several voters may stop at once, and leadership
-// must not go around among them.
+// left to do: this voter does not lead, or no other voter is caught up.
 func (v *voter) startTransfer() bool {
-	if v.status.Role != raft.Leader {
+	if v.status.Role != raft.Leader || v.leaderState == nil {
 		return true
 	}
 	if v.status.TransferTarget != "" {
 		return false
 	}
-	var targets, stopping []string
-	for _, p := range v.status.Progress {
+	v.transferTarget = v.leaderState.chooseSuccessor(v.r.random())
+	return v.transferTarget == ""
+}
+
+// chooseSuccessor returns the voter to which leadership is transferred; empty if no other voter
+// is caught up. The choice is random among the voters that are not known to stop: several may
+// stop at once, and leadership must not go around among them. It is kept as long as it can be,
+// because another candidate would split the votes of one whose disk is slow.
+func (l *leaderState) chooseSuccessor(random uint64) string {
+	var eligible, stopping []string
+	for _, p := range l.v.status.Progress {
 		switch {
 		case p.Member.Learner || !p.CaughtUp:
-		case v.leaderState != nil && v.leaderState.stopping[p.Member.Name]:
+		case l.stopping[p.Member.Name]:
 			stopping = append(stopping, p.Member.Name)
 		default:
-			targets = append(targets, p.Member.Name)
+			eligible = append(eligible, p.Member.Name)
 		}
 	}
-	if len(targets) == 0 {
-		targets = stopping
+	if len(eligible) == 0 {
+		eligible = stopping
 	}
-	if len(targets) == 0 {
-		return true
+	switch {
+	case len(eligible) == 0:
+		l.successor = ""
+	case !slices.Contains(eligible, l.successor):
+		l.successor = eligible[random%uint64(len(eligible))]
 	}
-	v.transferTarget = targets[v.r.random()%uint64(len(targets))]
-	return false
+	return l.successor
 }
--- a/internal/soak/replace_test.go
+++ b/internal/soak/replace_test.go
@@ -37,6 +37,7 @@
 	network = useNetwork(t, network)
 	s := shape{voters: replaceVoters, spareVoters: replaceVoters}
 	g := &replacedGroup{cluster: newClusterOf(t, network, s, binary, newHistory().startPlatform(t, network)), t: t}
+	t.Cleanup(g.logMembership)
 	for i := range replaceVoters {
 		g.start(i, true)
 	}
@@ -45,6 +46,22 @@
 	return g
 }
 
+// logMembership writes the lines of leaders and members to the log of a failed test.
+func (g *replacedGroup) logMembership() {
+	if !g.t.Failed() {
+		return
+	}
+	text, err := os.ReadFile(g.log.Name())
+	if err != nil {
+		g.t.Error(err)
+	}
+	for line := range bytes.Lines(text) {
+		if bytes.Contains(line, []byte(`"event":4006`)) || bytes.Contains(line, []byte(`"event":4008`)) || bytes.Contains(line, []byte(`"event":100`)) {
+			g.t.Logf("%s", bytes.TrimSpace(line))
+		}
+	}
+}
+
 // confirmPlan sends the next plan to the voters until one confirms it.
 func (g *replacedGroup) confirmPlan(limit time.Duration) {
 	g.t.Helper()
@@ -203,8 +220,8 @@
 
 // Voters are replaced as planned: the successors start first and catch up, then the old voters
 // get SIGTERM; once one has ended, two disks are lost at once. Guards against a quorum that
-// still counts a process which has ended: no voter leads ever again, and every confirmed plan is lost
-// (review/1).
+// still counts a process which has ended: no voter leads ever again, and every confirmed plan
+// is lost (review/1).
 func TestPlannedReplacementsThenLostDisks(t *testing.T) {
 	binary := sharedBinary(t)
 	for i, r := range []replacement{
--- a/pkg/raft/doc.go
+++ b/pkg/raft/doc.go
@@ -37,6 +37,13 @@
 // acknowledgements is down. Package wal therefore refuses directories that were copied
 // or restored.
 //
+// # Lost members
+//
+// Status reports how long each member has not replied. The time outlasts a change of the
+// leader, because heartbeats name the members that are silent (Message.Silent). The runner
+// decides which of them to remove; Change.MinVoters keeps two such decisions from using the
+// same surplus of voters.
+//
 // # Runner
 //
 // The runner opens the data directory with package wal, recovers it, and calls New with
--- a/pkg/wire/state.go
+++ b/pkg/wire/state.go
@@ -545,6 +545,7 @@
 	// Name of the voter.
 	Name string `json:"name"`
 
-	// Change to make: add, promote or remove.
+	// Change to make: add, promote, remove, or leave for a member that is about to
+	// stop.
 	Verb string `json:"verb"`
 }
