Let reads over a tunnel go on after a timeout

Cause: a read of the stream between nodes that timed out failed for good, so an upstream that was silent for a moment was lost wherever a deadline passed. Change: tunnel.Conn reads its frames in a goroutine and hands them over through a pipe, whose deadlines can be set again. Idle tells whether bytes wait, which was asked of the socket before. Conclusion: the caller of a tunnel can look at a silent upstream and wait on.

--- a/internal/tunnel/tunnel.go
+++ b/internal/tunnel/tunnel.go
@@ -16,7 +16,6 @@
 	"io"
 	"net"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/gorilla/websocket"
@@ -68,7 +67,7 @@
 		_ = stream.Close()
 		return nil, err
 	}
-	return &Conn{stream: stream}, nil
+	return newConn(stream), nil
 }
 
 func request(ctx context.Context, stream *websocket.Conn, message wire.TunnelRequest) error {
@@ -106,11 +105,66 @@
 	return stream.WriteMessage(websocket.BinaryMessage, data)
 }
 
-// Conn is a connection to an upstream through another node. It implements net.Conn.
+// Conn is a connection to an upstream through another node. It implements net.Conn. A read that
+// times out may be repeated, which a read of the stream itself may not.
 type Conn struct {
-	stream  *websocket.Conn
-	frame   io.Reader // the rest of the frame that is being read; nil between frames
-	leaving atomic.Bool
+	stream *websocket.Conn
+	// received is what the pump writes to the other end of the pipe.
+	received net.Conn
+	leaving  atomic.Bool
+	// waiting is true while bytes that no read has taken are held.
+	waiting atomic.Bool
+	// ended is closed at the end of the pump, after err is set.
+	ended chan struct{}
+	err   error
+}
+
+// newConn returns the connection over an open stream and starts its pump, which ends when the
+// connection is closed.
+func newConn(stream *websocket.Conn) *Conn {
+	received, pumped := net.Pipe()
+	c := &Conn{stream: stream, received: received, ended: make(chan struct{})}
+	go func() {
+		defer close(c.ended)
+		defer pumped.Close()
+		c.err = c.pump(pumped)
+	}()
+	return c
+}
+
+// pump copies the frames of the upstream's bytes to w until the stream ends, and returns why.
+func (c *Conn) pump(w io.Writer) error {
+	buffer := make([]byte, bufferBytes)
+	for {
+		frame, err := c.nextFrame()
+		if err != nil {
+			return err
+		}
+		for err == nil {
+			var n int
+			if n, err = frame.Read(buffer); n == 0 {
+				continue
+			}
+			c.waiting.Store(true)
+			if _, writeErr := w.Write(buffer[:n]); writeErr != nil {
+				return writeErr
+			}
+			c.waiting.Store(false)
+		}
+		if err != io.EOF {
+			return err
+		}
+	}
+}
+
+// Idle reports whether the connection is open and has no bytes to read.
+func (c *Conn) Idle() bool {
+	select {
+	case <-c.ended:
+		return false
+	default:
+		return !c.waiting.Load()
+	}
 }
 
 // Leaving reports whether the other node is about to leave. The connection serves the
@@ -140,37 +194,29 @@
 
 // Read implements net.Conn. It returns io.EOF only if the upstream ended the connection.
 func (c *Conn) Read(b []byte) (int, error) {
-	for {
-		if c.frame == nil {
-			if err := c.nextFrame(); err != nil {
-				return 0, err
-			}
-		}
-		n, err := c.frame.Read(b)
-		if err == io.EOF {
-			c.frame, err = nil, nil
-		}
-		if n > 0 || err != nil {
-			return n, err
-		}
+	n, err := c.received.Read(b)
+	if err == io.EOF {
+		<-c.ended
+		err = c.err
 	}
+	return n, err
 }
 
-func (c *Conn) nextFrame() error {
+// nextFrame returns the next frame with bytes of the upstream.
+func (c *Conn) nextFrame() (io.Reader, error) {
 	for {
 		kind, frame, err := c.stream.NextReader()
 		switch {
 		case websocket.IsCloseError(err, websocket.CloseNormalClosure):
-			return io.EOF
+			return nil, io.EOF
 		case websocket.IsUnexpectedCloseError(err):
-			return io.ErrUnexpectedEOF
+			return nil, io.ErrUnexpectedEOF
 		case err != nil:
-			return err
+			return nil, err
 		case kind == websocket.TextMessage:
 			c.leaving.Store(true)
 		default:
-			c.frame = frame
-			return nil
+			return frame, nil
 		}
 	}
 }
@@ -191,7 +237,10 @@
 }
 
 // Close implements net.Conn.
-func (c *Conn) Close() error { return c.stream.Close() }
+func (c *Conn) Close() error {
+	_ = c.received.Close() // the end of a pipe cannot fail to close
+	return c.stream.Close()
+}
 
 // LocalAddr implements net.Conn.
 func (c *Conn) LocalAddr() net.Addr { return c.stream.LocalAddr() }
@@ -201,19 +250,11 @@
 
 // SetDeadline implements net.Conn.
 func (c *Conn) SetDeadline(t time.Time) error {
-	return errors.Join(c.stream.SetReadDeadline(t), c.stream.SetWriteDeadline(t))
+	return errors.Join(c.received.SetReadDeadline(t), c.stream.SetWriteDeadline(t))
 }
 
 // SetReadDeadline implements net.Conn.
-func (c *Conn) SetReadDeadline(t time.Time) error { return c.stream.SetReadDeadline(t) }
+func (c *Conn) SetReadDeadline(t time.Time) error { return c.received.SetReadDeadline(t) }
 
 // SetWriteDeadline implements net.Conn.
 func (c *Conn) SetWriteDeadline(t time.Time) error { return c.stream.SetWriteDeadline(t) }
-
-// SyscallConn implements syscall.Conn.
-func (c *Conn) SyscallConn() (syscall.RawConn, error) {
-	if raw, ok := c.stream.NetConn().(syscall.Conn); ok {
-		return raw.SyscallConn()
-	}
-	return nil, errors.ErrUnsupported
-}
