Keep a silent attempt until a standby has begun to answer

What callers saw: streams were broken off 1.5 s after their last event, lookups and first events failed after 0.6 to 2 s, while their upstream went on. Cause: the node abandoned the attempt at its own deadline and only then looked for a retry, another upstream or the ID of the last event. Where one was missing, or the other upstream refused, failed or was silent too, the answer was lost. The class: an attempt is given up before a better one is in hand. Ruled out: a longer deadline alone (a dark upstream would hold its streams). Change: a read that times out asks the call what to do instead of failing (silenceWatch), so that parsers keep their state. The call starts a standby at another upstream, within attempts and retry budget, and goes on reading; the first answer that begins is forwarded and the other attempts are closed. Further standbys follow while the route has attempts. The silence counts in the upstream's health at once, as before. Event 3017 and silent_ms in the line of a request tell of it. A retry for which there is no place is returned.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -38,6 +38,7 @@
 	PathRegained     ID = 3014
 	TunnelOpened     ID = 3015
 	UpstreamAdvice   ID = 3016
+	UpstreamSilent   ID = 3017
 	ConfigApplied    ID = 4001
 	LeaseLost        ID = 4002
 	LeaseGained      ID = 4003
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -44,13 +44,21 @@
 	// limitRefusal is set when the account's limit refused the call.
 	limitRefusal *spendResult
 
-	// current is the attempt in progress; nil between attempts.
+	// current is the attempt in progress whose answer is forwarded; nil between attempts.
 	current *attempt
+	// standbys are the attempts beside it, oldest first, and reports receives each one when its
+	// answer has begun or it has failed.
+	standbys []*standby
+	reports  chan *standby
+	// longestSilence is the longest time that a check has found the current attempt silent for.
+	longestSilence time.Duration
 	// attempts counts the attempts so far. Failed connects do not count.
 	attempts int
 	// possiblyRan is the verdict of the last attempt that ran or may have run; nil if
 	// there was none.
 	possiblyRan *verdict.Verdict
+	// suspected is true once an upstream crashed under a request that had crashed another one.
+	suspected bool
 	// status is the status code of the forwarded response, or zero.
 	status int
 
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -127,6 +127,15 @@
 	}, nil, true
 }
 
+// returnRetry returns a retry that was taken at the same time and is not used.
+func (c *call) returnRetry(now time.Time) {
+	view, _ := c.g.State.View(now)
+	set := c.g.upstreams
+	set.mu.Lock()
+	defer set.mu.Unlock()
+	set.retryBudget(c.service.Name, len(set.entryNodes(view))).ReturnRetry(now)
+}
+
 // takeRetry reports whether the retry budget, which all nodes share, allows another
 // attempt, and takes the attempt from it.
 func (c *call) takeRetry(now time.Time) bool {
--- a/internal/gateway/finish.go
+++ b/internal/gateway/finish.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/jaystage/jaystage/internal/crash"
@@ -12,46 +13,97 @@
 
 // serve sends the call to upstreams until one responds or no retry is allowed.
 func (c *call) serve() {
-	ctx := c.ctx
 	for {
 		chosen, e := c.choose()
 		if e != nil {
 			c.failChoice(e)
 			return
 		}
-		c.attempts++
-		c.upstreamID, c.cachedShare, c.expectedDelay = chosen.upstream.ID, chosen.cachedShare, chosen.expectedDelay
-		c.current = newAttempt(chosen)
-		if !c.headersSent {
-			c.phase.store(phaseSent)
-		}
-		a, f := c.current, c.send(ctx, c.current)
+		f := c.serveWith(c.newAttempt(chosen))
 		if f == nil {
-			f = c.forwardResponse(a)
-		}
-		switch {
-		case c.detectCrash(ctx, a, f):
-			f.suspected = c.g.parts.recordCrash(time.Now(), a, c)
-		case f != nil && f.cause == "read" && a.conn.via == "" && !a.conn.reused && a.resp == nil && ctx.Err() == nil:
-			// A new connection was reset, but the upstream's process has not ended.
-			c.suspectPath(a)
-		}
-		c.endAttempt(ctx, a, f)
-		if f == nil {
-			c.recordAnswer(a.resp)
 			c.g.open.recordEnd(time.Now(), c, true)
 			c.finish("answered", nil)
 			return
 		}
-		if !c.canRetry(ctx, f) {
+		if !c.canRetry(f) {
 			c.g.open.recordEnd(time.Now(), c, false)
-			c.fail(ctx, f)
+			c.fail(c.ctx, f)
 			return
 		}
 		if !c.headersSent {
 			c.phase.store(phaseChoosing)
 		}
-		c.prompt.Tried = append(c.prompt.Tried, chosen.upstream.ID)
+	}
+}
+
+// serveWith serves the call with an attempt, and with the standbys that take its place. It
+// returns the failure of the last one.
+func (c *call) serveWith(a *attempt) *failure {
+	for {
+		c.setCurrent(a)
+		var f *failure
+		if !a.answer.begun {
+			f = c.obtain(c.ctx, a, func(now, due time.Time) (time.Time, error) { return c.checkSilence(now, due, a) })
+		}
+		if f == nil {
+			f = c.forwardResponse(a)
+		}
+		c.diagnose(c.ctx, a, f)
+		next := c.awaitStandby(f)
+		c.endAttempt(c.ctx, a, f)
+		if f == nil {
+			c.recordAnswer(a.resp)
+			return nil
+		}
+		c.recordVerdict(f)
+		c.addTried(a)
+		if next == nil {
+			return f
+		}
+		a = next
+	}
+}
+
+// setCurrent makes an attempt the one whose answer is forwarded.
+func (c *call) setCurrent(a *attempt) {
+	c.current = a
+	c.upstreamID, c.cachedShare, c.expectedDelay = a.upstream.ID, a.cachedShare, a.expectedDelay
+	if !c.headersSent {
+		c.phase.store(phaseSent)
+	}
+	if a.conn != nil {
+		// The answer has begun, so that only its silence is left to watch.
+		a.conn.watch.onSilence = func(now, due time.Time) (time.Time, error) { return c.checkSilence(now, due, a) }
+	}
+}
+
+// diagnose records what a failed attempt tells of its upstream's process and of the path to it.
+func (c *call) diagnose(ctx context.Context, a *attempt, f *failure) {
+	switch {
+	case c.detectCrash(ctx, a, f):
+		f.suspected = c.g.parts.recordCrash(time.Now(), a, c)
+	case f != nil && f.cause == "read" && a.conn.via == "" && !a.conn.reused && a.resp == nil && ctx.Err() == nil:
+		// A new connection was reset, but the upstream's process has not ended.
+		c.suspectPath(a)
+	}
+}
+
+// recordVerdict records whether a failed attempt may have run, and uncounts one that was not
+// sent.
+func (c *call) recordVerdict(f *failure) {
+	if f.verdict != verdict.NotRun {
+		c.possiblyRan = &f.verdict
+	}
+	if f.cause == "connect" {
+		c.attempts--
+	}
+	c.suspected = c.suspected || f.suspected
+}
+
+// addTried keeps the call from choosing the upstream of an attempt again.
+func (c *call) addTried(a *attempt) {
+	if !slices.Contains(c.prompt.Tried, a.upstream.ID) {
+		c.prompt.Tried = append(c.prompt.Tried, a.upstream.ID)
 	}
 }
 
@@ -86,10 +138,13 @@
 // endAttempt returns the attempt's connection to the pool or closes it, and records the
 // end and the outcome of the attempt at the upstream.
 func (c *call) endAttempt(ctx context.Context, a *attempt, f *failure) {
-	c.current = nil
+	if c.current == a {
+		c.current = nil
+	}
 	now := time.Now()
 	reusable := f == nil && a.resp != nil && !a.resp.Close && c.awaitBodyWritten(a)
 	if a.conn != nil {
+		c.via = a.conn.via
 		notCanceled := a.stopCancelWatch == nil || a.stopCancelWatch()
 		if reusable && notCanceled {
 			a.conn.reused, a.conn.idleTimeout = true, keepAliveTimeout(a.resp)
@@ -154,10 +209,12 @@
 	case f.cause == "connect":
 		entry.RecordUnreachable(now)
 		c.g.pool.closeIdle(a.upstream.Address)
-	case f.cause == "silent" && a.conn != nil:
+	case f.isSilence() && a.conn != nil:
 		// The idle connections may be dead although new ones would work.
 		c.g.pool.closeIdle(a.upstream.Address)
-		entry.RecordFailure(now)
+		if !a.silent {
+			entry.RecordFailure(now)
+		}
 		c.g.ledger.countOutcome(c, a, false, now.Sub(a.started))
 	default:
 		if f.cause == "read" || f.cause == "cut" {
@@ -187,32 +244,21 @@
 	a.entry.lastResponse = now
 }
 
-// canRetry records the verdict of a failed attempt and reports whether the call may be
-// sent to another upstream.
-func (c *call) canRetry(ctx context.Context, f *failure) bool {
-	if f.verdict != verdict.NotRun {
-		c.possiblyRan = &f.verdict
-	}
+// canRetry reports whether the call may be sent to another upstream after a failed attempt.
+func (c *call) canRetry(f *failure) bool {
 	now := time.Now()
-	switch {
-	case ctx.Err() != nil || f.isOwn():
-		return false
-	case f.cause == "connect":
-		// Nothing was sent, so it does not count as an attempt.
-		c.attempts--
-	}
-	if c.attempts >= c.route.MaxAttempts || c.remaining(now) < minRemaining {
-		return false
-	}
-	if f.verdict != verdict.NotRun && !c.route.Repeatable() {
-		return false
-	}
-	if c.headersSent && c.lastEventID == "" || f.suspected {
+	if f.isOwn() || c.attempts >= c.route.MaxAttempts || f.verdict != verdict.NotRun && !c.route.Repeatable() || !c.mayContinue(now) {
 		return false
 	}
 	return f.cause == "connect" || c.takeRetry(now)
 }
 
+// mayContinue reports whether what the client has got, and the time that is left, allow another
+// attempt.
+func (c *call) mayContinue(now time.Time) bool {
+	return c.ctx.Err() == nil && c.remaining(now) >= minRemaining && (!c.headersSent || c.lastEventID != "") && !c.suspected
+}
+
 // failChoice ends a call for which no upstream could be chosen.
 func (c *call) failChoice(e *verdict.Error) {
 	if c.headersSent {
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -25,51 +25,98 @@
 	// maxEventBytes bounds one event of a stream.
 	maxEventBytes = 256 << 10
 	// streamStallTimeout is how long a resumable stream may go without a complete event
-	// before it is resumed on another upstream. It must be short, because clients give up
-	// after a few seconds. A pause of stallGapFactor times the route's target is allowed in
+	// before it is resumed on another upstream as well. It must be short, because clients give
+	// up after a few seconds. A pause of stallGapFactor times the route's target is allowed in
 	// any case.
 	streamStallTimeout = 1500 * time.Millisecond
 	stallGapFactor     = 2
-	// A read that times out lateWake or more after its deadline shows that the process was
-	// paused. What the upstream has sent meanwhile is read within lateReadTimeout.
-	lateWake        = 100 * time.Millisecond
-	lateReadTimeout = 250 * time.Millisecond
 )
 
 var errBodyTooLong = errors.New("body without a length exceeds the size limit")
 
-// forwardResponse forwards the response to the client.
-func (c *call) forwardResponse(a *attempt) *failure {
-	if c.headersSent && a.resp.StatusCode != c.status {
+// readStart reads a response until it can be forwarded.
+func (c *call) readStart(a *attempt) *failure {
+	isStream := c.route.Kind == traffic.Stream && strings.HasPrefix(a.resp.Header.Get("Content-Type"), "text/event-stream")
+	if c.headersSent && (a.resp.StatusCode != c.status || !isStream) {
 		// The stream of an earlier attempt cannot be continued with this response.
 		return &failure{verdict: verdict.Ran, cause: "no-stream", status: a.resp.StatusCode}
 	}
-	if c.route.Kind == traffic.Stream && strings.HasPrefix(a.resp.Header.Get("Content-Type"), "text/event-stream") {
-		return c.forwardEvents(a)
-	}
-	if c.headersSent {
-		return &failure{verdict: verdict.Ran, cause: "no-stream", status: a.resp.StatusCode}
+	var f *failure
+	if isStream {
+		f = c.readFirstEvents(a)
+	} else {
+		f = c.readBodyStart(a)
 	}
-	return c.forwardBody(a)
+	a.answer.begun = f == nil
+	return f
 }
 
-// forwardBody forwards a response that is not a stream.
-func (c *call) forwardBody(a *attempt) *failure {
+// readBodyStart reads a short body in full, or the start of a long one.
+func (c *call) readBodyStart(a *attempt) *failure {
 	body, err := io.ReadAll(io.LimitReader(a.resp.Body, maxBufferedBytes))
-	if err != nil {
+	switch {
+	case errors.Is(err, errSuperseded):
+		return &failure{verdict: verdict.MayHaveRun, cause: "superseded", err: err}
+	case err != nil:
 		return &failure{verdict: verdict.MayHaveRun, cause: "cut", err: err}
 	}
-	if len(body) < maxBufferedBytes {
-		if f := c.endOf(a); f != nil {
-			return f
+	a.answer.body, a.answer.whole = body, len(body) < maxBufferedBytes
+	if a.answer.whole {
+		return c.endOf(a)
+	}
+	return nil
+}
+
+// readFirstEvents reads the first events of a stream. A stream without any was cut.
+func (c *call) readFirstEvents(a *attempt) *failure {
+	a.answer.splitter.MaxEventBytes, a.answer.buffer = maxEventBytes, make([]byte, readBufferBytes)
+	f := c.readEvents(a)
+	if f == nil && len(a.answer.events) == 0 {
+		return &failure{verdict: verdict.MayHaveRun, cause: "cut", err: io.ErrUnexpectedEOF}
+	}
+	return f
+}
+
+// readEvents reads the next complete events of a stream; none at its end.
+func (c *call) readEvents(a *attempt) *failure {
+	s := &a.answer
+	for s.err == nil {
+		n, err := a.resp.Body.Read(s.buffer)
+		events, splitErr := s.splitter.Feed(s.buffer[:n])
+		if s.err = splitErr; s.err == nil {
+			s.err = err
+		}
+		if s.events = events; len(events) > 0 {
+			return nil
 		}
 	}
+	s.events = nil
+	switch {
+	case s.err == io.EOF:
+		return nil
+	case errors.Is(s.err, stream.ErrEventTooLong):
+		return &failure{verdict: verdict.MayHaveRun, cause: "event", err: s.err}
+	}
+	return &failure{verdict: verdict.MayHaveRun, cause: readCause(s.err), err: s.err}
+}
+
+// forwardResponse forwards a response that has begun to the client.
+func (c *call) forwardResponse(a *attempt) *failure {
+	if a.answer.buffer != nil {
+		return c.forwardEvents(a)
+	}
+	return c.forwardBody(a)
+}
+
+// forwardBody forwards a response that is not a stream.
+func (c *call) forwardBody(a *attempt) *failure {
+	c.dropStandbys()
 	c.recordStart(a)
-	c.sendHeaders(a, len(body) < maxBufferedBytes)
-	if _, err := c.w.Write(body); err != nil {
+	c.sendHeaders(a, a.answer.whole)
+	if _, err := c.w.Write(a.answer.body); err != nil {
 		return &failure{verdict: verdict.Ran, cause: "client", err: err}
 	}
-	if len(body) < maxBufferedBytes {
+	if a.answer.whole {
 		return nil
 	}
 	return c.forwardRest(a)
@@ -78,7 +125,7 @@
 // forwardRest forwards the rest of a long body as it arrives. The response has started, so
 // only the call's own deadline applies.
 func (c *call) forwardRest(a *attempt) *failure {
-	if err := a.conn.SetReadDeadline(c.deadline.Add(deadlineGrace)); err != nil {
+	if err := a.conn.watchUntil(time.Time{}); err != nil {
 		return &failure{verdict: verdict.Ran, cause: "connection", err: err}
 	}
 	rest, limit := io.Reader(a.resp.Body), int64(maxUnsizedBodyBytes)
@@ -118,55 +165,32 @@
 // with the first one, so that the call can be retried until then.
 func (c *call) forwardEvents(a *attempt) *failure {
 	controller := http.NewResponseController(c.w)
-	splitter := stream.Splitter{MaxEventBytes: maxEventBytes}
-	var lastEvent time.Time // zero before the first one
-	var resumed time.Time   // until when reads may go on after a pause of the process; else zero
-	chunk := make([]byte, readBufferBytes)
 	for {
-		deadline := c.eventDeadline(a, lastEvent)
-		if resumed.After(deadline) {
-			deadline = resumed
+		c.dropStandbys()
+		if len(a.answer.events) == 0 {
+			return c.endEvents(a)
 		}
-		if err := a.conn.SetReadDeadline(deadline); err != nil {
-			return &failure{verdict: verdict.MayHaveRun, cause: "connection", err: err}
+		if f := c.writeEvents(a, a.answer.events, controller); f != nil {
+			return f
 		}
-		n, err := a.resp.Body.Read(chunk)
-		if now := time.Now(); n == 0 && err != nil && readCause(err) == "silent" && wokeLate(now, deadline, c.deadline) {
-			resumed = now.Add(lateReadTimeout)
-			continue
+		a.answer.lastEvent = time.Now()
+		if a.conn.via == "" {
+			c.g.heard.Store(a.answer.lastEvent.UnixNano())
 		}
-		events, splitErr := splitter.Feed(chunk[:n])
-		if len(events) > 0 {
-			if f := c.writeEvents(a, events, controller); f != nil {
-				return f
-			}
-			lastEvent = time.Now()
-			if a.conn.via == "" {
-				c.g.heard.Store(lastEvent.UnixNano())
-			}
+		if f := c.watchSilence(a); f != nil {
+			return f
 		}
-		switch {
-		case splitErr != nil:
-			return &failure{verdict: verdict.MayHaveRun, cause: "event", err: splitErr}
-		case err == io.EOF:
-			return c.endEvents(a, &splitter)
-		case err != nil:
-			return &failure{verdict: verdict.MayHaveRun, cause: readCause(err), err: err}
+		if f := c.readEvents(a); f != nil {
+			return f
 		}
 	}
 }
 
-// wokeLate reports whether a read timed out so long after its deadline that the process must have
-// been paused, and the call has time left.
-func wokeLate(now, readDeadline, callDeadline time.Time) bool {
-	return now.Sub(readDeadline) >= lateWake && now.Before(callDeadline)
-}
-
-// endEvents forwards the comments after the last event. A stream without any event, or one
-// that ends within an event, was cut.
-func (c *call) endEvents(a *attempt, splitter *stream.Splitter) *failure {
-	rest, whole := splitter.Rest()
-	if !whole || !c.headersSent {
+// endEvents forwards the comments after the last event. A stream that ends within an event was
+// cut.
+func (c *call) endEvents(a *attempt) *failure {
+	rest, whole := a.answer.splitter.Rest()
+	if !whole {
 		return &failure{verdict: verdict.MayHaveRun, cause: "cut", err: io.ErrUnexpectedEOF}
 	}
 	if f := c.endOf(a); f != nil {
@@ -178,23 +202,6 @@
 	return nil
 }
 
-// eventDeadline returns when the next event must be complete. Bytes that complete no event
-// do not extend it. lastEvent is when the last event was forwarded; zero before the first.
-func (c *call) eventDeadline(a *attempt, lastEvent time.Time) time.Time {
-	end := c.deadline.Add(deadlineGrace)
-	if !c.route.Repeatable() || c.attempts >= c.route.MaxAttempts {
-		return end
-	}
-	next := c.responseDeadline(a)
-	if !lastEvent.IsZero() {
-		next = lastEvent.Add(max(streamStallTimeout, stallGapFactor*c.route.TargetGap))
-	}
-	if next.Before(end) {
-		return next
-	}
-	return end
-}
-
 // writeEvents sends complete events to the client.
 func (c *call) writeEvents(a *attempt, events []byte, controller *http.ResponseController) *failure {
 	c.recordStart(a)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -142,6 +142,7 @@
 	g.open.add(c)
 	defer g.open.remove(c)
 	defer c.recoverPanic()
+	defer c.dropStandbys()
 	// This replaces the deadline of the previous request on the connection.
 	c.limitWrites(c.start.Add(startupTime))
 	if g.unready.Load() || len(r.TransferEncoding) > 0 {
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -52,6 +53,10 @@
 	listener net.Listener
 	script   func(n int, r *http.Request) []step
 
+	// onClose is called when the gateway has closed a connection while a step was due; nil for
+	// nothing to do.
+	onClose func()
+
 	mu       sync.Mutex
 	requests []*http.Request
 	bodies   []string
@@ -110,7 +115,9 @@
 			if _, err := io.WriteString(c, s.send); err != nil {
 				return
 			}
-			time.Sleep(s.pause)
+			if u.pause(c, r, s.pause) {
+				return
+			}
 			if s.reset {
 				_ = c.(*net.TCPConn).SetLinger(0)
 			}
@@ -121,6 +128,23 @@
 	}
 }
 
+// pause waits, and reports whether the gateway has closed the connection meanwhile, if the test
+// wants to know.
+func (u *fakeUpstream) pause(c net.Conn, r *bufio.Reader, d time.Duration) (closed bool) {
+	if u.onClose == nil {
+		time.Sleep(d)
+		return false
+	}
+	_ = c.SetReadDeadline(time.Now().Add(d))
+	_, err := r.Peek(1)
+	_ = c.SetReadDeadline(time.Time{})
+	var timeout net.Error
+	if closed = err != nil && !(errors.As(err, &timeout) && timeout.Timeout()); closed {
+		u.onClose()
+	}
+	return closed
+}
+
 func (u *fakeUpstream) count() int {
 	u.mu.Lock()
 	defer u.mu.Unlock()
--- a/internal/gateway/path.go
+++ b/internal/gateway/path.go
@@ -9,7 +9,6 @@
 	"github.com/jaystage/jaystage/internal/config"
 	"github.com/jaystage/jaystage/internal/tunnel"
 	"github.com/jaystage/jaystage/pkg/reach"
-	"github.com/jaystage/jaystage/pkg/verdict"
 )
 
 const (
@@ -114,34 +113,16 @@
 	return s.byAddress[address] != nil
 }
 
-// watchSilence waits up to silenceLimit for the first byte of a response. If by then no
-// upstream has sent anything to the node since the request, the path is suspected.
-func (c *call) watchSilence(a *attempt) *failure {
-	if a.conn.via != "" || a.conn.reader.Buffered() > 0 {
-		return nil
-	}
-	end := c.deadline.Add(deadlineGrace)
-	if d := c.responseDeadline(a); !d.IsZero() && d.Before(end) {
-		end = d
-	}
-	limit := time.Now().Add(silenceLimit)
-	if !limit.Before(end) {
-		return nil
-	}
-	if err := a.conn.SetReadDeadline(limit); err != nil {
-		return &failure{verdict: verdict.MayHaveRun, cause: "connection", err: err}
+// checkPath suspects the node's own path if an attempt has waited for silenceLimit and no
+// upstream has sent anything to the node since.
+func (c *call) checkPath(now time.Time, a *attempt) {
+	if a.pathCheck.IsZero() || now.Before(a.pathCheck) {
+		return
 	}
-	_, err := a.conn.reader.Peek(1)
-	if err == nil {
-		c.g.recordBytes(time.Now(), a.conn, a.upstream.Address)
-	}
-	if readCause(err) == "silent" && c.g.heard.Load() < a.started.UnixNano() {
+	a.pathCheck = time.Time{}
+	if c.g.heard.Load() < a.started.UnixNano() {
 		c.suspectPath(a)
 	}
-	if err := a.conn.SetReadDeadline(c.deadline.Add(deadlineGrace)); err != nil {
-		return &failure{verdict: verdict.MayHaveRun, cause: "connection", err: err}
-	}
-	return nil
 }
 
 // suspectPath records that an upstream is silent. Kept connections to it may be dead as well.
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -38,9 +38,10 @@
 // conn is a connection to an upstream. One request uses it at a time.
 type conn struct {
 	net.Conn
-	// reader reads from limit, which reads from Conn.
+	// reader reads from limit, which reads from the conn itself.
 	reader *bufio.Reader
 	limit  *bounded.Reader
+	watch  silenceWatch
 	// reused is true once a response has been read from the connection.
 	reused bool
 	// via is the node through which the connection goes; empty for a direct one.
@@ -100,8 +101,10 @@
 
 // newConn returns an open connection through a node, or a direct one.
 func newConn(raw net.Conn, via string) *conn {
-	limit := &bounded.Reader{Source: raw}
-	return &conn{Conn: raw, reader: bufio.NewReaderSize(limit, readBufferBytes), limit: limit, via: via, idleTimeout: defaultIdleTimeout}
+	c := &conn{Conn: raw, via: via, idleTimeout: defaultIdleTimeout}
+	c.limit = &bounded.Reader{Source: c}
+	c.reader = bufio.NewReaderSize(c.limit, readBufferBytes)
+	return c
 }
 
 // leaving reports whether the node in between is about to leave.
@@ -170,7 +173,7 @@
 	}
 	c.lastUsed = time.Now()
 	// Clear the deadline of the previous request.
-	if err := c.SetDeadline(time.Time{}); err != nil {
+	if err := c.startRequest(time.Time{}, nil); err != nil {
 		_ = c.Close()
 		return
 	}
@@ -218,6 +221,9 @@
 
 // healthy reports whether an idle connection is open and has no bytes to read.
 func (c *conn) healthy() bool {
+	if t, ok := c.Conn.(*tunnel.Conn); ok {
+		return t.Idle()
+	}
 	syscallConn, ok := c.Conn.(syscall.Conn)
 	if !ok {
 		return true
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -23,9 +23,9 @@
 	// maxStrayBytes bounds the body of a late response to another request. Reading more
 	// would take longer than a new connection.
 	maxStrayBytes = 256 << 10
-	// A request that may be retried waits for its response for responseWaitFactor times
-	// the route's target latency, within the bounds below, and then goes to another
-	// upstream.
+	// A request that may be repeated waits for its response for responseWaitFactor times
+	// the route's target latency, within the bounds below, before it is sent to another
+	// upstream as well.
 	responseWaitFactor = 2.0
 	minResponseWait    = 600 * time.Millisecond
 	maxResponseWait    = 2 * time.Second
@@ -39,11 +39,8 @@
 // readResponseHead reads the status and headers of the response. It skips late responses
 // to earlier requests on the connection.
 func (c *call) readResponseHead(a *attempt) *failure {
-	deadline := c.responseDeadline(a)
-	if !deadline.IsZero() {
-		if err := a.conn.SetReadDeadline(deadline); err != nil {
-			return &failure{verdict: verdict.MayHaveRun, cause: "connection", err: err}
-		}
+	if f := c.watchSilence(a); f != nil {
+		return f
 	}
 	for range maxResponsesPerAttempt {
 		resp, err := a.conn.readHead(c.r.Method)
@@ -86,20 +83,20 @@
 	}
 }
 
-// responseDeadline returns when an attempt without a response is abandoned for a retry on
-// another upstream. It is zero if the call may not be retried.
+// responseDeadline returns when the answer to an attempt should have begun.
 func (c *call) responseDeadline(a *attempt) time.Time {
-	if !c.route.Repeatable() || c.attempts >= c.route.MaxAttempts {
-		return time.Time{}
-	}
 	timeout := time.Duration(responseWaitFactor * float64(c.route.TargetLatency))
 	return a.started.Add(min(max(timeout, minResponseWait), maxResponseWait))
 }
 
-// readCause returns the cause of a failed read: "silent" after a timeout, else "read".
+// readCause returns the cause of a failed read: "silent" after a timeout, "superseded" if a
+// standby has begun to answer, else "read".
 func readCause(err error) string {
 	var netErr net.Error
-	if errors.As(err, &netErr) && netErr.Timeout() {
+	switch {
+	case errors.Is(err, errSuperseded):
+		return "superseded"
+	case errors.As(err, &netErr) && netErr.Timeout():
 		return "silent"
 	}
 	return "read"
@@ -119,7 +116,7 @@
 		return &failure{verdict: verdict.NotRun, cause: "shed", status: resp.StatusCode, overloaded: true}
 	case resp.StatusCode >= http.StatusOK && resp.StatusCode < 300 && (resp.Header.Get(headers.Signature) == "" || resp.Header.Get(headers.Attempt) != c.id):
 		return &failure{verdict: verdict.MayHaveRun, cause: "unsigned", err: errors.New("successful response without the upstream's signature")}
-	case resp.StatusCode >= http.StatusInternalServerError && c.route.Repeatable() && c.attempts < c.route.MaxAttempts:
+	case resp.StatusCode >= http.StatusInternalServerError && c.route.Repeatable() && a.replaceable:
 		return &failure{verdict: verdict.Ran, cause: "status", status: resp.StatusCode}
 	case claimsNotRun(resp.StatusCode):
 		return &failure{verdict: verdict.MayHaveRun, cause: "status", status: resp.StatusCode}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/jaystage/jaystage/internal/hop"
+	"github.com/jaystage/jaystage/pkg/stream"
 	"github.com/jaystage/jaystage/pkg/verdict"
 )
 
@@ -34,6 +35,32 @@
 	started         time.Time
 	bodyWritten     chan error // result of a body that is written concurrently
 	promptPending   bool       // the entry's PendingTokens still count the prompt
+	answer          answer
+	// pathCheck is when the node's own path is suspected if no upstream has sent anything; zero
+	// for never.
+	pathCheck time.Time
+	// replaceable is true if another attempt may answer when this one gets a failure status.
+	replaceable bool
+	// silent is true once the upstream was noticed to be silent.
+	silent bool
+}
+
+// answer is what was read of a response and not yet forwarded.
+type answer struct {
+	// begun is true once the response can be forwarded: its first event is complete, or, if it
+	// is no stream, a short body or the start of a long one.
+	begun bool
+	// body is the body of a response that is no stream, and whole true if there is no more.
+	body  []byte
+	whole bool
+	// events are complete events of a stream, valid until the next read.
+	events   []byte
+	splitter stream.Splitter
+	buffer   []byte
+	// err ended the stream; io.EOF at its regular end.
+	err error
+	// lastEvent is when the last event was forwarded; zero before.
+	lastEvent time.Time
 }
 
 // failure is the reason why an attempt did not produce the call's response.
@@ -57,25 +84,40 @@
 // isOwn reports whether the failure was caused by the client or the node itself.
 func (f *failure) isOwn() bool {
 	switch f.cause {
-	case "client", "lease", "deadline", "stop":
+	case "client", "lease", "deadline", "stop", "unneeded":
 		return true
 	}
 	return false
 }
 
-func newAttempt(chosen choice) *attempt {
-	return &attempt{choice: chosen, started: time.Now(), promptPending: true}
+// newAttempt counts a new attempt.
+func (c *call) newAttempt(chosen choice) *attempt {
+	c.attempts++
+	return &attempt{choice: chosen, started: time.Now(), promptPending: true, replaceable: c.attempts < c.route.MaxAttempts}
+}
+
+// obtain sends the request of an attempt and waits until its answer has begun. onSilence is
+// called when the upstream sends nothing; nil for never. Standbys obtain their answers in
+// goroutines of their own, so that it changes nothing in the call.
+func (c *call) obtain(ctx context.Context, a *attempt, onSilence func(now, due time.Time) (time.Time, error)) *failure {
+	if f := c.send(ctx, a, onSilence); f != nil {
+		return f
+	}
+	if f := c.readResponseHead(a); f != nil {
+		return f
+	}
+	return c.readStart(a)
 }
 
-// send sends the request of an attempt and reads the head of the response.
-func (c *call) send(ctx context.Context, a *attempt) *failure {
+// send sends the request of an attempt.
+func (c *call) send(ctx context.Context, a *attempt, onSilence func(now, due time.Time) (time.Time, error)) *failure {
 	upstreamConn, err := c.g.connect(ctx, a.upstream.Address, c.id)
 	if err != nil {
 		return &failure{verdict: verdict.NotRun, cause: "connect", err: err}
 	}
-	a.conn, c.via = upstreamConn, upstreamConn.via
+	a.conn = upstreamConn
 	a.stopCancelWatch = context.AfterFunc(ctx, func() { _ = upstreamConn.Close() })
-	if err := upstreamConn.SetDeadline(c.deadline.Add(deadlineGrace)); err != nil {
+	if err := upstreamConn.startRequest(c.deadline.Add(deadlineGrace), onSilence); err != nil {
 		return &failure{verdict: verdict.NotRun, cause: "connection", err: err}
 	}
 	// What allowed the request is checked again right before it is sent, because the connect
@@ -92,13 +134,7 @@
 	case ctx.Err() != nil:
 		return &failure{verdict: verdict.NotRun, cause: "client", err: ctx.Err()}
 	}
-	if f := c.write(a, now); f != nil {
-		return f
-	}
-	if f := c.watchSilence(a); f != nil {
-		return f
-	}
-	return c.readResponseHead(a)
+	return c.write(a, now)
 }
 
 // write sends the request. The write of a large body may still be in progress when it
--- /dev/null
+++ b/internal/gateway/standby.go
@@ -0,0 +1,244 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"github.com/jaystage/jaystage/internal/crash"
+	"github.com/jaystage/jaystage/internal/event"
+	"github.com/jaystage/jaystage/pkg/verdict"
+)
+
+const (
+	// standbyPollInterval is how often a call with a silent upstream looks for a place and a
+	// retry, if there is none at first.
+	standbyPollInterval = 250 * time.Millisecond
+	// A silence that is noticed lateWake or more after it was due shows that the process was
+	// paused. What the upstream has sent meanwhile is read within lateReadTimeout.
+	lateWake        = 100 * time.Millisecond
+	lateReadTimeout = 250 * time.Millisecond
+)
+
+// errSuperseded ends the reads of an attempt whose standby has begun to answer.
+var errSuperseded = errors.New("another upstream has begun to answer")
+
+// standby is an attempt at another upstream, beside the current one, which is silent. The
+// current attempt is given up only once the standby's answer has begun, since a silent upstream
+// may go on.
+type standby struct {
+	*attempt
+	cancel context.CancelFunc
+	// failure is nil if the answer has begun. It is set before the standby is sent to reports.
+	failure *failure
+	// done is closed at the end of the standby's goroutine.
+	done chan struct{}
+}
+
+// isSilence reports whether the attempt failed because its upstream sent nothing.
+func (f *failure) isSilence() bool { return f.cause == "silent" || f.cause == "superseded" }
+
+// watchSilence sets when the silence of an attempt's upstream is checked next.
+func (c *call) watchSilence(a *attempt) *failure {
+	if a.conn.watch.onSilence == nil {
+		return nil
+	}
+	if a.resp == nil && a.conn.via == "" {
+		a.pathCheck = time.Now().Add(silenceLimit)
+	}
+	if err := a.conn.watchUntil(c.nextCheck(a)); err != nil {
+		return &failure{verdict: verdict.MayHaveRun, cause: "connection", err: err}
+	}
+	return nil
+}
+
+// nextCheck returns when the silence of the current attempt is checked next; zero for never.
+func (c *call) nextCheck(a *attempt) time.Time {
+	due := c.standbyDue(a)
+	if !a.pathCheck.IsZero() && (due.IsZero() || a.pathCheck.Before(due)) {
+		return a.pathCheck
+	}
+	return due
+}
+
+// standbyDue returns when the next standby is due: the latest attempt, or the current one since
+// its last event, has been silent for too long. Bytes that complete no event do not count. It is
+// zero if the call may have no further attempt.
+func (c *call) standbyDue(a *attempt) time.Time {
+	switch n := len(c.standbys); {
+	case !c.route.Repeatable() || c.attempts >= c.route.MaxAttempts:
+		return time.Time{}
+	case n > 0:
+		return c.responseDeadline(c.standbys[n-1].attempt)
+	case !a.answer.lastEvent.IsZero():
+		return a.answer.lastEvent.Add(max(streamStallTimeout, stallGapFactor*c.route.TargetGap))
+	}
+	return c.responseDeadline(a)
+}
+
+// checkSilence decides what to do while the current attempt waits for its upstream. due is when
+// the check was due; zero if a standby has ended.
+func (c *call) checkSilence(now, due time.Time, a *attempt) (next time.Time, err error) {
+	for len(c.standbys) > 0 {
+		select {
+		case s := <-c.reports:
+			if s.failure == nil {
+				c.reports <- s // awaitStandby takes it
+				return time.Time{}, errSuperseded
+			}
+			c.endStandby(s, s.failure)
+			continue
+		default:
+		}
+		break
+	}
+	if !due.IsZero() && now.Sub(due) >= lateWake && now.Before(c.deadline) {
+		return now.Add(lateReadTimeout), nil
+	}
+	c.checkPath(now, a)
+	if next := c.nextCheck(a); next.IsZero() || now.Before(next) {
+		return next, nil
+	}
+	return c.startStandby(now, a), nil
+}
+
+// startStandby starts a standby if a place and a retry are free. It returns when the silence is
+// checked next.
+func (c *call) startStandby(now time.Time, a *attempt) (next time.Time) {
+	since := a.started
+	if !a.answer.lastEvent.IsZero() {
+		since = a.answer.lastEvent
+	}
+	c.longestSilence = max(c.longestSilence, now.Sub(since))
+	c.addTried(a)
+	chosen, ok := c.chooseStandby(now)
+	if !a.silent {
+		a.silent = true
+		c.recordSilence(now, a, chosen.upstream.ID)
+	}
+	if !ok {
+		return now.Add(standbyPollInterval)
+	}
+	if c.reports == nil {
+		c.reports = make(chan *standby, c.route.MaxAttempts)
+	}
+	ctx, cancel := context.WithCancel(c.ctx)
+	s := &standby{attempt: c.newAttempt(chosen), cancel: cancel, done: make(chan struct{})}
+	s.replaceable = true // by the current attempt, which may still answer
+	c.standbys = append(c.standbys, s)
+	c.addTried(s.attempt)
+	go c.runStandby(ctx, s, a.conn)
+	return c.nextCheck(a)
+}
+
+// runStandby waits until the answer of a standby has begun, and wakes the read of the current
+// attempt.
+func (c *call) runStandby(ctx context.Context, s *standby, current *conn) {
+	defer close(s.done)
+	defer current.wake()
+	defer func() {
+		if p := recover(); p != nil {
+			crash.Record(c.g.Log.WithField("request", c.id), "standby", p)
+			s.failure = &failure{verdict: verdict.MayHaveRun, cause: "panic"}
+		}
+		c.reports <- s
+	}()
+	s.failure = c.obtain(ctx, s.attempt, nil)
+	c.diagnose(ctx, s.attempt, s.failure)
+}
+
+// chooseStandby picks an upstream for a standby, without waiting for a free place, and takes a
+// retry from the budget.
+func (c *call) chooseStandby(now time.Time) (choice, bool) {
+	view, ok := c.g.State.View(now)
+	if !ok || !c.mayContinue(now) || c.checkParts(view, now) != nil || !c.headersSent && !c.g.open.admits(now, c) || !c.takeRetry(now) {
+		return choice{}, false
+	}
+	chosen, _, found := c.g.upstreams.choose(now, c, view)
+	if !found {
+		c.returnRetry(now)
+	}
+	return chosen, found
+}
+
+// recordSilence records that the upstream of an attempt has been silent for too long, although
+// the attempt goes on: other requests had better go elsewhere.
+func (c *call) recordSilence(now time.Time, a *attempt, standbyID string) {
+	c.g.pool.closeIdle(a.upstream.Address)
+	set := c.g.upstreams
+	set.mu.Lock()
+	if !c.g.blameless(now, a) {
+		a.entry.RecordFailure(now)
+	}
+	set.mu.Unlock()
+	c.g.Metrics.count("upstream silent")
+	event.With(c.g.Log, event.UpstreamSilent).WithFields(map[string]any{
+		"request": c.id, "upstream": a.upstream.ID, "address": a.upstream.Address, "attempt": c.attempts, "silent_ms": millis(c.longestSilence),
+		"begun": c.headersSent, "standby": standbyID, "candidates": c.candidates, "bars": c.exclusions,
+	}).Info("upstream is silent; its answer is still awaited")
+}
+
+// awaitStandby returns the standby that takes the place of the current attempt, which has ended
+// with f; nil if there is none. It waits until one has begun to answer or all have failed, and
+// starts further ones as they are due.
+func (c *call) awaitStandby(f *failure) *attempt {
+	if f == nil || f.isOwn() {
+		c.dropStandbys()
+		return nil
+	}
+	next := c.standbyDue(c.current)
+	for len(c.standbys) > 0 {
+		wait := max(time.Until(c.deadline), 0) + deadlineGrace
+		if !next.IsZero() {
+			wait = min(wait, time.Until(next))
+		}
+		timer := time.NewTimer(wait)
+		select {
+		case s := <-c.reports:
+			if s.failure == nil {
+				timer.Stop()
+				c.removeStandby(s)
+				c.dropStandbys()
+				return s.attempt
+			}
+			c.endStandby(s, s.failure)
+			next = c.standbyDue(c.current)
+		case now := <-timer.C:
+			if !next.IsZero() {
+				next = c.startStandby(now, c.current)
+			}
+		}
+		timer.Stop()
+	}
+	return nil
+}
+
+// dropStandbys ends the standbys, since the current attempt answers or the call ends.
+func (c *call) dropStandbys() {
+	for len(c.standbys) > 0 {
+		for _, s := range c.standbys {
+			s.cancel()
+		}
+		s := <-c.reports
+		v := verdict.Ran
+		if s.failure != nil {
+			v = s.failure.verdict
+		}
+		c.endStandby(s, &failure{verdict: v, cause: "unneeded"})
+	}
+}
+
+// endStandby records the end of a standby that does not take the place of the current attempt.
+func (c *call) endStandby(s *standby, f *failure) {
+	c.removeStandby(s)
+	c.endAttempt(c.ctx, s.attempt, f)
+	s.cancel()
+	c.recordVerdict(f)
+}
+
+// removeStandby takes a standby that has ended off the list and waits for its goroutine.
+func (c *call) removeStandby(s *standby) {
+	<-s.done
+	c.standbys = slices.DeleteFunc(c.standbys, func(other *standby) bool { return other == s })
+}
--- a/pkg/traffic/budget.go
+++ b/pkg/traffic/budget.go
@@ -58,3 +58,10 @@
 	b.retries[i]++
 	return true
 }
+
+// ReturnRetry takes back a retry that TakeRetry has counted at the same time, because it is not
+// sent.
+func (b *RetryBudget) ReturnRetry(now time.Time) {
+	i := b.advance(now)
+	b.retries[i] = max(0, b.retries[i]-1)
+}
