Let a broken stream wait a second for a free place

What callers saw: a stream whose upstream failed was broken off after 15% of its target latency when all places of the other upstreams were taken. Cause: the wait before the first byte, where a refusal is the better answer, also applied to streams that had begun, for which there is none. Change: a stream that has begun waits up to resumeWait, 1 s, for a place, as for the lease before (0.5 s). Measured: go test -race -run BrokenStreamWaits ./internal/gateway fails without the change (one of six events) and passes with it.

--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -16,9 +16,10 @@
 	// minCapacityWait lets calls with a short target latency wait long enough for one
 	// slot to become free.
 	minCapacityWait = 15 * time.Millisecond
-	// resumeLeaseWait is how long a stream that has begun waits for the lease before it is
-	// resumed: after a pause of the process, the lease is renewed first.
-	resumeLeaseWait = 500 * time.Millisecond
+	// resumeWait is how long a stream that has begun waits for a free place, and for the lease,
+	// before it is broken off: after a pause of the process, the lease is renewed first. Clients
+	// give a stream up after a gap of two seconds or more.
+	resumeWait = time.Second
 	// minRemaining is the least time in which an upstream can respond at all.
 	minRemaining = 5 * time.Millisecond
 	// capacityPollInterval is how often a waiting call checks for capacity even without
@@ -40,12 +41,14 @@
 // choose picks an upstream for the call. It waits briefly if none has free capacity.
 func (c *call) choose() (choice, *verdict.Error) {
 	maxWait := max(minCapacityWait, time.Duration(capacityWaitShare*float64(c.route.TargetLatency)))
-	started := time.Now()
-	until := started.Add(maxWait)
+	if c.headersSent {
+		maxWait = max(maxWait, resumeWait)
+	}
+	until := time.Now().Add(maxWait)
 	for {
 		now := time.Now()
 		view, ok := c.g.State.View(now)
-		if !ok && c.headersSent && now.Sub(started) < resumeLeaseWait && c.ctx.Err() == nil {
+		if !ok && c.headersSent && now.Before(until) && c.ctx.Err() == nil {
 			time.Sleep(startupPollInterval)
 			continue
 		}
--- a/internal/gateway/standby_test.go
+++ b/internal/gateway/standby_test.go
@@ -281,3 +281,24 @@
 		t.Errorf("got kind %v, want a booking", route.Kind)
 	}
 }
+
+// Guards against a stream that is broken off because no other upstream has a place at the very
+// moment at which its own one fails.
+func TestBrokenStreamWaitsForPlace(t *testing.T) {
+	const occupied = 500 * time.Millisecond
+	first := newFakeUpstream(t, func(_ int, r *http.Request) []step {
+		return []step{{send: eventStreamHead(r) + chunk(numberedEvent(1)), pause: 20 * time.Millisecond}, {reset: true}}
+	})
+	second := newFakeUpstream(t, pausing(eventCount+1, 0))
+	env := newSilenceEnv(t, first, second)
+	setLoad := func(running int) {
+		set := env.gateway.upstreams
+		set.mu.Lock()
+		defer set.mu.Unlock()
+		u := set.byID["u1"]
+		u.ApplyReport(time.Now(), running, 0)
+	}
+	setLoad(100)
+	time.AfterFunc(occupied, func() { setLoad(0) })
+	wantBody(t, env.callPatiently("/chat/"), allEvents())
+}
