Accept a resumed stream that has no further event

What callers saw: a stream whose upstream fell silent or broke off after its last event, before its end, was broken off, although another upstream had ended it: at once after a reset, at the deadline after a silence. Cause: since the start of an answer is read before it is forwarded, and a stream without an event counted as cut there, also one that goes on with a stream whose last event the client has. Change: it counts as cut only before the client has got anything, as before. Conclusion: the end of a stream alone can be resumed again.

--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -67,11 +67,12 @@
 	return nil
 }
 
-// readFirstEvents reads the first events of a stream. A stream without any was cut.
+// readFirstEvents reads the first events of a stream. A stream without any was cut, unless it
+// goes on with one whose last event was forwarded.
 func (c *call) readFirstEvents(a *attempt) *failure {
 	a.answer.splitter.MaxEventBytes, a.answer.buffer = maxEventBytes, make([]byte, readBufferBytes)
 	f := c.readEvents(a)
-	if f == nil && len(a.answer.events) == 0 {
+	if f == nil && len(a.answer.events) == 0 && !c.headersSent {
 		return &failure{verdict: verdict.MayHaveRun, cause: "cut", err: io.ErrUnexpectedEOF}
 	}
 	return f
--- a/internal/gateway/standby_test.go
+++ b/internal/gateway/standby_test.go
@@ -281,3 +281,25 @@
 		t.Errorf("got kind %v, want a booking", route.Kind)
 	}
 }
+
+// Guards against a stream that is broken off after its last event, because the upstream that goes
+// on with it has no further one.
+func TestResumedStreamWithoutFurtherEventsIsWhole(t *testing.T) {
+	for _, trouble := range []struct {
+		name string
+		end  step
+	}{
+		{"silent", step{pause: 10 * time.Second}},
+		{"reset", step{pause: 50 * time.Millisecond, reset: true}},
+	} {
+		t.Run(trouble.name, func(t *testing.T) {
+			t.Parallel()
+			first := newFakeUpstream(t, func(_ int, r *http.Request) []step {
+				return []step{{send: eventStreamHead(r) + chunk(allEvents())}, trouble.end}
+			})
+			env := newSilenceEnv(t, first, newFakeUpstream(t, pausing(eventCount+1, 0)))
+			env.preferFirst()
+			wantBody(t, env.callPatiently("/chat/"), allEvents())
+		})
+	}
+}
