--- a/internal/gateway/standby.go
+++ b/internal/gateway/standby.go
@@ -187,6 +187,9 @@
 		c.dropStandbys()
 		return nil
 	}
+	if c.current.conn != nil {
+		_ = c.current.conn.Close() // its upstream may work on
+	}
 	next := c.standbyDue(c.current)
 	for len(c.standbys) > 0 {
 		wait := max(time.Until(c.deadline), 0) + deadlineGrace
@@ -232,6 +235,9 @@
 // endStandby records the end of a standby that does not take the place of the current attempt.
 func (c *call) endStandby(s *standby, f *failure) {
 	c.removeStandby(s)
+	if s.failure != nil && s.failure.cause == "connect" {
+		c.returnRetry(time.Now())
+	}
 	c.endAttempt(c.ctx, s.attempt, f)
 	s.cancel()
 	c.recordVerdict(f)
