soak: Show streams given up while upstreams are silent (fails)

Cause: a node gives a silent stream up at eventDeadline, 1.5 s after its last event, before another upstream has gone on with it. Where no retry, place, attempt or lastEventID is left, the answer is lost although its upstream goes on.

--- a/internal/soak/stop_client_test.go
+++ b/internal/soak/stop_client_test.go
@@ -68,10 +68,14 @@
 	upstream     string
 	from         string // host of the node that passed it on
 	began, ended time.Duration
+	answering    time.Duration // when the first bytes of the answer were sent; neverAnswered before
 	refused      bool
 	whole        bool
 }
 
+// neverAnswered is later than all times of a play.
+const neverAnswered = time.Hour
+
 func (o *stopOutcome) String() string {
 	seconds := func(d time.Duration) string { return fmt.Sprintf("%.3f", d.Seconds()) }
 	var runs []string
@@ -148,6 +152,10 @@
 		}
 		for _, r := range p.cluster.record.of(o.id) {
 			run := stopRun{upstream: r.upstream, from: r.from, began: r.began.Sub(p.stop.at), ended: r.ended.Sub(p.stop.at), refused: r.refused, whole: r.whole}
+			run.answering = neverAnswered
+			if !r.answering.IsZero() {
+				run.answering = r.answering.Sub(p.stop.at)
+			}
 			if r.ended.IsZero() {
 				run.ended = p.cluster.grace * 2
 			}
--- /dev/null
+++ b/internal/soak/stop_resume_judge_test.go
@@ -0,0 +1,102 @@
+package soak
+
+import (
+	"net/http"
+	"slices"
+	"testing"
+	"time"
+)
+
+const (
+	// overlapTime is for how long an upstream may still work on a stream after another one
+	// has begun to go on with it.
+	overlapTime = 400 * time.Millisecond
+	// cutSlack is the time until an upstream notices the end of its connection.
+	cutSlack = 100 * time.Millisecond
+	// The retry budget of the deployment, in its settings.
+	retryRatio  = 0.2
+	retrySlack  = 50
+	retryWindow = 10 * time.Second
+)
+
+// judgeResumes checks the streams of a way by what their upstreams saw.
+func (p *stopPlay) judgeResumes(t *testing.T, way string) {
+	t.Helper()
+	t.Run(way+", as upstreams see it", func(t *testing.T) {
+		for _, o := range p.of(way) {
+			o.wantNoRunWasted(t, p.cluster.grace)
+			o.wantRanOnce(t, p)
+		}
+	})
+}
+
+// wantNoRunWasted checks that a stream which an upstream began is whole, and that the node
+// ended no run before another upstream went on with the stream.
+func (o *stopOutcome) wantNoRunWasted(t *testing.T, grace time.Duration) {
+	t.Helper()
+	if o.excused(grace) {
+		return
+	}
+	if o.ran() > 0 && (o.status != http.StatusOK || !o.whole) {
+		t.Errorf("stream that an upstream began: got status %d, whole %v, want a whole one: %v", o.status, o.whole, o)
+	}
+	for i, r := range o.runs {
+		if r.refused || r.whole {
+			continue
+		}
+		replaced := slices.ContainsFunc(o.runs[i+1:], func(later stopRun) bool {
+			return later.answering <= r.ended+cutSlack
+		})
+		if !replaced {
+			t.Errorf("run that ended %.3f: got it ended before another upstream went on, want it kept: %v", r.ended.Seconds(), o)
+		}
+	}
+}
+
+// wantRanOnce checks that upstreams do not work on a stream beside each other.
+func (o *stopOutcome) wantRanOnce(t *testing.T, p *stopPlay) {
+	t.Helper()
+	for i, r := range o.runs {
+		for _, later := range o.runs[i+1:] {
+			if r.refused || later.refused || later.answering == neverAnswered {
+				continue
+			}
+			overlap := min(r.ended, later.ended) - later.answering
+			if overlap > overlapTime && !p.isStarved(later.answering, later.answering+overlap) {
+				t.Errorf("upstreams that work on one stream beside each other: got %v, want at most %v: %v", overlap, overlapTime, o)
+			}
+		}
+	}
+}
+
+// wantRetryBudgetKept checks that the arrivals beyond the first of each request stay within the
+// retry budget in every window that ends with one.
+func (c *stopCluster) wantRetryBudgetKept(t *testing.T, outcomes []*stopOutcome) {
+	t.Helper()
+	var first, repeated []time.Time
+	for _, o := range outcomes {
+		for i, r := range c.record.of(o.id) {
+			if i == 0 {
+				first = append(first, r.began)
+			} else {
+				repeated = append(repeated, r.began)
+			}
+		}
+	}
+	within := func(list []time.Time, end time.Time) (count int) {
+		for _, at := range list {
+			if !at.After(end) && at.After(end.Add(-retryWindow)) {
+				count++
+			}
+		}
+		return count
+	}
+	t.Logf("%d arrivals, %d beyond the first", len(first)+len(repeated), len(repeated))
+	for _, end := range repeated {
+		got, limit := within(repeated, end), retryRatio*float64(within(first, end))+retrySlack
+		if float64(got) > limit {
+			t.Errorf("arrivals beyond the first within %v: got %d, want at most %.1f", retryWindow, got, limit)
+			return
+		}
+	}
+}
--- a/internal/soak/stop_upstream_test.go
+++ b/internal/soak/stop_upstream_test.go
@@ -31,8 +31,9 @@
 	upstream     string
 	from         string // host that the connection came from
 	began, ended time.Time
-	refused      bool // answered as not run
-	whole        bool // the upstream sent its whole answer
+	answering    time.Time // when the first bytes of the answer were sent; zero before
+	refused      bool      // answered as not run
+	whole        bool      // the upstream sent its whole answer
 }
 
 // runRecord records what reaches the upstreams, by attempt ID.
@@ -87,6 +88,8 @@
 	turning  bool // refuses all requests as not run
 	leaving  bool
 	silent   bool // answers nothing, and ends no connection
+	// pausedUntil is the end of a time in which the upstream sends nothing and then goes on.
+	pausedUntil time.Time
 }
 
 // startUpstreams starts the stand-ins and reports their state until ctx is done. The returned
@@ -238,7 +241,7 @@
 			return
 		}
 		w.Header().Set("X-Runner-Signature", id)
-		whole = u.answer(w, r, attempt, work)
+		whole = u.answer(w, r, run, attempt, work)
 	}
 }
 
@@ -273,13 +276,17 @@
 }
 
 // answer answers a request and reports whether it could finish.
-func (u *stopUpstream) answer(w http.ResponseWriter, r *http.Request, attempt string, work time.Duration) bool {
+func (u *stopUpstream) answer(w http.ResponseWriter, r *http.Request, run *upstreamRun, attempt string, work time.Duration) bool {
 	if !strings.HasPrefix(r.Header.Get("X-Work"), workStream) {
 		select {
 		case <-time.After(work):
 		case <-r.Context().Done():
 			return false
 		}
+		if _, ok := u.awaitPauseEnd(r.Context()); !ok {
+			return false
+		}
+		u.record.change(func() { run.answering = time.Now() })
 		_, err := io.WriteString(w, "booked "+attempt)
 		return err == nil
 	}
@@ -287,6 +294,14 @@
 	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	began := time.Now()
 	for i := last + 1; i <= int(work/stopEventInterval); i++ {
+		paused, ok := u.awaitPauseEnd(r.Context())
+		if !ok {
+			return false
+		}
+		began = began.Add(paused)
+		if i == last+1 {
+			u.record.change(func() { run.answering = time.Now() })
+		}
 		if _, err := io.WriteString(w, event(attempt, i)); err != nil {
 			return false
 		}
@@ -302,6 +317,24 @@
 	return true
 }
 
+// awaitPauseEnd waits for the end of a pause and returns how long that took; it reports false if
+// ctx is done before.
+func (u *stopUpstream) awaitPauseEnd(ctx context.Context) (took time.Duration, ok bool) {
+	began := time.Now()
+	u.mu.Lock()
+	until := u.pausedUntil
+	u.mu.Unlock()
+	if !began.Before(until) {
+		return 0, true
+	}
+	select {
+	case <-time.After(until.Sub(began)):
+		return time.Since(began), true
+	case <-ctx.Done():
+		return 0, false
+	}
+}
+
 // stopAnswer returns the whole answer to a request.
 func stopAnswer(attempt, work string) string {
 	mode, d := parseWork(work)
