soak: Test further ways in which a moment of silence ended answers

Cause: the class of the incident, an attempt that is given up before a better one is in hand, acts in more places than the stops of the reproduction.

Upstreams go on each time, so every answer that an upstream began has to be whole.

Result: go test -race -count=1 -run TestMomentOfSilence ./internal/soak.

--- a/internal/soak/stop_upstream_test.go
+++ b/internal/soak/stop_upstream_test.go
@@ -88,6 +88,8 @@
 	turning  bool // refuses all requests as not run
 	leaving  bool
 	silent   bool // answers nothing, and ends no connection
+	// refusingRepeats and resettingRepeats make further attempts of a request fail.
+	refusingRepeats, resettingRepeats bool
 	// pausedUntil is the end of a time in which the upstream sends nothing and then goes on.
 	pausedUntil time.Time
 }
@@ -216,6 +218,7 @@
 		}
 		u.mu.Lock()
 		turning, leaving, silent := u.turning, u.leaving, u.silent
+		refusingRepeats, resettingRepeats := u.refusingRepeats, u.resettingRepeats
 		u.mu.Unlock()
 		if leaving {
 			w.Header().Set("Server-Leaving", "1")
@@ -225,7 +228,7 @@
 		whole := false
 		defer func() { u.record.change(func() { run.ended, run.whole = time.Now(), whole }) }()
 		mode, work := parseWork(r.Header.Get("X-Work"))
-		if turning || mode == workRefuseFirst && earlier == 0 || !u.enter(r.Context()) {
+		if turning || mode == workRefuseFirst && earlier == 0 || refusingRepeats && earlier > 0 || !u.enter(r.Context()) {
 			u.record.change(func() { run.refused = true })
 			w.Header().Set("X-Not-Executed", "1")
 			w.WriteHeader(http.StatusServiceUnavailable)
@@ -236,6 +239,10 @@
 			u.breakOff(w, mode)
 			return
 		}
+		if resettingRepeats && earlier > 0 {
+			u.breakOff(w, workResetFirst)
+			return
+		}
 		if silent {
 			<-r.Context().Done()
 			return
