--- a/internal/gateway/standby_test.go
+++ b/internal/gateway/standby_test.go
@@ -301,6 +301,8 @@
 	setLoad(100)
 	time.AfterFunc(occupied, func() { setLoad(0) })
 	wantBody(t, env.callPatiently("/chat/"), allEvents())
+}
+
 // Guards against a stream that is broken off after its last event, because the upstream that goes
 // on with it has no further one.
 func TestResumedStreamWithoutFurtherEventsIsWhole(t *testing.T) {
