Stop using idle tunnels through a node that leaves

What callers saw: nothing measured in a whole node. By reading: a request may be sent over a kept tunnel through a node that stops and be cut at the end of its drain, which the kept tunnel holds up until it expires. Change: a connection through a node that leaves is not idle. getIdle and closeExpired close it, as before. Conclusion: no request starts on a tunnel whose node has said that it leaves.

--- a/internal/tunnel/read_test.go
+++ b/internal/tunnel/read_test.go
@@ -84,3 +84,25 @@
 		}
 	}
 }
+
+// Guards against a kept connection that is used again, and that holds up the stop of the node in
+// between, although that node has said that it leaves.
+func TestIdleTellsLeavingNode(t *testing.T) {
+	l, upstream := listen(t), listen(t)
+	s := newTestServer()
+	serve(t, s, l)
+	c, err := Open(t.Context(), dialStreams{"ws://" + l.Addr().String()}, "other", upstream.Addr().String(), "r")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	drained := make(chan error, 1)
+	go func() { drained <- s.Drain(ctx) }()
+	awaitNotIdle(t, c)
+	_ = c.Close()
+	if err := <-drained; err != nil {
+		t.Errorf("drain: got %v, want none", err)
+	}
+}
--- a/internal/tunnel/tunnel.go
+++ b/internal/tunnel/tunnel.go
@@ -157,13 +157,14 @@
 	}
 }
 
-// Idle reports whether the connection is open and has no bytes to read.
+// Idle reports whether the connection may serve another request: it is open, has no bytes to
+// read, and the other node stays.
 func (c *Conn) Idle() bool {
 	select {
 	case <-c.ended:
 		return false
 	default:
-		return !c.waiting.Load()
+		return !c.waiting.Load() && !c.Leaving()
 	}
 }
 
