Do not read again after a timeout of the kernel

What callers saw: nothing measured over a socket. By reading: part of an answer without a length looks whole. Cause: a read that failed with ETIMEDOUT, which TCP_USER_TIMEOUT causes and which calls itself a timeout, was taken for a silence and repeated. The kernel reports the error once; the next read returns io.EOF, which ends an answer without a length. Change: only a read that fails at its deadline asks what to do. Conclusion: errors of the connection end the attempt as they did before.

--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"errors"
+	"os"
 	"sync"
 	"time"
 )
@@ -68,7 +70,9 @@
 func (c *conn) Read(b []byte) (int, error) {
 	for {
 		n, err := c.Conn.Read(b)
-		if n > 0 || err == nil || c.watch.onSilence == nil || readCause(err) != "silent" {
+		// After a timeout of the kernel the connection has ended, and a further read may return
+		// io.EOF.
+		if n > 0 || err == nil || c.watch.onSilence == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
 			return n, err
 		}
 		now := time.Now()
