Return the retry of a standby that was not sent

What callers saw: while an upstream was silent and another one could not be connected to, a third one that would have answered was not asked; the lookup ended at its deadline with a 504. Change: a standby whose connect failed returns its retry. Conclusion: the budget counts requests that may have arrived.

--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -127,7 +127,7 @@
 	}, nil, true
 }
 
-// returnRetry returns a retry that was taken at the same time and is not used.
+// returnRetry returns a retry that was taken and is not used.
 func (c *call) returnRetry(now time.Time) {
 	view, _ := c.g.State.View(now)
 	set := c.g.upstreams
--- a/internal/gateway/standby.go
+++ b/internal/gateway/standby.go
@@ -232,6 +232,9 @@
 // endStandby records the end of a standby that does not take the place of the current attempt.
 func (c *call) endStandby(s *standby, f *failure) {
 	c.removeStandby(s)
+	if s.failure != nil && s.failure.cause == "connect" {
+		c.returnRetry(time.Now())
+	}
 	c.endAttempt(c.ctx, s.attempt, f)
 	s.cancel()
 	c.recordVerdict(f)
--- a/internal/gateway/standby_test.go
+++ b/internal/gateway/standby_test.go
@@ -303,3 +303,26 @@
 		})
 	}
 }
+
+// Guards against a retry budget that is used up by standbys whose upstreams could not be connected
+// to, so that another upstream is not asked.
+func TestStandbyThatWasNotSentReturnsItsRetry(t *testing.T) {
+	silent := newFakeUpstream(t, func(int, *http.Request) []step { return []step{{pause: 10 * time.Second}} })
+	gone := newFakeUpstream(t, respondOK("gone"))
+	env := newSilenceEnv(t, silent, gone, newFakeUpstream(t, respondOK("found")))
+	_ = gone.listener.Close()
+	env.gateway.Settings.RetryRatio, env.gateway.Settings.RetrySlack = 0, 2 // one for this node
+	env.preferInOrder()
+	wantBody(t, env.callPatiently("/look/"), "found")
+	env.wantNothingOpen(t)
+}
+
+// preferInOrder makes upstreams the more likely to be chosen the lower their index is.
+func (env *testEnv) preferInOrder() {
+	set := env.gateway.upstreams
+	set.mu.Lock()
+	defer set.mu.Unlock()
+	for id, u := range set.byID {
+		u.ApplyReport(time.Now(), int(id[1]-'0'), 0)
+	}
+}
--- a/pkg/traffic/budget.go
+++ b/pkg/traffic/budget.go
@@ -59,7 +59,7 @@
 	return true
 }
 
-// ReturnRetry takes back a retry that TakeRetry has counted at the same time, because it is not
+// ReturnRetry takes back a retry that TakeRetry has counted shortly before, because it is not
 // sent.
 func (b *RetryBudget) ReturnRetry(now time.Time) {
 	i := b.advance(now)
