Start no standby after a crash that is suspected

What callers saw: a request with a part that crashes upstreams reached a further upstream after its own had crashed like that of an earlier request. Cause: what a failed attempt tells of the request was recorded after the standbys had been awaited, and further ones were started until then. Change: it is recorded before. Measured: go test -race -run SuspectedRequestGetsNoFurther ./internal/gateway: on 4 upstreams are reached, here 3. Conclusion: with three attempts or more a suspected request stops at the standby that is open already.

--- a/internal/gateway/finish.go
+++ b/internal/gateway/finish.go
@@ -49,14 +49,16 @@
 			f = c.forwardResponse(a)
 		}
 		c.diagnose(c.ctx, a, f)
+		if f != nil {
+			c.recordVerdict(f)
+			c.addTried(a)
+		}
 		next := c.awaitStandby(f)
 		c.endAttempt(c.ctx, a, f)
 		if f == nil {
 			c.recordAnswer(a.resp)
 			return nil
 		}
-		c.recordVerdict(f)
-		c.addTried(a)
 		if next == nil {
 			return f
 		}
--- a/internal/gateway/standby_test.go
+++ b/internal/gateway/standby_test.go
@@ -326,3 +326,37 @@
 		u.ApplyReport(time.Now(), int(id[1]-'0'), 0)
 	}
 }
+
+// Guards against a request that crashes a further upstream, because a standby is started after its
+// first upstream has crashed like that of an earlier request.
+func TestSuspectedRequestGetsNoFurtherStandby(t *testing.T) {
+	var n atomic.Int64
+	var upstreams []*fakeUpstream
+	for i := range 4 {
+		upstreams = append(upstreams, newFakeUpstream(t, func(int, *http.Request) []step {
+			switch n.Add(1) {
+			case 1:
+				_ = upstreams[i].listener.Close()
+				return []step{{close: true}}
+			case 2: // crashes while a standby is open
+				time.AfterFunc(900*time.Millisecond, func() { _ = upstreams[i].listener.Close() })
+				return []step{{pause: time.Second}, {close: true}}
+			}
+			return []step{{pause: 10 * time.Second}}
+		}))
+	}
+	env := newSilenceEnv(t, upstreams...)
+	call := func(attempts int) {
+		for i := range env.state.view.Plan.Routes {
+			env.state.view.Plan.Routes[i].MaxAttempts = attempts
+		}
+		env.call("POST", "/chat/", "x", "X-Deadline", "4000", "X-Model", "m", "X-Parts", "x:10,bad:10,own:5")
+	}
+	call(1)
+	wantCrashes(t, env, 1)
+	call(3)
+	wantCrashes(t, env, 2)
+	if got, want := n.Load(), int64(3); got != want {
+		t.Errorf("upstreams reached: got %d, want %d", got, want)
+	}
+}
