Close a failed attempt before its standby is awaited

What callers saw: nothing. Upstreams worked on a request whose answer could not be used any more, for as long as the other upstream took to begin: two worked on one request. Cause: the connection of an attempt that had failed by its answer (an event that is too long, no signature, another status) was closed at the end of the attempt, after the standbys had been awaited. Change: it is closed at once. An attempt that failed is never continued. Conclusion: only a silent attempt goes on beside a standby.

--- a/internal/gateway/standby.go
+++ b/internal/gateway/standby.go
@@ -187,6 +187,9 @@
 		c.dropStandbys()
 		return nil
 	}
+	if c.current.conn != nil {
+		_ = c.current.conn.Close() // its upstream may work on
+	}
 	next := c.standbyDue(c.current)
 	for len(c.standbys) > 0 {
 		wait := max(time.Until(c.deadline), 0) + deadlineGrace
--- a/internal/gateway/standby_test.go
+++ b/internal/gateway/standby_test.go
@@ -360,3 +360,24 @@
 		t.Errorf("upstreams reached: got %d, want %d", got, want)
 	}
 }
+
+// Guards against an upstream that works on while the answer of another one is awaited, although
+// its own can no longer be used.
+func TestFailedAttemptEndsBeforeStandbyBegins(t *testing.T) {
+	var closed atomic.Int64 // Unix time in nanoseconds
+	first := newFakeUpstream(t, func(_ int, r *http.Request) []step {
+		steps := []step{{pause: briefSilence}, {send: eventStreamHead(r)}}
+		for range 40 { // one event beyond maxEventBytes
+			steps = append(steps, step{send: chunk("data: " + strings.Repeat("x", 8<<10))})
+		}
+		return append(steps, step{pause: 10 * time.Second})
+	})
+	first.onClose = func() { closed.CompareAndSwap(0, time.Now().UnixNano()) }
+	env := newSilenceEnv(t, first, newFakeUpstream(t, pausing(0, 4*time.Second)))
+	env.preferFirst()
+	start := time.Now()
+	wantBody(t, env.callPatiently("/chat/"), allEvents())
+	if got, most := time.Unix(0, closed.Load()).Sub(start), briefSilence+resumeLimit; closed.Load() == 0 || got > most {
+		t.Errorf("end of the first attempt: got it after %v, want it within %v", got, most)
+	}
+}
