Let a begun stream wait longer for a free place

What callers saw: a stream whose upstream broke it off was broken off, although another upstream had a free place half a second later. Cause: a call waits for free capacity for 15% of its route's target latency (30 ms here), which suits a request that its client can send again; a stream that has begun is lost then. Change: such a stream waits for 1.5 s, within its deadline. The wait is 0.5 s short of what clients allow between events.

--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -16,6 +16,9 @@
 	// minCapacityWait lets calls with a short target latency wait long enough for one
 	// slot to become free.
 	minCapacityWait = 15 * time.Millisecond
+	// resumeWait is how long a stream that has begun waits for free capacity: its answer is lost
+	// without. Clients give up after two seconds without an event.
+	resumeWait = 1500 * time.Millisecond
 	// resumeLeaseWait is how long a stream that has begun waits for the lease before it is
 	// resumed: after a pause of the process, the lease is renewed first.
 	resumeLeaseWait = 500 * time.Millisecond
@@ -40,6 +43,9 @@
 // choose picks an upstream for the call. It waits briefly if none has free capacity.
 func (c *call) choose() (choice, *verdict.Error) {
 	maxWait := max(minCapacityWait, time.Duration(capacityWaitShare*float64(c.route.TargetLatency)))
+	if c.headersSent {
+		maxWait = max(maxWait, resumeWait)
+	}
 	started := time.Now()
 	until := started.Add(maxWait)
 	for {
--- a/internal/gateway/standby_test.go
+++ b/internal/gateway/standby_test.go
@@ -381,3 +381,22 @@
 		t.Errorf("end of the first attempt: got it after %v, want it within %v", got, most)
 	}
 }
+
+// Guards against a stream that is broken off because the upstreams that could go on with it are
+// full for a moment.
+func TestBegunStreamWaitsForFreePlace(t *testing.T) {
+	first := newFakeUpstream(t, func(_ int, r *http.Request) []step {
+		return []step{{send: eventStreamHead(r) + chunk(numberedEvent(1)), pause: 50 * time.Millisecond}, {reset: true}}
+	})
+	env := newSilenceEnv(t, first, newFakeUpstream(t, pausing(eventCount+1, 0)))
+	setOthersOpen := func(n int) {
+		set := env.gateway.upstreams
+		set.mu.Lock()
+		defer set.mu.Unlock()
+		set.byID["u1"].OtherNodesOpen = n
+		set.notifyCapacity()
+	}
+	setOthersOpen(100)
+	time.AfterFunc(500*time.Millisecond, func() { setOthersOpen(0) })
+	wantBody(t, env.callPatiently("/chat/"), allEvents())
+}
