Let upstreams read a large body late

What callers saw: a stream was broken off 4 s after its start, while its upstream went on sending events. Cause: TCP_USER_TIMEOUT also bounds how long the upstream's receive window may stay closed. An upstream that answers before it reads a large body keeps it closed, and the kernel ends the connection after 4 s. Ruled out: the write deadline, which is the request's. Change: while a large body is sent over a direct connection, the option is set to the time that the request has left. Without the option a dead upstream is noticed by its silence, which a standby covers. Conclusion: open for connections through another node: the socket to the upstream is that node's, which does not know the request.

--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -46,6 +46,8 @@
 	reused bool
 	// via is the node through which the connection goes; empty for a direct one.
 	via string
+	// userTimeout is the present TCP_USER_TIMEOUT; zero if it was never changed.
+	userTimeout time.Duration
 	// opened is when a connect was started.
 	opened      time.Time
 	lastUsed    time.Time
@@ -132,6 +134,22 @@
 	})
 }
 
+// setUserTimeout sets how long sent bytes may stay unacknowledged, or wait until the upstream
+// reads, before the kernel closes the connection. It has no effect on a connection through
+// another node, whose sockets are shared.
+func (c *conn) setUserTimeout(d time.Duration) {
+	c.userTimeout = d
+	syscallConn, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return
+	}
+	if raw, err := syscallConn.SyscallConn(); err == nil {
+		_ = raw.Control(func(fd uintptr) {
+			_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.Milliseconds()))
+		})
+	}
+}
+
 func (p *pool) take(address string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -171,6 +189,9 @@
 		_ = c.Close()
 		return
 	}
+	if c.userTimeout > tcpUserTimeout {
+		c.setUserTimeout(tcpUserTimeout)
+	}
 	c.lastUsed = time.Now()
 	// Clear the deadline of the previous request.
 	if err := c.startRequest(time.Time{}, nil); err != nil {
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -152,6 +152,8 @@
 		}
 		return nil
 	}
+	// An upstream may read the body long after it has begun to answer.
+	a.conn.setUserTimeout(max(tcpUserTimeout, c.remaining(now)))
 	a.bodyWritten = make(chan error, 1)
 	go func() {
 		_, err := (&net.Buffers{head, c.body}).WriteTo(a.conn.Conn)
