Send the end of an answer before its body is taken

What callers saw: the end of a stream came seconds after its last event, up to the deadline, if the upstream had not read the whole request. A stopping node counted it as open. Cause: the end of an attempt waits for the concurrent write of a large body, to reuse the connection, and the client gets the end of the answer afterwards. Change: the wait is bounded by 50 ms; after it the connection is closed in place of being kept. Conclusion: an answer ends when its upstream has ended it.

--- a/internal/gateway/finish.go
+++ b/internal/gateway/finish.go
@@ -170,8 +170,8 @@
 	}
 }
 
-// awaitBodyWritten waits for a concurrent write of the body and reports whether it
-// succeeded.
+// awaitBodyWritten waits briefly for a concurrent write of the body and reports whether it
+// succeeded. The end of a stream reaches the client only afterwards.
 func (c *call) awaitBodyWritten(a *attempt) bool {
 	if a.bodyWritten == nil {
 		return true
@@ -179,7 +179,7 @@
 	select {
 	case err := <-a.bodyWritten:
 		return err == nil
-	case <-time.After(time.Until(c.deadline)):
+	case <-time.After(min(maxBodyWait, time.Until(c.deadline))):
 		return false
 	case <-c.ctx.Done():
 		return false
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -21,6 +21,9 @@
 	// response is read. A larger one is written concurrently, because an upstream may
 	// respond early.
 	maxInlineBodyBytes = 32 << 10
+	// maxBodyWait is how long a complete answer waits until its upstream has taken the whole
+	// body. A later one costs the connection.
+	maxBodyWait = 50 * time.Millisecond
 	// deadlineGrace lets an upstream report an exceeded deadline itself before the
 	// gateway does.
 	deadlineGrace = 60 * time.Millisecond
--- a/internal/gateway/unread_test.go
+++ b/internal/gateway/unread_test.go
@@ -48,3 +48,15 @@
 		t.Errorf("got %d events, %v, want %d", got, res.err, events)
 	}
 }
+
+// Guards against the end of an answer that is held back because its upstream has not read the
+// request's body.
+func TestAnswerEndsWhileBodyIsUnread(t *testing.T) {
+	env := newSilenceEnv(t, newUnreadingUpstream(t, 3, 10*time.Millisecond))
+	start := time.Now()
+	res := env.call("POST", "/chat/", strings.Repeat("b", 4<<20), "X-Deadline", "9000")
+	wantBody(t, res, numberedEvent(1)+numberedEvent(2)+numberedEvent(3))
+	if took, most := time.Since(start), 2*time.Second; took > most {
+		t.Errorf("got the end after %v, want it within %v", took, most)
+	}
+}
