Test that standbys are dropped, kept and paid for in time

Change: TestStandbyIsDroppedWhenFirstGoesOn, TestStandbyIsKeptUntilFirstEvent and TestRetryIsReturnedWhileNoPlaceIsFree. Conclusion: no code changes.

--- a/internal/gateway/standby_test.go
+++ b/internal/gateway/standby_test.go
@@ -400,3 +400,54 @@
 	time.AfterFunc(500*time.Millisecond, func() { setOthersOpen(0) })
 	wantBody(t, env.callPatiently("/chat/"), allEvents())
 }
+
+// Guards against events that come twice, because a standby takes over from an upstream that has
+// gone on since the standby was started.
+func TestStandbyIsDroppedWhenFirstGoesOn(t *testing.T) {
+	first := newFakeUpstream(t, func(_ int, r *http.Request) []step {
+		steps := []step{{send: eventStreamHead(r)}}
+		for i := 1; i <= eventCount; i++ {
+			if i == silentEvent {
+				steps = append(steps, step{pause: briefSilence})
+			}
+			steps = append(steps, step{send: chunk(numberedEvent(i)), pause: 300 * time.Millisecond})
+		}
+		return append(steps, step{send: "0\r\n\r\n"})
+	})
+	second := newFakeUpstream(t, pausing(0, 700*time.Millisecond))
+	env := newSilenceEnv(t, first, second)
+	env.preferFirst()
+	wantBody(t, env.callPatiently("/chat/"), allEvents())
+	if got, want := second.count(), 1; got != want {
+		t.Errorf("attempts at the other upstream: got %d, want %d", got, want)
+	}
+	env.wantNothingOpen(t)
+}
+
+// Guards against a standby that is dropped although its silent upstream has sent only a head, and
+// no event.
+func TestStandbyIsKeptUntilFirstEvent(t *testing.T) {
+	first := newFakeUpstream(t, func(_ int, r *http.Request) []step {
+		return []step{{pause: 900 * time.Millisecond}, {send: eventStreamHead(r) + chunk("id: 1\nda"), pause: 10 * time.Second}}
+	})
+	env := newSilenceEnv(t, first, newFakeUpstream(t, pausing(0, 800*time.Millisecond)))
+	env.preferFirst()
+	wantBody(t, env.callPatiently("/chat/"), allEvents())
+	env.wantNothingOpen(t)
+}
+
+// Guards against retries that are used up while a call with a silent upstream looks for a place.
+func TestRetryIsReturnedWhileNoPlaceIsFree(t *testing.T) {
+	silent := newFakeUpstream(t, func(int, *http.Request) []step { return []step{{pause: 10 * time.Second}} })
+	env := newSilenceEnv(t, silent, newFakeUpstream(t, respondOK("found")))
+	env.gateway.Settings.RetryRatio, env.gateway.Settings.RetrySlack = 0, 2 // one for this node
+	setOthersOpen := func(n int) {
+		set := env.gateway.upstreams
+		set.mu.Lock()
+		defer set.mu.Unlock()
+		set.byID["u1"].OtherNodesOpen = n
+	}
+	setOthersOpen(100)
+	time.AfterFunc(minResponseWait+2*standbyPollInterval, func() { setOthersOpen(0) })
+	wantBody(t, env.callPatiently("/look/"), "found")
+}
