--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -19,7 +19,7 @@
 	// resumeWait is how long a stream that has begun waits for a free place, and for the lease,
 	// before it is broken off: after a pause of the process, the lease is renewed first. Clients
 	// give a stream up after a gap of two seconds or more.
-	resumeWait = time.Second
+	resumeWait = 1500 * time.Millisecond
 	// minRemaining is the least time in which an upstream can respond at all.
 	minRemaining = 5 * time.Millisecond
 	// capacityPollInterval is how often a waiting call checks for capacity even without
