Add a budget for what all open answers hold

Nothing uses the budget yet.

Conclusion: the interface is ready for the gateway and the product's own path.

--- a/internal/bounded/bounded.go
+++ b/internal/bounded/bounded.go
@@ -1,5 +1,6 @@
 // Package bounded limits what may be read from a connection while the length of a message
-// is not known yet. The HTTP parsers of the libraries read response heads of any length.
+// is not known yet, and what all open answers hold together. The HTTP parsers of the
+// libraries read response heads of any length.
 package bounded
 
 import (
@@ -14,12 +15,14 @@
 // at a time.
 type Reader struct {
 	Source io.Reader
+	// Account counts the bytes read; nil if they count in no budget.
+	Account *Account
 
 	limited   bool
 	remaining int
 }
 
-// Limit makes reads fail once n more bytes were read.
+// Limit makes reads fail once n more bytes were read. They count as bytes of a head.
 func (r *Reader) Limit(n int) { r.limited, r.remaining = true, n }
 
 // Lift ends the limit.
@@ -32,5 +35,12 @@
 	}
 	n, err := r.Source.Read(b)
 	r.remaining -= n
+	factor := BodyFactor
+	if r.limited {
+		factor = HeadFactor
+	}
+	if over := r.Account.Add(factor * n); over != nil {
+		return 0, over
+	}
 	return n, err
 }
