--- a/internal/gateway/endless_test.go
+++ b/internal/gateway/endless_test.go
@@ -23,6 +23,43 @@
 	}
 }
 
+// endlessForm is a form of bytes without end that are no answer: a prefix, and a unit that is
+// repeated.
+type endlessForm struct {
+	name, path string
+	prefix     func(r *http.Request) string
+	unit       string
+}
+
+// signedHead returns a function that returns the start of a response head.
+func signedHead(extra string) func(r *http.Request) string {
+	return func(r *http.Request) string {
+		return fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Attempt: %s\r\nX-Signature: s\r\n%s", r.Header.Get("X-Attempt"), extra)
+	}
+}
+
+func endlessForms() []endlessForm {
+	nothing := func(*http.Request) string { return "" }
+	otherHead := func(*http.Request) string {
+		return "HTTP/1.1 200 OK\r\nX-Attempt: other\r\nContent-Length: 1000000000\r\n\r\n"
+	}
+	return []endlessForm{
+		{"status line", "/book/", nothing, "x"},
+		{"zeros instead of a status line", "/book/", nothing, "\x00"},
+		{"one header line", "/book/", signedHead("X-Long: "), "x"},
+		{"header lines", "/book/", signedHead(""), "X-More: yes\r\n"},
+		{"informational responses", "/book/", nothing, "HTTP/1.1 100 Continue\r\n\r\n"},
+		{"late responses to other requests", "/book/", nothing, "HTTP/1.1 200 OK\r\nX-Attempt: other\r\nContent-Length: 4\r\n\r\nlate"},
+		{"body of a late response", "/book/", otherHead, "x"},
+		{"chunk extension", "/book/", signedHead("Transfer-Encoding: chunked\r\n\r\n4;"), "x"},
+		{"empty chunk extensions", "/book/", signedHead("Transfer-Encoding: chunked\r\n\r\n"), "1;" + strings.Repeat("e", 4000) + "\r\nx\r\n"},
+		{"trailer", "/book/", signedHead("Transfer-Encoding: chunked\r\n\r\n0\r\nX-Trailer: "), "x"},
+		{"event", "/draft/", signedHead("Content-Type: text/event-stream\r\n\r\ndata: "), "x"},
+		{"event of a resumable stream", "/chat/", signedHead("Content-Type: text/event-stream\r\n\r\ndata: "), "x"},
+		{"comments before the first event", "/draft/", signedHead("Content-Type: text/event-stream\r\n\r\n"), ": none\n\n"},
+	}
+}
+
 // peakHeap returns the largest growth of the heap while f runs.
 func peakHeap(f func()) uint64 {
 	runtime.GC()
@@ -58,34 +95,9 @@
 		maxHeapGrowth = 16 << 20
 		deadline      = 1500 * time.Millisecond // that env.call sets
 	)
-	head := func(extra string) func(r *http.Request) string {
-		return func(r *http.Request) string {
-			return fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Attempt: %s\r\nX-Signature: s\r\n%s", r.Header.Get("X-Attempt"), extra)
-		}
-	}
-	nothing := func(*http.Request) string { return "" }
-	for _, c := range []struct {
-		name, path string
-		script     func(int, *http.Request) []step
-	}{
-		{"status line", "/book/", endless(nothing, "x")},
-		{"zeros instead of a status line", "/book/", endless(nothing, "\x00")},
-		{"one header line", "/book/", endless(head("X-Long: "), "x")},
-		{"header lines", "/book/", endless(head(""), "X-More: yes\r\n")},
-		{"informational responses", "/book/", endless(nothing, "HTTP/1.1 100 Continue\r\n\r\n")},
-		{"late responses to other requests", "/book/", endless(nothing, "HTTP/1.1 200 OK\r\nX-Attempt: other\r\nContent-Length: 4\r\n\r\nlate")},
-		{"body of a late response", "/book/", endless(func(*http.Request) string {
-			return "HTTP/1.1 200 OK\r\nX-Attempt: other\r\nContent-Length: 1000000000\r\n\r\n"
-		}, "x")},
-		{"chunk extension", "/book/", endless(head("Transfer-Encoding: chunked\r\n\r\n4;"), "x")},
-		{"empty chunk extensions", "/book/", endless(head("Transfer-Encoding: chunked\r\n\r\n"), "1;"+strings.Repeat("e", 4000)+"\r\nx\r\n")},
-		{"trailer", "/book/", endless(head("Transfer-Encoding: chunked\r\n\r\n0\r\nX-Trailer: "), "x")},
-		{"event", "/draft/", endless(head("Content-Type: text/event-stream\r\n\r\ndata: "), "x")},
-		{"event of a resumable stream", "/chat/", endless(head("Content-Type: text/event-stream\r\n\r\ndata: "), "x")},
-		{"comments before the first event", "/draft/", endless(head("Content-Type: text/event-stream\r\n\r\n"), ": none\n\n")},
-	} {
+	for _, c := range endlessForms() {
 		t.Run(c.name, func(t *testing.T) {
-			u := newFakeUpstream(t, c.script)
+			u := newFakeUpstream(t, endless(c.prefix, c.unit))
 			env := newTestEnv(t, u)
 			start := time.Now()
 			var result clientResult
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -81,6 +81,9 @@
 	UsageWindow time.Duration
 	// LocalIP is the source address of connections to upstreams; nil lets the kernel choose.
 	LocalIP net.IP
+	// MemoryBytes is the memory of the VM, from which the limit of what all open answers hold
+	// together follows; zero if it is not known.
+	MemoryBytes int64
 }
 
 // Gateway serves the clients of one node. Create it with New and set the exported
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -218,6 +218,11 @@
 }
 
 func newTestEnv(t testing.TB, upstreams ...*fakeUpstream) *testEnv {
+	t.Helper()
+	return newTestEnvWith(t, Settings{RetryRatio: 0.2, RetrySlack: 50, RetryWindow: 10 * time.Second, Heartbeat: time.Second}, upstreams...)
+}
+
+func newTestEnvWith(t testing.TB, settings Settings, upstreams ...*fakeUpstream) *testEnv {
 	t.Helper()
 	view, err := config.NewView(1, nil)
 	if err != nil {
@@ -227,7 +232,7 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	env := &testEnv{t: t, state: &testState{view: view, valid: true}}
-	env.gateway = New("n1", "a", testHeaders, Settings{RetryRatio: 0.2, RetrySlack: 50, RetryWindow: 10 * time.Second, Heartbeat: time.Second}, env.state, log)
+	env.gateway = New("n1", "a", testHeaders, settings, env.state, log)
 	var list []wire.Status
 	for i, u := range upstreams {
 		list = append(list, wire.Status{ID: fmt.Sprint("u", i), Service: "s", Address: u.listener.Addr().String(), Domain: "a", Slots: 4, Born: 1, Sequence: 1})
