Give sound answers up last when the budget is used up

Cause: the largest answer goes first, so that a sound one with a long body would go before many short ones of bytes that are no answer.

Change: Account.MarkSound records that an answer has a sound head and that its holder passes it on when the budget is pressed; such answers go only after all others.

Measured: go test -race -count=1 ./internal/bounded passes; without the change TestSoundAnswerIsGivenUpLast does not compile.

Conclusion: a holder must mark an answer only if it stops holding it when Budget.Pressed says so.

--- a/internal/bounded/budget.go
+++ b/internal/bounded/budget.go
@@ -92,8 +92,9 @@
 	lost   atomic.Bool
 
 	// The budget's lock guards the following fields.
-	excess int // part of cost that counts in the budget
-	index  int // position in the budget's heap; -1 if it is not there
+	excess int  // part of cost that counts in the budget
+	sound  bool // is given up only after all accounts that are not
+	index  int  // position in the budget's heap; -1 if it is not there
 }
 
 // Add counts n more bytes. It returns ErrOverBudget once the answer was given up.
@@ -127,6 +128,20 @@
 	}
 }
 
+// MarkSound records that the answer has shown to be one, and that its holder passes it on
+// when the budget is pressed. It is given up only after all that are not marked.
+func (a *Account) MarkSound() {
+	if a == nil {
+		return
+	}
+	a.budget.mu.Lock()
+	defer a.budget.mu.Unlock()
+	a.sound = true
+	if a.index >= 0 {
+		heap.Fix(&a.budget.largest, a.index)
+	}
+}
+
 // Cost returns the bytes that the answer holds.
 func (a *Account) Cost() int {
 	if a == nil {
@@ -183,11 +198,18 @@
 	return a
 }
 
-// accountHeap is a heap with the account of the largest excess first.
+// accountHeap is a heap with the account that is given up next first: the one of the largest
+// excess among those not marked as sound, if there are any.
 type accountHeap []*Account
 
-func (h accountHeap) Len() int           { return len(h) }
-func (h accountHeap) Less(i, j int) bool { return h[i].excess > h[j].excess }
+func (h accountHeap) Len() int { return len(h) }
+
+func (h accountHeap) Less(i, j int) bool {
+	if h[i].sound != h[j].sound {
+		return h[j].sound
+	}
+	return h[i].excess > h[j].excess
+}
 
 func (h accountHeap) Swap(i, j int) {
 	h[i], h[j] = h[j], h[i]
--- a/internal/bounded/budget_test.go
+++ b/internal/bounded/budget_test.go
@@ -123,6 +123,35 @@
 	return sum
 }
 
+// Guards against a sound answer with a long body that is given up for many short ones of bytes
+// that are no answer.
+func TestSoundAnswerIsGivenUpLast(t *testing.T) {
+	b := NewBudget(256 << 10)
+	sound := b.Open(func() { t.Error("the sound answer was given up") })
+	if err := sound.Add(200 << 10); err != nil {
+		t.Fatal(err)
+	}
+	sound.MarkSound()
+	lost := 0
+	for range 100 {
+		var a *Account
+		a = b.Open(func() {
+			lost++
+			a.Close()
+		})
+		if a.Add(20<<10) != nil {
+			lost++
+			a.Close()
+		}
+	}
+	if lost == 0 {
+		t.Error("got no answer given up, want some of the others")
+	}
+	if err := sound.Add(1); err != nil {
+		t.Errorf("got %v for the sound answer, want nil", err)
+	}
+}
+
 // Guards against a connection that is closed while another request uses it already.
 func TestClosedAnswerIsNotGivenUp(t *testing.T) {
 	b := NewBudget(16 << 10)
