Ban an upstream whose answers are malformed in series

Change: RecordMalformed counts such answers since the last sound one. The first one is a failure as before, the second one bans the upstream for 300 ms, further ones for up to 4 s, as when it is unreachable. A sound answer lifts the ban and the count; a malformed one is forgotten after 30 s. Distrusted tells that other open answers of the upstream should keep lower limits.

Conclusion: one broken answer never bans; the gateway has to call it.

--- a/pkg/placement/health.go
+++ b/pkg/placement/health.go
@@ -14,6 +14,11 @@
 	// no requests. A restart takes a few seconds.
 	minBan = 300 * time.Millisecond
 	maxBan = 4 * time.Second
+	// malformedBanCount is the number of malformed answers without a sound one between them
+	// after which an upstream counts as unreachable: a sound one may break once.
+	malformedBanCount = 2
+	// malformedMemory is how long a malformed answer counts.
+	malformedMemory = 30 * time.Second
 )
 
 // Health is the record of the results of a node's requests to one upstream. The zero
@@ -23,6 +28,10 @@
 	updated             time.Time
 	bannedUntil         time.Time
 	banDuration         time.Duration
+	// malformed is the number of malformed answers since the last sound one, and malformedAt
+	// when the last of them was given up.
+	malformed   int
+	malformedAt time.Time
 }
 
 func (h *Health) decay(now time.Time) {
@@ -37,7 +46,7 @@
 func (u *Upstream) RecordSuccess(now time.Time) {
 	u.health.decay(now)
 	u.health.successes++
-	u.health.banDuration, u.health.bannedUntil = 0, time.Time{}
+	u.health.banDuration, u.health.bannedUntil, u.health.malformed = 0, time.Time{}, 0
 }
 
 // RecordFailure records a failure that the upstream caused.
@@ -58,6 +67,27 @@
 	u.health.bannedUntil = now.Add(u.health.banDuration)
 }
 
+// RecordMalformed records an answer that was given up because its bytes were no answer. The
+// second one without a sound one between them counts as if the upstream were unreachable.
+func (u *Upstream) RecordMalformed(now time.Time) {
+	if now.Sub(u.health.malformedAt) > malformedMemory {
+		u.health.malformed = 0
+	}
+	u.health.malformed++
+	u.health.malformedAt = now
+	if u.health.malformed < malformedBanCount {
+		u.RecordFailure(now)
+		return
+	}
+	u.RecordUnreachable(now)
+}
+
+// Distrusted reports whether the last answers of the upstream were malformed, so that its
+// other ones should be held to lower limits.
+func (u *Upstream) Distrusted(now time.Time) bool {
+	return u.health.malformed > 0 && now.Sub(u.health.malformedAt) <= malformedMemory
+}
+
 // ForgetUnreachable takes RecordUnreachable back: the node's own path was at fault.
 func (u *Upstream) ForgetUnreachable() { u.health.banDuration, u.health.bannedUntil = 0, time.Time{} }
 
