Hold fewer bytes of a stream that completes no event

Change: Splitter.MaxCommentBytes bounds comments that no event follows. A buffer above 16 KiB is dropped once it is not needed. Held tells what is held back.

Measured: go test -race -count=1 ./pkg/stream passes with two new cases.

Conclusion: a stream that is forwarded as it arrives holds little.

--- a/pkg/stream/splitter.go
+++ b/pkg/stream/splitter.go
@@ -2,6 +2,9 @@
 
 import "bytes"
 
+// maxKeptBuffer is the capacity above which a Splitter drops its buffer after a long event.
+const maxKeptBuffer = 16 << 10
+
 // Splitter cuts a stream of server-sent events after complete events, so that they can be
 // forwarded byte for byte. The zero value is ready for use.
 //
@@ -12,6 +15,9 @@
 	// MaxEventBytes is the size limit of an event, and of the comments before one; zero
 	// means DefaultMaxEventBytes.
 	MaxEventBytes int
+	// MaxCommentBytes is a lower limit of the comments that no event follows yet; zero means
+	// none.
+	MaxCommentBytes int
 
 	buf []byte
 	// returned is the length of the start of buf that Feed returned last.
@@ -27,7 +33,11 @@
 // ErrEventTooLong once the bytes held back exceed the limit. The returned slice is valid
 // until the next call.
 func (s *Splitter) Feed(b []byte) ([]byte, error) {
-	s.buf = append(s.buf[:0], s.buf[s.returned:]...)
+	rest := s.buf[s.returned:]
+	if cap(s.buf) > maxKeptBuffer && len(rest)+len(b) <= maxKeptBuffer {
+		s.buf = nil
+	}
+	s.buf = append(s.buf[:0], rest...)
 	s.block, s.scanned, s.returned = s.block-s.returned, s.scanned-s.returned, 0
 	s.buf = append(s.buf, b...)
 	for {
@@ -47,12 +57,15 @@
 	if limit == 0 {
 		limit = DefaultMaxEventBytes
 	}
-	if len(s.buf)-s.returned > limit {
+	if len(s.buf)-s.returned > limit || s.MaxCommentBytes > 0 && s.block-s.returned > s.MaxCommentBytes {
 		return s.buf[:s.returned], ErrEventTooLong
 	}
 	return s.buf[:s.returned], nil
 }
 
+// Held returns the number of bytes that are held back because they complete no event.
+func (s *Splitter) Held() int { return len(s.buf) - s.returned }
+
 // Rest returns the bytes that are held back at the end of the stream, and false if they
 // are the start of an event or comment, so that the stream was cut.
 func (s *Splitter) Rest() ([]byte, bool) {
--- a/pkg/stream/splitter_test.go
+++ b/pkg/stream/splitter_test.go
@@ -55,6 +55,23 @@
 			t.Errorf("got error %v, want %v", err, ErrEventTooLong)
 		}
 	})
+	t.Run("comments above their own limit", func(t *testing.T) {
+		s := Splitter{MaxEventBytes: 100, MaxCommentBytes: 10}
+		wantSplit(t, &s, ":1\n\n:2\n\n:3", "")
+		if _, err := s.Feed([]byte("\n\n")); !errors.Is(err, ErrEventTooLong) {
+			t.Errorf("got error %v, want %v", err, ErrEventTooLong)
+		}
+	})
+	t.Run("a buffer kept after a long event", func(t *testing.T) {
+		var s Splitter
+		long := "data: " + strings.Repeat("x", 100<<10) + "\n\n"
+		wantSplit(t, &s, long, long)
+		wantSplit(t, &s, "data: x", "")
+		if cap(s.buf) > maxKeptBuffer || s.Held() != len("data: x") {
+			t.Errorf("got a buffer of %d bytes with %d held back, want at most %d and %d", cap(s.buf), s.Held(), maxKeptBuffer, len("data: x"))
+		}
+		wantSplit(t, &s, "\n\n", "data: x\n\n")
+	})
 	t.Run("comments above the limit", func(t *testing.T) {
 		s := Splitter{MaxEventBytes: 10}
 		if _, err := s.Feed([]byte(":1\n\n:2\n\n:3\n\n")); !errors.Is(err, ErrEventTooLong) {
