--- a/internal/bounded/budget.go
+++ b/internal/bounded/budget.go
@@ -8,12 +8,15 @@
 )
 
 const (
-	// Allowance is the cost that each answer may have free of the budget. Heads and events of
-	// sound answers stay below it.
-	Allowance = 8 << 10
+	// Allowance is the cost that each answer may have free of the budget. Sound answers stay
+	// below it until they have read a body of several KiB.
+	Allowance = 16 << 10
 	// HeadFactor is the memory that a byte of a message head takes: each line of a parsed
 	// head is a map entry with a slice and two strings.
 	HeadFactor = 8
+	// plainHeadBytes is the number of bytes up to which a head that is read costs no more than
+	// a body. The first read may hold bytes that follow the head.
+	plainHeadBytes = 4 << 10
 	// BodyFactor is the memory that a byte in a buffer takes: buffers are up to one half
 	// empty after they have grown.
 	BodyFactor = 2
@@ -40,6 +43,8 @@
 // that hold most are given up. It is safe for concurrent use; a nil Budget has no limit.
 type Budget struct {
 	limit int
+	// pressed is whether excess and leaving exceed half the limit; readable without the lock.
+	pressed atomic.Bool
 
 	mu sync.Mutex
 	// excess is the sum of the accounts' costs beyond their allowances, without those that
@@ -55,8 +60,13 @@
 // NewBudget returns a budget with a limit in bytes.
 func NewBudget(limit int) *Budget { return &Budget{limit: limit} }
 
-// Limit returns the limit in bytes.
-func (b *Budget) Limit() int { return b.limit }
+// Limit returns the limit in bytes; zero for none.
+func (b *Budget) Limit() int {
+	if b == nil {
+		return 0
+	}
+	return b.limit
+}
 
 // Held returns what the open answers hold beyond their allowances, with those that were given
 // up and are not closed yet.
@@ -71,7 +81,7 @@
 
 // Pressed reports whether more than half of the budget is used, so that answers should be
 // passed on instead of held.
-func (b *Budget) Pressed() bool { return b != nil && b.Held() > b.limit/2 }
+func (b *Budget) Pressed() bool { return b != nil && b.pressed.Load() }
 
 // Open returns the account of a new answer. giveUp is called at most once, by another
 // goroutine than the account's user, when the answer is given up; it closes the connection,
@@ -153,6 +163,18 @@
 // GivenUp reports whether the answer was given up.
 func (a *Account) GivenUp() bool { return a != nil && a.lost.Load() }
 
+// Set sets the cost to n, for a holder that knows what it holds.
+func (a *Account) Set(n int) error {
+	if a == nil {
+		return nil
+	}
+	if n > a.cost {
+		return a.Add(n - a.cost)
+	}
+	a.Keep(n)
+	return a.Add(0)
+}
+
 // Close ends the account. It reports whether the answer was not given up: otherwise its
 // connection is closed, or about to be, and must not be used again.
 func (a *Account) Close() bool {
@@ -164,6 +186,7 @@
 func (b *Budget) set(a *Account, excess int) (victims []*Account) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	defer func() { b.pressed.Store(b.excess+b.leaving > b.limit/2) }()
 	if a.lost.Load() {
 		b.leaving += excess - a.excess
 		a.excess = excess
