Distrust an upstream for five seconds at most at a time

Cause: answers that end at the lower limits for distrusted upstreams counted as malformed and renewed the distrust, so that a sound upstream with long events could stay distrusted.

Change: a malformed answer starts five seconds of distrust, and further ones meanwhile do not extend it. DistrustedUntil gives their end.

Measured: go test -race -count=1 ./pkg/placement passes; TestMalformedAnswersBanOnlyInSeries has a case for it.

Conclusion: the lower limits harm a sound upstream for at most that long.

--- a/pkg/placement/health.go
+++ b/pkg/placement/health.go
@@ -19,6 +19,9 @@
 	malformedBanCount = 2
 	// malformedMemory is how long a malformed answer counts.
 	malformedMemory = 30 * time.Second
+	// distrustTime is how long an upstream is distrusted after a malformed answer. Further
+	// ones meanwhile do not extend it: they may have been sound but for the lower limits.
+	distrustTime = 5 * time.Second
 )
 
 // Health is the record of the results of a node's requests to one upstream. The zero
@@ -30,8 +33,9 @@
 	banDuration         time.Duration
 	// malformed is the number of malformed answers since the last sound one, and malformedAt
 	// when the last of them was given up.
-	malformed   int
-	malformedAt time.Time
+	malformed       int
+	malformedAt     time.Time
+	distrustedUntil time.Time
 }
 
 func (h *Health) decay(now time.Time) {
@@ -46,7 +50,8 @@
 func (u *Upstream) RecordSuccess(now time.Time) {
 	u.health.decay(now)
 	u.health.successes++
-	u.health.banDuration, u.health.bannedUntil, u.health.malformed = 0, time.Time{}, 0
+	u.health.banDuration, u.health.bannedUntil = 0, time.Time{}
+	u.health.malformed, u.health.distrustedUntil = 0, time.Time{}
 }
 
 // RecordFailure records a failure that the upstream caused.
@@ -75,6 +80,9 @@
 	}
 	u.health.malformed++
 	u.health.malformedAt = now
+	if !u.Distrusted(now) {
+		u.health.distrustedUntil = now.Add(distrustTime)
+	}
 	if u.health.malformed < malformedBanCount {
 		u.RecordFailure(now)
 		return
@@ -82,11 +90,12 @@
 	u.RecordUnreachable(now)
 }
 
-// Distrusted reports whether the last answers of the upstream were malformed, so that its
-// other ones should be held to lower limits.
-func (u *Upstream) Distrusted(now time.Time) bool {
-	return u.health.malformed > 0 && now.Sub(u.health.malformedAt) <= malformedMemory
-}
+// Distrusted reports whether an answer of the upstream was malformed lately and none was sound
+// since, so that its other ones should be held to lower limits.
+func (u *Upstream) Distrusted(now time.Time) bool { return now.Before(u.health.distrustedUntil) }
+
+// DistrustedUntil returns when the upstream is trusted again; zero if it is.
+func (u *Upstream) DistrustedUntil() time.Time { return u.health.distrustedUntil }
 
 // ForgetUnreachable takes RecordUnreachable back: the node's own path was at fault.
 func (u *Upstream) ForgetUnreachable() { u.health.banDuration, u.health.bannedUntil = 0, time.Time{} }
--- a/pkg/placement/health_test.go
+++ b/pkg/placement/health_test.go
@@ -60,6 +60,15 @@
 		u.RecordMalformed(later)
 		wantBanned(t, u, later, false)
 	})
+	t.Run("answers that end at the lower limits", func(t *testing.T) {
+		u := fleet(1, 64)[0]
+		for at := now; at.Before(now.Add(distrustTime)); at = at.Add(distrustTime / 4) {
+			u.RecordMalformed(at)
+		}
+		if u.Distrusted(now.Add(distrustTime)) {
+			t.Error("got an upstream that is distrusted for good, want usual limits again")
+		}
+	})
 	t.Run("requests go to sound upstreams", func(t *testing.T) {
 		list := fleet(4, 64)
 		list[0].RecordMalformed(now)
