Send fewer requests to an upstream whose answers are none

Cause: such an answer counted as any failed attempt, one at a trickle only as silent at its deadline. A head that is too long made the node suspect its own path.

Change: answers that were cut off because a head or an event is too long, because only responses to other requests came or because of the memory budget, and late ones that hold over 32 KiB without a head or event, count as malformed: the second in a row bans the upstream (pkg/placement), and open answers of the same upstream keep lower limits for 5 s (heads 16 KiB, events 32 KiB). Event 3018 tells the upstream, the bytes and what all open answers hold; /debug/vars has held and limit, and malformed by upstream.

Measured: go test -race -count=1 -run 'Malformed|Distrusted|Trickled|EndlessResp' ./internal/gateway passes: two answers in any of nine forms ban the upstream, one does not; another open answer ends with its next byte; two trickled ones of 600 ms ban. Without the change these tests do not compile.

Conclusion: a faulty upstream is noticed at its second answer, a sound one is never banned for one.

--- a/internal/gateway/finish.go
+++ b/internal/gateway/finish.go
@@ -81,6 +81,7 @@
 
 // diagnose records what a failed attempt tells of its upstream's process and of the path to it.
 func (c *call) diagnose(ctx context.Context, a *attempt, f *failure) {
+	a.markMalformed(f)
 	switch {
 	case c.detectCrash(ctx, a, f):
 		f.suspected = c.g.parts.recordCrash(time.Now(), a, c)
@@ -197,10 +198,15 @@
 		c.g.ledger.countOutcome(c, a, false, now.Sub(a.started))
 	case f == nil:
 		entry.RecordSuccess(now)
+		entry.distrustedUntil.Store(0)
 		entry.lastResponse = now
 		c.g.ledger.countOutcome(c, a, true, c.responseTime(a, now))
 	case ctx.Err() != nil || f.isOwn():
 		// Not caused by the upstream.
+	case f.malformed:
+		c.recordMalformed(now, a, f)
+		c.g.pool.closeIdle(a.upstream.Address)
+		c.g.ledger.countOutcome(c, a, false, now.Sub(a.started))
 	case f.cause != "connect" && f.status == 0 && c.g.blameless(now, a):
 		// The path to the upstream may be at fault.
 		c.g.pool.closeIdle(a.upstream.Address)
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -85,6 +85,9 @@
 	for s.err == nil {
 		s.splitter.MaxEventBytes = maxEventBytes
 		n, err := a.resp.Body.Read(s.buffer)
+		if a.entry.distrusted() {
+			s.splitter.MaxEventBytes = distrustedEventBytes
+		}
 		events, splitErr := s.splitter.Feed(s.buffer[:n])
 		if s.err = splitErr; s.err == nil {
 			s.err = err
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -127,6 +127,7 @@
 		pool: newPool(settings.LocalIP), ledger: newLedger(settings.UsageWindow), parts: newPartRecords(), started: time.Now(), writeGrace: clientWriteGrace,
 	}
 	g.Budget = bounded.NewBudget(bounded.LimitFor(settings.MemoryBytes))
+	g.Metrics.Budget = g.Budget
 	g.open.durations = drain.NewDurations()
 	g.upstreams, g.Detour = newUpstreamSet(g), detour.New()
 	g.Detour.Self, g.Detour.Nodes = reach.Node{Name: self, Domain: domain}, g.entryNodesOf
--- a/internal/gateway/memory.go
+++ b/internal/gateway/memory.go
@@ -25,12 +25,13 @@
 func (g *Gateway) openAccount(a *attempt) {
 	c := a.conn
 	c.limit.Account = g.Budget.Open(func() { _ = c.Close() })
+	c.limit.Distrusted = a.entry.distrusted
 }
 
 // closeAccount ends the account of an attempt. It reports whether its answer was not given up.
 func (a *attempt) closeAccount() bool {
 	account := a.conn.limit.Account
-	a.conn.limit.Account = nil
+	a.conn.limit.Account, a.conn.limit.Distrusted = nil, nil
 	return account.Close()
 }
 
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/jaystage/jaystage/internal/bounded"
 )
 
 // Histograms cover 1 µs to one hour with 2 significant digits.
@@ -20,9 +22,20 @@
 // Metrics holds a node's counters, and its latency histograms by client account and
 // route. It implements expvar.Var and is safe for concurrent use.
 type Metrics struct {
+	// Budget is shown with the metrics; nil if there is none.
+	Budget *bounded.Budget
+
 	mu        sync.Mutex
 	counters  map[string]uint64
 	latencies map[latencyKey]*hdrhistogram.Histogram
+	malformed map[string]*Malformed // by upstream
+}
+
+// Malformed counts the answers of an upstream that were given up because they were none.
+type Malformed struct {
+	Answers int `json:"answers"`
+	// Bytes is the cost of what they held then.
+	Bytes int `json:"bytes"`
 }
 
 type latencyKey struct{ account, route, measure string }
@@ -41,7 +54,7 @@
 
 // NewMetrics returns empty metrics.
 func NewMetrics() *Metrics {
-	return &Metrics{counters: make(map[string]uint64), latencies: make(map[latencyKey]*hdrhistogram.Histogram)}
+	return &Metrics{counters: make(map[string]uint64), latencies: make(map[latencyKey]*hdrhistogram.Histogram), malformed: make(map[string]*Malformed)}
 }
 
 func (m *Metrics) count(name string) {
@@ -50,6 +63,18 @@
 	m.counters[name]++
 }
 
+func (m *Metrics) countMalformed(upstream string, bytes int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	entry := m.malformed[upstream]
+	if entry == nil {
+		entry = &Malformed{}
+		m.malformed[upstream] = entry
+	}
+	entry.Answers++
+	entry.Bytes += bytes
+}
+
 // CountPath implements detour.Metrics.
 func (m *Metrics) CountPath(name string) { m.count(name) }
 
@@ -75,7 +100,11 @@
 	doc := struct {
 		Counters map[string]uint64 `json:"counters"`
 		Latency  []Latency         `json:"latency"`
-	}{Counters: m.counters}
+		// Held is what open answers hold beyond their allowances, in bytes, and Limit its limit.
+		Held      int                   `json:"held"`
+		Limit     int                   `json:"limit"`
+		Malformed map[string]*Malformed `json:"malformed"`
+	}{Counters: m.counters, Held: m.Budget.Held(), Limit: m.Budget.Limit(), Malformed: m.malformed}
 	for key, histogram := range m.latencies {
 		quantileMillis := func(q float64) float64 { return float64(histogram.ValueAtQuantile(q)) / 1000 }
 		doc.Latency = append(doc.Latency, Latency{
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -43,6 +43,8 @@
 	replaceable bool
 	// silent is true once the upstream was noticed to be silent.
 	silent bool
+	// held is what a malformed answer held when it was given up.
+	held int
 }
 
 // answer is what was read of a response and not yet forwarded.
@@ -76,6 +78,8 @@
 	otherUpstream bool
 	// overloaded is true when the upstream refused the request because it is full.
 	overloaded bool
+	// malformed is true when the upstream's bytes were no answer, or held too much memory.
+	malformed bool
 	// suspected is true when the upstream crashed, and an earlier one under another request
 	// with a part of this prompt: a retry may crash a further one.
 	suspected bool
--- a/internal/gateway/upstreams.go
+++ b/internal/gateway/upstreams.go
@@ -4,6 +4,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jaystage/jaystage/internal/config"
@@ -58,7 +59,10 @@
 	lastStatus   time.Time      // when its last status arrived
 	lastResponse time.Time      // when it last responded
 	lastWarm     time.Time      // when a status last reported it as warm
-	probe        *crashProbe    // whether the process has ended; nil until a response is broken off
+	// distrustedUntil is until when its answers keep lower limits, Unix time in nanoseconds.
+	// It is read without the lock.
+	distrustedUntil atomic.Int64
+	probe           *crashProbe // whether the process has ended; nil until a response is broken off
 }
 
 func newUpstreamSet(g *Gateway) *upstreamSet {
