Try an upstream with one request after malformed answers

Cause: when the ban of an upstream whose answers are malformed ends, all waiting requests could go to it at once before the next answer is known to be malformed.

Also: a body that another attempt may answer as well is not forwarded early when the memory budget is pressed.

Measured: GOMAXPROCS=2 go test -count=1 ./pkg/placement passes.

--- a/internal/gateway/memory.go
+++ b/internal/gateway/memory.go
@@ -42,9 +42,11 @@
 }
 
 // readBlocks reads a body until its end, until limit bytes are read, or, beyond the first ones,
-// while the memory budget is pressed. It returns true at the end of the body.
+// while the memory budget is pressed. It returns true at the end of the body. What another
+// attempt may answer as well is not cut short: to forward its start would end that attempt.
 func (c *call) readBlocks(a *attempt, limit int) (blocks [][]byte, whole bool, err error) {
 	a.conn.limit.Account.MarkSound()
+	forwardable := !c.route.Repeatable() || !a.replaceable
 	length := a.resp.ContentLength
 	if length >= 0 {
 		limit = int(min(int64(limit), max(length, 1)))
@@ -62,7 +64,7 @@
 				return nil, false, err
 			case over != nil:
 				return nil, false, over
-			case c.g.Budget.Pressed() && allocated > sizedBlockBytes && n > 0:
+			case forwardable && c.g.Budget.Pressed() && allocated > sizedBlockBytes && n > 0:
 				return append(blocks, block[:n]), false, nil
 			}
 		}
--- a/pkg/placement/choose.go
+++ b/pkg/placement/choose.go
@@ -193,7 +193,7 @@
 	switch {
 	case u.Leaving:
 		return ExcludedLeaving
-	case u.Banned(now):
+	case u.Banned(now), u.Open > 0 && u.onTrial(now):
 		return ExcludedUnreachable
 	case slices.Contains(r.Tried, u.ID):
 		return ExcludedTried
--- a/pkg/placement/health.go
+++ b/pkg/placement/health.go
@@ -90,6 +90,12 @@
 	u.RecordUnreachable(now)
 }
 
+// onTrial reports whether the upstream was banned for malformed answers and none was sound
+// since. It gets one request at a time then.
+func (u *Upstream) onTrial(now time.Time) bool {
+	return u.health.malformed >= malformedBanCount && now.Sub(u.health.malformedAt) <= malformedMemory
+}
+
 // Distrusted reports whether an answer of the upstream was malformed lately and none was sound
 // since, so that its other ones should be held to lower limits.
 func (u *Upstream) Distrusted(now time.Time) bool { return now.Before(u.health.distrustedUntil) }
--- a/pkg/placement/health_test.go
+++ b/pkg/placement/health_test.go
@@ -50,6 +50,26 @@
 			at, ban = at.Add(ban), min(2*ban, maxBan)
 		}
 	})
+	t.Run("one request at a time after a ban", func(t *testing.T) {
+		list := fleet(1, 64)
+		list[0].RecordMalformed(now)
+		list[0].RecordMalformed(now)
+		later := now.Add(minBan)
+		wantChosen := func(id string, want bool) {
+			t.Helper()
+			c, got := Choose(later, Request{ID: id}, Options{Domain: "a", MaxWaiting: 10}, list)
+			if got != want {
+				t.Fatalf("request %s: got chosen %v, want %v", id, got, want)
+			}
+			if got {
+				c.RecordSend(later, Options{})
+			}
+		}
+		wantChosen("first", true)
+		wantChosen("second", false)
+		list[0].RecordSuccess(later)
+		wantChosen("after a sound answer", true)
+	})
 	t.Run("a long time apart", func(t *testing.T) {
 		u := fleet(1, 64)[0]
 		u.RecordMalformed(now)
