--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -48,6 +48,9 @@
 	if n.Voter && n.DataDir == "" {
 		report("node.data", "is missing; a voter needs a data directory")
 	}
+	if n.Memory < 0 {
+		report("node.memory", "must not be negative; leave it out if it is not known")
+	}
 	if n.Log != "" && n.Log != "text" && n.Log != "json" {
 		report("node.log", "%q is unknown; use \"text\" or \"json\"", n.Log)
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -35,6 +35,9 @@
 	DataDir string `toml:"data"`
 	// Log is the log format: text, json or empty.
 	Log string `toml:"log"`
+	// Memory is the memory of the VM in MiB, from which the limit of what all open answers
+	// hold together follows; zero if it is not known.
+	Memory int `toml:"memory"`
 }
 
 // Listen holds the addresses of the node's listeners, as host:port.
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -33,6 +33,7 @@
 	}{
 		{"links without TLS are limited to loopback", func(s *Settings) { s.Listen.Peers = "10.0.0.1:7004" }, "security.plaintext"},
 		{"a voter needs a data directory", func(s *Settings) { s.Node.DataDir = "" }, "node.data"},
+		{"a memory below zero is rejected", func(s *Settings) { s.Node.Memory = -1 }, "node.memory"},
 		{"a short peer key is rejected", func(s *Settings) { s.Security.PeerKey = "short" }, "security.peer_key"},
 		{"a token in plain text is rejected", func(s *Settings) { s.Security.OperatorTokens[0].Hash = "secret" }, "security.operator[demo].token"},
 		{"a node listed as a voter must be a voter", func(s *Settings) { s.Node.Voter = false }, "node.voter"},
