--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -13,6 +13,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/jaystage/jaystage/internal/bounded"
 	"github.com/jaystage/jaystage/internal/config"
 	"github.com/jaystage/jaystage/internal/detour"
 	"github.com/jaystage/jaystage/pkg/drain"
@@ -81,6 +82,9 @@
 	UsageWindow time.Duration
 	// LocalIP is the source address of connections to upstreams; nil lets the kernel choose.
 	LocalIP net.IP
+	// MemoryBytes is the memory of the VM, from which the limit of what all open answers hold
+	// together follows; zero if it is not known.
+	MemoryBytes int64
 }
 
 // Gateway serves the clients of one node. Create it with New and set the exported
@@ -93,6 +97,8 @@
 	State        Viewer
 	Log          logrus.FieldLogger
 	Metrics      *Metrics
+	// Budget limits what all open answers of the process hold.
+	Budget *bounded.Budget
 	// Detour opens connections to upstreams, through other nodes if it knows any.
 	Detour    *detour.Detour
 	upstreams *upstreamSet
@@ -120,6 +126,8 @@
 		Self: self, Domain: domain, Headers: headers, Settings: settings, State: state, Log: log, Metrics: NewMetrics(),
 		pool: newPool(settings.LocalIP), ledger: newLedger(settings.UsageWindow), parts: newPartRecords(), started: time.Now(), writeGrace: clientWriteGrace,
 	}
+	g.Budget = bounded.NewBudget(bounded.LimitFor(settings.MemoryBytes))
+	g.Metrics.Budget = g.Budget
 	g.open.durations = drain.NewDurations()
 	g.upstreams, g.Detour = newUpstreamSet(g), detour.New()
 	g.Detour.Self, g.Detour.Nodes = reach.Node{Name: self, Domain: domain}, g.entryNodesOf
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -46,6 +46,8 @@
 	replaceable bool
 	// silent is true once the upstream was noticed to be silent.
 	silent bool
+	// held is what a malformed answer held when it was given up.
+	held int
 }
 
 // answer is what was read of a response and not yet forwarded.
@@ -54,7 +56,7 @@
 	// is no stream, a short body or the start of a long one.
 	begun bool
 	// body is the body of a response that is no stream, and whole true if there is no more.
-	body  []byte
+	body  [][]byte
 	whole bool
 	// events are complete events of a stream, valid until the next read.
 	events   []byte
@@ -79,6 +81,8 @@
 	otherUpstream bool
 	// overloaded is true when the upstream refused the request because it is full.
 	overloaded bool
+	// malformed is true when the upstream's bytes were no answer, or held too much memory.
+	malformed bool
 	// suspected is true when the upstream crashed, and an earlier one under another request
 	// with a part of this prompt: a retry may crash a further one.
 	suspected bool
@@ -119,6 +123,7 @@
 		return &failure{verdict: verdict.NotRun, cause: "connect", err: err}
 	}
 	a.conn = upstreamConn
+	c.g.openAccount(a)
 	a.stopCancelWatch = context.AfterFunc(ctx, func() { _ = upstreamConn.Close() })
 	if err := upstreamConn.startRequest(c.deadline.Add(deadlineGrace), onSilence); err != nil {
 		return &failure{verdict: verdict.NotRun, cause: "connection", err: err}
--- a/pkg/placement/health.go
+++ b/pkg/placement/health.go
@@ -14,6 +14,14 @@
 	// no requests. A restart takes a few seconds.
 	minBan = 300 * time.Millisecond
 	maxBan = 4 * time.Second
+	// malformedBanCount is the number of malformed answers without a sound one between them
+	// after which an upstream counts as unreachable: a sound one may break once.
+	malformedBanCount = 2
+	// malformedMemory is how long a malformed answer counts.
+	malformedMemory = 30 * time.Second
+	// distrustTime is how long an upstream is distrusted after a malformed answer. Further
+	// ones meanwhile do not extend it: they may have been sound but for the lower limits.
+	distrustTime = 5 * time.Second
 )
 
 // Health is the record of the results of a node's requests to one upstream. The zero
@@ -23,6 +31,11 @@
 	updated             time.Time
 	bannedUntil         time.Time
 	banDuration         time.Duration
+	// malformed is the number of malformed answers since the last sound one, and malformedAt
+	// when the last of them was given up.
+	malformed       int
+	malformedAt     time.Time
+	distrustedUntil time.Time
 }
 
 func (h *Health) decay(now time.Time) {
@@ -38,6 +51,7 @@
 	u.health.decay(now)
 	u.health.successes++
 	u.health.banDuration, u.health.bannedUntil = 0, time.Time{}
+	u.health.malformed, u.health.distrustedUntil = 0, time.Time{}
 }
 
 // RecordFailure records a failure that the upstream caused.
@@ -58,6 +72,37 @@
 	u.health.bannedUntil = now.Add(u.health.banDuration)
 }
 
+// RecordMalformed records an answer that was given up because its bytes were no answer. The
+// second one without a sound one between them counts as if the upstream were unreachable.
+func (u *Upstream) RecordMalformed(now time.Time) {
+	if now.Sub(u.health.malformedAt) > malformedMemory {
+		u.health.malformed = 0
+	}
+	u.health.malformed++
+	u.health.malformedAt = now
+	if !u.Distrusted(now) {
+		u.health.distrustedUntil = now.Add(distrustTime)
+	}
+	if u.health.malformed < malformedBanCount {
+		u.RecordFailure(now)
+		return
+	}
+	u.RecordUnreachable(now)
+}
+
+// onTrial reports whether the upstream was banned for malformed answers and none was sound
+// since. It gets one request at a time then.
+func (u *Upstream) onTrial(now time.Time) bool {
+	return u.health.malformed >= malformedBanCount && now.Sub(u.health.malformedAt) <= malformedMemory
+}
+
+// Distrusted reports whether an answer of the upstream was malformed lately and none was sound
+// since, so that its other ones should be held to lower limits.
+func (u *Upstream) Distrusted(now time.Time) bool { return now.Before(u.health.distrustedUntil) }
+
+// DistrustedUntil returns when the upstream is trusted again; zero if it is.
+func (u *Upstream) DistrustedUntil() time.Time { return u.health.distrustedUntil }
+
 // ForgetUnreachable takes RecordUnreachable back: the node's own path was at fault.
 func (u *Upstream) ForgetUnreachable() { u.health.banDuration, u.health.bannedUntil = 0, time.Time{} }
 
