End the opening of a tunnel with its context

What callers saw: while a standby waits for another node's reply to its request for a tunnel, an event of the first upstream is held back, for up to 0.5 s, until that wait has ended. By reading; the wait was measured, not the event. Cause: the call ends its standbys before it forwards an event, and the read of the reply ended only at its own timeout. Change: the end of the context closes the stream. Measured: go test -race -run OpenEndsWithItsContext ./internal/tunnel: 0.5 s on after a cancel at 0.05 s; passes here (within 0.25 s). All tests of ./internal/tunnel pass.

--- a/internal/tunnel/read_test.go
+++ b/internal/tunnel/read_test.go
@@ -5,9 +5,12 @@
 	"errors"
 	"io"
 	"net"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
+
+	"github.com/gorilla/websocket"
 )
 
 // openTestTunnel returns a connection through a node to an upstream, and the upstream's end.
@@ -106,3 +109,25 @@
 		t.Errorf("drain: got %v, want none", err)
 	}
 }
+
+// Guards against an event of another upstream that is held back until a node that does not answer
+// has been given up, although its connection is not needed any more.
+func TestOpenEndsWithItsContext(t *testing.T) {
+	l := listen(t)
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if stream, err := (&websocket.Upgrader{}).Upgrade(w, r, nil); err == nil {
+			t.Cleanup(func() { _ = stream.Close() })
+		}
+	}), ReadHeaderTimeout: time.Second}
+	go func() { _ = server.Serve(l) }()
+	t.Cleanup(func() { _ = server.Close() })
+	ctx, cancel := context.WithCancel(t.Context())
+	time.AfterFunc(50*time.Millisecond, cancel)
+	start := time.Now()
+	if _, err := Open(ctx, dialStreams{"ws://" + l.Addr().String()}, "other", "127.0.0.1:1", "r"); err == nil {
+		t.Error("open without a reply: got no error, want one")
+	}
+	if took, most := time.Since(start), openTimeout/2; took > most {
+		t.Errorf("open whose context has ended: got its end after %v, want it within %v", took, most)
+	}
+}
--- a/internal/tunnel/tunnel.go
+++ b/internal/tunnel/tunnel.go
@@ -63,7 +63,12 @@
 	if err != nil {
 		return nil, errors.Join(ErrHelpless, err)
 	}
-	if err := request(ctx, stream, wire.TunnelRequest{Address: address, Request: requestID}); err != nil {
+	stop := context.AfterFunc(ctx, func() { _ = stream.Close() })
+	err = request(ctx, stream, wire.TunnelRequest{Address: address, Request: requestID})
+	if err == nil && !stop() {
+		err = errors.Join(ErrHelpless, ctx.Err())
+	}
+	if err != nil {
 		_ = stream.Close()
 		return nil, err
 	}
