--- a/internal/soak/stop_cluster_test.go
+++ b/internal/soak/stop_cluster_test.go
@@ -44,14 +44,15 @@
 // stopCluster is a deployment in which entry nodes are stopped. Its nodes reach each other
 // directly.
 type stopCluster struct {
-	t       testing.TB
-	binary  string
-	dir     string
-	network byte
-	lock    net.Listener // holds the network
-	grace   time.Duration
-	nodes   []*stopNode // voters first
-	record  *runRecord
+	t        testing.TB
+	binary   string
+	dir      string
+	network  byte
+	lock     net.Listener // holds the network
+	grace    time.Duration
+	memoryMB int         // of each node
+	nodes    []*stopNode // voters first
+	record   *runRecord
 	// upstreams holds the stand-ins by service.
 	upstreams map[string][]*stopUpstream
 	nextID    atomic.Int64
@@ -74,7 +75,7 @@
 		t.Fatal(err)
 	}
 	c := &stopCluster{
-		t: t, binary: sharedBinary(t), dir: dir, network: network, lock: lock, grace: grace,
+		t: t, binary: sharedBinary(t), dir: dir, network: network, lock: lock, grace: grace, memoryMB: 300,
 		record: &runRecord{runs: make(map[string][]*upstreamRun)}, upstreams: make(map[string][]*stopUpstream),
 	}
 	for i := range voters + entries {
@@ -168,7 +169,7 @@
 	}
 	lines := []string{
 		"node_name=" + n.name, "ip=" + n.host, "zone=a", fmt.Sprintf("internal_ports=%d,%d", stopPeerPort, stopPeerPort),
-		"seed_nodes=" + strings.Join(seeds, ","), fmt.Sprintf("bootstrap=%v", bootstrap), "heartbeat_interval_ms=300", "limits.memory_mb=300",
+		"seed_nodes=" + strings.Join(seeds, ","), fmt.Sprintf("bootstrap=%v", bootstrap), "heartbeat_interval_ms=300", fmt.Sprintf("limits.memory_mb=%d", c.memoryMB),
 		"fault_tolerance.machines=1", fmt.Sprintf("bounds.grace_period_s=%v", c.grace.Seconds()), "bounds.revoke_fail_closed=true",
 		"bounds.revoke_timeout_ms=5000", "bounds.retry_budget_ratio=0.2", "bounds.retry_budget_slack=50", "bounds.retry_window_s=10",
 		"bounds.exposure_share=0.1",
