Bound the heads of requests on all listeners

Cause: internal/deployment set no MaxHeaderBytes for its listeners (clients, readiness, control, other nodes), nor internal/node for the one for other nodes. net/http then keeps up to 1 MB of each head for up to 10 s, as a map that takes several times as much.

Change: 64 KiB on each of them, which exceeds the limit in every plan.

Conclusion: one head is bounded. What many heads at a trickle hold together is not yet.

--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -38,6 +38,8 @@
 	// idleTimeout exceeds the idle timeout in every plan; clients comply with the latter.
 	readHeaderTimeout = 10 * time.Second
 	idleTimeout       = 90 * time.Second
+	// maxHeadBytes bounds the head of a request. It exceeds the limit in every plan.
+	maxHeadBytes = 64 << 10
 )
 
 // Options holds the settings of one process.
@@ -188,7 +190,7 @@
 	}
 	tracked := listener.New(l)
 	n.servers = append(n.servers, &server{http.Server{
-		Handler: h, ReadHeaderTimeout: readHeaderTimeout, ConnState: tracked.ConnState, ConnContext: tracked.ConnContext,
+		Handler: h, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeadBytes, ConnState: tracked.ConnState, ConnContext: tracked.ConnContext,
 	}, tracked})
 	return nil
 }
--- /dev/null
+++ b/internal/deployment/endless_test.go
@@ -0,0 +1,80 @@
+package deployment
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// heapGrowth returns how much the heap has grown when f returns, with what it left behind.
+func heapGrowth(f func()) int64 {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	f()
+	runtime.ReadMemStats(&after)
+	return int64(after.HeapAlloc) - int64(before.HeapAlloc)
+}
+
+// sendUntilClosed sends a request line and then header lines again and again, for at most maxBytes, and then waits until the
+// other side closes the connection or the deadline has passed.
+func sendUntilClosed(t *testing.T, address string, maxBytes int, deadline time.Time) (closed bool) {
+	t.Helper()
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Error(err)
+		return false
+	}
+	defer conn.Close()
+	_ = conn.SetDeadline(deadline)
+	if _, err := io.WriteString(conn, "GET / HTTP/1.1\r\n"); err != nil {
+		return true
+	}
+	lines := strings.Repeat("X-More: yes\r\n", 1000)
+	for sent := 0; sent < maxBytes; sent += len(lines) {
+		if _, err := io.WriteString(conn, lines); err != nil {
+			return true
+		}
+	}
+	_, err = io.Copy(io.Discard, conn)
+	return err == nil || !strings.Contains(err.Error(), "timeout")
+}
+
+// Client fault: heads of requests without end on many connections. Guards against a node whose
+// listeners keep up to 1 MB of each.
+func TestEndlessRequestHeadsAreCutOff(t *testing.T) {
+	const (
+		connections   = 64
+		maxSent       = 900 << 10
+		maxHeapGrowth = 24 << 20
+	)
+	n := new(Node)
+	if err := n.listen("clients", "127.0.0.1:0", http.NotFoundHandler()); err != nil {
+		t.Fatal(err)
+	}
+	s := n.servers[0]
+	served := make(chan error, 1)
+	go func() { served <- s.Serve(s.listener) }()
+	defer func() { _ = s.Close(); <-served }()
+	growth := heapGrowth(func() {
+		var clients sync.WaitGroup
+		for range connections {
+			clients.Add(1)
+			go func() {
+				defer clients.Done()
+				if !sendUntilClosed(t, s.listener.Addr().String(), maxSent, time.Now().Add(2*time.Second)) {
+					t.Error("connection with an endless head: got it open after 2 s, want it closed")
+				}
+			}()
+		}
+		clients.Wait()
+	})
+	if growth > maxHeapGrowth {
+		t.Errorf("the heap grew by %d bytes, want at most %d", growth, maxHeapGrowth)
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -64,6 +64,7 @@
 
 func newEndpoint(l net.Listener, s *http.Server) *endpoint {
 	tracked := listener.New(l)
+	s.MaxHeaderBytes = maxHeaderBytes
 	ctx, cancel := context.WithCancel(context.Background())
 	s.ConnState, s.ConnContext, s.BaseContext = tracked.ConnState, tracked.ConnContext, func(net.Listener) context.Context { return ctx }
 	return &endpoint{tracked, s, cancel}
@@ -119,7 +120,7 @@
 		return eris.Wrapf(err, "cannot listen on %s %q; choose a free address", key, address)
 	}
 	n.listeners = append(n.listeners, newEndpoint(l, &http.Server{
-		ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
 	}))
 	return nil
 }
