Bound what unfinished request heads hold together

Cause: each head has its limit, 64 KiB, but nothing bounds those of all connections: heads that arrive slowly stay unfinished for up to 10 s, and their parsed lines take several times their bytes.

Change: internal/listener counts the bytes of each head until its end in a bounded.Budget, if it is given one. When heads hold more, the connections with the longest are closed with their request unread, so that a sound client may repeat it.

--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -16,6 +16,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/jaystage/jaystage/internal/bounded"
 )
 
 const (
@@ -31,6 +33,11 @@
 // server's hooks before it serves.
 type Listener struct {
 	net.Listener
+	// Heads bounds what the unfinished request heads of all connections hold. The connections
+	// with the longest ones are closed when they hold more. Set it before Accept; nil means no
+	// bound.
+	Heads *bounded.Budget
+
 	acceptEnd atomic.Int64 // when Accept must end, in Unix nanoseconds; zero while serving
 	// accepted is closed once Accept returns no more connections.
 	accepted chan struct{}
@@ -58,6 +65,10 @@
 	ending bool
 	// readDeadline is the read deadline that the server has set.
 	readDeadline time.Time
+	// head counts the bytes of a request head that is not complete; nil without a bound.
+	head *bounded.Account
+	// inRequest is true from the end of a request's head to the end of its answer.
+	inRequest bool
 }
 
 // Read implements net.Conn.
@@ -68,6 +79,9 @@
 		defer c.mu.Unlock()
 		c.received = true
 		err = errors.Join(err, c.resume())
+		if !c.inRequest {
+			err = errors.Join(err, c.head.Add(n*bounded.HeadFactor))
+		}
 	}
 	return n, err
 }
@@ -105,7 +119,7 @@
 func (c *conn) endRequest() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.idle, c.received = true, false
+	c.idle, c.received, c.inRequest = true, false, false
 }
 
 // beginRequest records that the head of a request was read. The server may have had it in
@@ -114,10 +128,19 @@
 	c.requests.Add(1)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.idle = false
+	c.idle, c.inRequest = false, true
+	c.head.Keep(0)
 	_ = c.resume() // fails on a closed connection, which the next read finds out
 }
 
+// end records that the connection is closed or no longer the server's.
+func (c *conn) end() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.inRequest = true
+	c.head.Close()
+}
+
 // endIfIdle ends the connection if it is idle or unused and has no unread bytes. The server
 // then closes it.
 func (c *conn) endIfIdle(now time.Time) {
@@ -195,7 +218,7 @@
 	for {
 		accepted, err := l.Listener.Accept()
 		if err == nil {
-			c := &conn{Conn: accepted, opened: time.Now()}
+			c := &conn{Conn: accepted, opened: time.Now(), head: l.Heads.Open(func() { _ = accepted.Close() })}
 			l.mu.Lock()
 			l.conns[c] = true
 			l.mu.Unlock()
@@ -237,6 +260,7 @@
 	}
 	switch state {
 	case http.StateClosed, http.StateHijacked:
+		accepted.end()
 		l.mu.Lock()
 		defer l.mu.Unlock()
 		delete(l.conns, accepted)
