Give the listeners of nodes a bound for unfinished heads

Change: each listener has a budget, by the memory of the VM where that is known.

Conclusion: heads of requests are bounded for all connections together.

--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -17,6 +17,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 
+	"github.com/jaystage/jaystage/internal/bounded"
 	"github.com/jaystage/jaystage/internal/config"
 	"github.com/jaystage/jaystage/internal/control"
 	"github.com/jaystage/jaystage/internal/event"
@@ -189,6 +190,7 @@
 		return eris.Wrapf(err, "cannot listen for %s on %q; check that the address belongs to this VM and is not in use", purpose, address)
 	}
 	tracked := listener.New(l)
+	tracked.Heads = bounded.NewBudget(bounded.LimitFor(n.options.GatewaySettings.MemoryBytes))
 	n.servers = append(n.servers, &server{http.Server{
 		Handler: h, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeadBytes, ConnState: tracked.ConnState, ConnContext: tracked.ConnContext,
 	}, tracked})
--- a/internal/deployment/endless_test.go
+++ b/internal/deployment/endless_test.go
@@ -45,6 +45,21 @@
 	return err == nil || !strings.Contains(err.Error(), "timeout")
 }
 
+// serveNotFound serves on a listener of a VM of 184 MB until the test ends.
+func serveNotFound(t *testing.T) *server {
+	t.Helper()
+	n := new(Node)
+	n.options.GatewaySettings.MemoryBytes = 184 << 20
+	if err := n.listen("clients", "127.0.0.1:0", http.NotFoundHandler()); err != nil {
+		t.Fatal(err)
+	}
+	s := n.servers[0]
+	served := make(chan error, 1)
+	go func() { served <- s.Serve(s.listener) }()
+	t.Cleanup(func() { _ = s.Close(); <-served })
+	return s
+}
+
 // Client fault: heads of requests without end on many connections. Guards against a node whose
 // listeners keep up to 1 MB of each.
 func TestEndlessRequestHeadsAreCutOff(t *testing.T) {
@@ -53,14 +68,7 @@
 		maxSent       = 900 << 10
 		maxHeapGrowth = 24 << 20
 	)
-	n := new(Node)
-	if err := n.listen("clients", "127.0.0.1:0", http.NotFoundHandler()); err != nil {
-		t.Fatal(err)
-	}
-	s := n.servers[0]
-	served := make(chan error, 1)
-	go func() { served <- s.Serve(s.listener) }()
-	defer func() { _ = s.Close(); <-served }()
+	s := serveNotFound(t)
 	growth := heapGrowth(func() {
 		var clients sync.WaitGroup
 		for range connections {
@@ -78,3 +86,35 @@
 		t.Errorf("the heap grew by %d bytes, want at most %d", growth, maxHeapGrowth)
 	}
 }
+
+// Guards against a listener whose unfinished heads have no common bound: each of them is within
+// its own.
+func TestUnfinishedHeadsAreBoundedTogether(t *testing.T) {
+	const (
+		connections = 400
+		headBytes   = 50 << 10
+		// The budget is an eighth of the VM's memory with what is being closed.
+		maxHeapGrowth = 48 << 20
+	)
+	s := serveNotFound(t)
+	var conns []net.Conn
+	growth := heapGrowth(func() {
+		for range connections {
+			conn, err := net.Dial("tcp", s.listener.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			conns = append(conns, conn)
+			// A node that closes the connection ends the write.
+			_, _ = io.WriteString(conn, "GET / HTTP/1.1\r\n"+strings.Repeat("X-More: yes\r\n", headBytes/len("X-More: yes\r\n")))
+		}
+		time.Sleep(200 * time.Millisecond)
+		runtime.GC()
+	})
+	for _, conn := range conns {
+		_ = conn.Close()
+	}
+	if growth > maxHeapGrowth {
+		t.Errorf("held by %d unfinished heads: got %d bytes, want at most %d", connections, growth, maxHeapGrowth)
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -13,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/jaystage/jaystage/internal/bearer"
+	"github.com/jaystage/jaystage/internal/bounded"
 	"github.com/jaystage/jaystage/internal/caller"
 	"github.com/jaystage/jaystage/internal/cell"
 	"github.com/jaystage/jaystage/internal/event"
@@ -65,6 +66,7 @@
 func newEndpoint(l net.Listener, s *http.Server) *endpoint {
 	tracked := listener.New(l)
 	s.MaxHeaderBytes = maxHeaderBytes
+	tracked.Heads = bounded.NewBudget(bounded.LimitFor(0))
 	ctx, cancel := context.WithCancel(context.Background())
 	s.ConnState, s.ConnContext, s.BaseContext = tracked.ConnState, tracked.ConnContext, func(net.Listener) context.Context { return ctx }
 	return &endpoint{tracked, s, cancel}
