Bound the replies that a command reads from a node

Cause: the client of the operators' API decodes a reply of any length.

Change: it reads at most 32 MiB, several times a list of 10,000 upstreams (430 bytes each).

Conclusion: the fault was in the command line tool, not in a node.

--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -20,6 +20,9 @@
 	"github.com/jaystage/jaystage/pkg/wire"
 )
 
+// maxReplyBytes bounds a reply. It exceeds a list of 10,000 upstreams several times.
+const maxReplyBytes = 32 << 20
+
 // Client calls the operators' API of one node.
 type Client struct {
 	// Address is the host and port of the node's listener for operators.
@@ -130,7 +133,8 @@
 	if resp.StatusCode != http.StatusOK && !slices.Contains(accepted, resp.StatusCode) {
 		return responseError(resp)
 	}
-	return eris.Wrapf(json.NewDecoder(resp.Body).Decode(out), "the response of %s is not the expected JSON", c.Address)
+	reply := io.LimitReader(resp.Body, maxReplyBytes)
+	return eris.Wrapf(json.NewDecoder(reply).Decode(out), "the response of %s is not the expected JSON", c.Address)
 }
 
 func responseError(resp *http.Response) error {
