Bound the heads of replies of the platform's API

Cause: internal/cloud left the limit for response heads at the 10 MB of net/http, which take several times as much as a map.

Change: 64 KiB.

Bodies kept their bound of 16 MiB already.

--- a/internal/cloud/cloud.go
+++ b/internal/cloud/cloud.go
@@ -72,8 +72,11 @@
 	ErrRequest = errors.New("the platform does not accept the order")
 )
 
-// maxBodyBytes limits the size of a response body.
-const maxBodyBytes = 16 << 20
+// maxBodyBytes limits the size of a response body, and maxHeadBytes that of its head.
+const (
+	maxBodyBytes = 16 << 20
+	maxHeadBytes = 64 << 10
+)
 
 // Client calls the cloud API of one platform. It is safe for concurrent use.
 type Client struct {
@@ -93,7 +96,7 @@
 	if timeout <= 0 {
 		return nil, eris.New("timeout of platform calls must be positive")
 	}
-	transport := &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute}
+	transport := &http.Transport{MaxResponseHeaderBytes: maxHeadBytes, MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute}
 	return &Client{base: u, token: token, timeout: timeout, http: &http.Client{Transport: transport}}, nil
 }
 
