Bound the requests of other nodes by their bytes

Cause: a node handles up to 512 requests of each other node at a time, of up to 4 MiB each; only their number was bounded.

Change: requests beyond 16 MiB of all other nodes together get the reply that there are too many, as those beyond the number do.

Conclusion: what other nodes send is bounded whatever their number, but for the one frame of up to 4 MiB that each link reads.

--- /dev/null
+++ b/internal/peer/endless_link_test.go
@@ -0,0 +1,133 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"net"
+	"runtime"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/gorilla/websocket"
+
+	"github.com/jaystage/jaystage/pkg/wire"
+)
+
+func heapNow() int64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
+
+// Fault of another node: large requests without end, faster than they are handled. Guards
+// against a node that keeps hundreds of them, of 4 MiB each.
+func TestRequestsOfOtherNodesAreBoundedTogether(t *testing.T) {
+	const (
+		senders, requests = 3, 8
+		bodyBytes         = MaxFrameBytes - 1<<10
+		maxHeld           = maxRequestBytes + MaxFrameBytes
+	)
+	var addresses sync.Map
+	server := startNode(t, "server", "0123456789abcdef", 0, &addresses)
+	release := make(chan struct{})
+	var held atomic.Int64
+	server.Handle("slow", func(_ context.Context, _ string, body []byte) (any, error) {
+		held.Add(int64(len(body)))
+		<-release
+		return nil, nil
+	})
+	var nodes []*testNode
+	for _, name := range []string{"a", "b", "c"} {
+		n := startNode(t, name, "0123456789abcdef", 0, &addresses)
+		mustEcho(t, n, "server")
+		nodes = append(nodes, n)
+	}
+	body, err := wire.Marshal(make([]byte, bodyBytes))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var calls sync.WaitGroup
+	for _, n := range nodes {
+		for range requests {
+			calls.Add(1)
+			go func() {
+				defer calls.Done()
+				ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+				defer cancel()
+				_ = n.Call(ctx, "server", "slow", wire.Encoded(body), nil)
+			}()
+			time.Sleep(30 * time.Millisecond) // the sender's queue takes a few at a time
+		}
+	}
+	time.Sleep(500 * time.Millisecond)
+	if got := held.Load(); got < bodyBytes || got > maxHeld {
+		t.Errorf("held by the handlers of %d requests of %d bytes: got %d bytes, want some and at most %d", senders*requests, bodyBytes, got, maxHeld)
+	}
+	close(release)
+	calls.Wait()
+	mustEcho(t, nodes[0], "server")
+	if got := server.requestBytes.Load(); got != 0 {
+		t.Errorf("counted after the last reply: got %d bytes, want none", got)
+	}
+}
+
+// Network fault: other programs connect to the port for nodes and send bytes without end in
+// place of a handshake, in one frame or in many. Guards against a node that keeps them.
+func TestEndlessHellosAreCutOff(t *testing.T) {
+	const (
+		connections   = 50
+		maxHeapGrowth = 8 << 20
+	)
+	var addresses sync.Map
+	server := startNode(t, "server", "0123456789abcdef", 0, &addresses)
+	// The masked header of a frame of 1 GB, and of a first fragment of 1 KB.
+	hugeFrame := []byte{0x82, 0xff, 0, 0, 0, 0, 0x40, 0, 0, 0, 0, 0, 0, 0}
+	fragments := append([]byte{0x02, 0xfe, 4, 0, 0, 0, 0, 0}, make([]byte, 1<<10)...)
+	next := append([]byte{0x00, 0xfe, 4, 0, 0, 0, 0, 0}, make([]byte, 1<<10)...)
+	for name, c := range map[string]struct{ first, unit []byte }{
+		"one frame":      {hugeFrame, make([]byte, 1<<10)},
+		"many fragments": {fragments, next},
+	} {
+		t.Run(name, func(t *testing.T) {
+			before := heapNow()
+			var clients sync.WaitGroup
+			for range connections {
+				clients.Add(1)
+				go func() {
+					defer clients.Done()
+					sendEndlessHello(t, server.address, c.first, c.unit)
+				}()
+			}
+			time.Sleep(300 * time.Millisecond)
+			growth := heapNow() - before
+			clients.Wait()
+			if growth > maxHeapGrowth {
+				t.Errorf("held by %d connections: got %d bytes, want at most %d", connections, growth, maxHeapGrowth)
+			}
+		})
+	}
+}
+
+// sendEndlessHello sends bytes until the other side closes the connection.
+func sendEndlessHello(t *testing.T, address string, first, unit []byte) {
+	t.Helper()
+	stream, resp, err := websocket.DefaultDialer.Dial("ws://"+address+Path, nil)
+	if err != nil {
+		t.Error(err)
+		return
+	}
+	_ = resp.Body.Close()
+	defer stream.Close()
+	conn := stream.NetConn()
+	_ = conn.SetWriteDeadline(time.Now().Add(waitTimeout))
+	for _, err = conn.Write(first); err == nil; time.Sleep(100 * time.Microsecond) {
+		_, err = conn.Write(unit)
+	}
+	var timeout net.Error
+	if errors.As(err, &timeout) && timeout.Timeout() {
+		t.Errorf("end of the connection: got none within %v, want a reset", waitTimeout)
+	}
+}
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -153,19 +153,36 @@
 		l.reply(frame, nil, fmt.Errorf("this node does not handle messages of kind %q", frame.Kind))
 		return
 	}
-	select {
-	case l.requestSlots <- struct{}{}:
-	default:
+	if !l.admit(frame) {
 		l.reply(frame, nil, errors.New("too many open requests of this node"))
 		return
 	}
 	l.links.spawn(func(ctx context.Context) {
-		defer func() { <-l.requestSlots }()
+		defer l.release(frame)
 		result, err := l.handle(ctx, handler, frame)
 		l.reply(frame, result, err)
 	})
 }
 
+// admit counts a request that is to be handled, unless too many are already.
+func (l *link) admit(frame wire.Envelope) bool {
+	if l.links.requestBytes.Load() > maxRequestBytes {
+		return false
+	}
+	select {
+	case l.requestSlots <- struct{}{}:
+	default:
+		return false
+	}
+	l.links.requestBytes.Add(int64(len(frame.Body)))
+	return true
+}
+
+func (l *link) release(frame wire.Envelope) {
+	l.links.requestBytes.Add(-int64(len(frame.Body)))
+	<-l.requestSlots
+}
+
 // errPanicked is the reply to a request whose handler panicked.
 var errPanicked = errors.New("the handler of the message failed")
 
--- a/internal/peer/links.go
+++ b/internal/peer/links.go
@@ -10,6 +10,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -22,6 +23,8 @@
 	maxQueuedFrames       = 1024
 	maxQueuedBytes        = 16 << 20
 	maxConcurrentRequests = 512 // requests of one peer that are handled at a time
+	// maxRequestBytes bounds the requests of all peers that are handled at a time.
+	maxRequestBytes = 16 << 20
 )
 
 // Timeouts of a link. Both sides send pings, so a live link is never silent for longer than
@@ -94,6 +97,10 @@
 	cancel context.CancelFunc
 	exited chan struct{} // receives one value for each goroutine that ends
 
+	// requestBytes is the size of the requests that are being handled. It never exceeds
+	// maxRequestBytes by more than one frame.
+	requestBytes atomic.Int64
+
 	mu         sync.Mutex
 	goroutines int // running, started by spawn
 	closed     bool
