Derive the bound of unfinished heads from node.memory

Cause: the product's own path used the bound for a VM of unknown memory.

Change: its listeners take node.memory, as the users' platform takes limits.memory_mb.

Measured: go test -run TestEveryEndpoint ./internal/node passes.

--- a/internal/node/endless_test.go
+++ b/internal/node/endless_test.go
@@ -13,7 +13,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	e := newEndpoint(l, &http.Server{Handler: http.NotFoundHandler()})
+	e := new(Node).newEndpoint(l, &http.Server{Handler: http.NotFoundHandler()})
 	defer e.server.Close()
 	defer l.Close()
 	if got := e.server.MaxHeaderBytes; got != maxHeaderBytes {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -63,10 +63,10 @@
 	endCalls context.CancelFunc
 }
 
-func newEndpoint(l net.Listener, s *http.Server) *endpoint {
+func (n *Node) newEndpoint(l net.Listener, s *http.Server) *endpoint {
 	tracked := listener.New(l)
 	s.MaxHeaderBytes = maxHeaderBytes
-	tracked.Heads = bounded.NewBudget(bounded.LimitFor(0))
+	tracked.Heads = bounded.NewBudget(bounded.LimitFor(int64(n.Settings.Node.Memory) << 20))
 	ctx, cancel := context.WithCancel(context.Background())
 	s.ConnState, s.ConnContext, s.BaseContext = tracked.ConnState, tracked.ConnContext, func(net.Listener) context.Context { return ctx }
 	return &endpoint{tracked, s, cancel}
@@ -121,7 +121,7 @@
 	if err != nil {
 		return eris.Wrapf(err, "cannot listen on %s %q; choose a free address", key, address)
 	}
-	n.listeners = append(n.listeners, newEndpoint(l, &http.Server{
+	n.listeners = append(n.listeners, n.newEndpoint(l, &http.Server{
 		ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
 	}))
 	return nil
--- a/internal/node/state.go
+++ b/internal/node/state.go
@@ -85,7 +85,7 @@
 	if err != nil {
 		return eris.Wrapf(err, "cannot listen on listen.peers %q; choose a free address", s.Listen.Peers)
 	}
-	n.peers = newEndpoint(l, &http.Server{Handler: n.Links.Handler(), ReadHeaderTimeout: readHeaderTimeout, TLSConfig: serverTLS})
+	n.peers = n.newEndpoint(l, &http.Server{Handler: n.Links.Handler(), ReadHeaderTimeout: readHeaderTimeout, TLSConfig: serverTLS})
 	return nil
 }
 
