Bound the queue of log lines by their bytes

Cause: the queue holds 512 lines, whatever their length. A line repeats what a client or an upstream sent, such as the ID of a request or the notices of another node (64 KiB each), so that a blocked output could cost 32 MB.

Change: lines beyond 1 MiB in the queue are dropped and counted, as those beyond the rate are.

Conclusion: the log no longer grows with what others send.

--- a/internal/linelog/linelog.go
+++ b/internal/linelog/linelog.go
@@ -15,6 +15,9 @@
 const (
 	// queueLines is the capacity of the queue, about 2 s of output at maxLinesPerSecond.
 	queueLines = 512
+	// queueBytes bounds what the lines in the queue hold: a line may repeat a header of a
+	// client or an upstream.
+	queueBytes = 1 << 20
 	// maxLinesPerSecond limits the lines of one process. A node serves some tens of
 	// requests per second and logs one line for each; a higher rate comes from a fault
 	// that repeats the same messages.
@@ -26,6 +29,9 @@
 	out     io.Writer
 	lines   chan []byte
 	dropped atomic.Uint64
+	// queued is the size of the lines in the queue. It never exceeds queueBytes by more than
+	// the lines that are written at the same time.
+	queued atomic.Int64
 
 	mu           sync.Mutex
 	windowSecond int64
@@ -41,14 +47,26 @@
 		w.dropped.Add(1)
 		return len(line), nil
 	}
+	if w.queued.Load()+int64(len(line)) > queueBytes {
+		w.dropped.Add(1)
+		return len(line), nil
+	}
+	w.queued.Add(int64(len(line)))
 	select {
 	case w.lines <- append([]byte(nil), line...):
 	default:
+		w.queued.Add(-int64(len(line)))
 		w.dropped.Add(1)
 	}
 	return len(line), nil
 }
 
+// output writes a line that was taken from the queue.
+func (w *Writer) output(line []byte) {
+	_, _ = w.out.Write(line) // nowhere to report a write error
+	w.queued.Add(-int64(len(line)))
+}
+
 func (w *Writer) allow(now time.Time) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -72,7 +90,7 @@
 		for {
 			select {
 			case line := <-w.lines:
-				_, _ = w.out.Write(line) // nowhere to report a write error
+				w.output(line)
 			case <-ctx.Done():
 				w.flush()
 				return
@@ -90,7 +108,7 @@
 	for {
 		select {
 		case line := <-w.lines:
-			_, _ = w.out.Write(line)
+			w.output(line)
 		default:
 			return
 		}
--- a/internal/linelog/linelog_test.go
+++ b/internal/linelog/linelog_test.go
@@ -56,3 +56,26 @@
 		t.Errorf("got %d lines, want 1 to %d", got, queueLines)
 	}
 }
+
+// Guards against a queue that holds much memory while nothing reads standard output, as its
+// lines repeat long headers of clients or upstreams.
+func TestLongLinesAreBoundedTogether(t *testing.T) {
+	s := blockedWriter{make(chan struct{})}
+	w := New(s)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := w.Run(ctx)
+	line := bytes.Repeat([]byte("x"), 64<<10)
+	for range maxLinesPerSecond {
+		_, _ = w.Write(line)
+	}
+	queued := 0
+	for len(w.lines) > 0 {
+		queued += len(<-w.lines)
+	}
+	if queued == 0 || queued > 1<<20 {
+		t.Errorf("queued: got %d bytes, want some and at most 1 MiB", queued)
+	}
+	close(s.release)
+	cancel()
+	<-done
+}
