--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -17,6 +17,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 
+	"github.com/jaystage/jaystage/internal/bounded"
 	"github.com/jaystage/jaystage/internal/config"
 	"github.com/jaystage/jaystage/internal/control"
 	"github.com/jaystage/jaystage/internal/event"
@@ -38,6 +39,8 @@
 	// idleTimeout exceeds the idle timeout in every plan; clients comply with the latter.
 	readHeaderTimeout = 10 * time.Second
 	idleTimeout       = 90 * time.Second
+	// maxHeadBytes bounds the head of a request. It exceeds the limit in every plan.
+	maxHeadBytes = 64 << 10
 )
 
 // Options holds the settings of one process.
@@ -187,8 +190,9 @@
 		return eris.Wrapf(err, "cannot listen for %s on %q; check that the address belongs to this VM and is not in use", purpose, address)
 	}
 	tracked := listener.New(l)
+	tracked.Heads = bounded.NewBudget(bounded.LimitFor(n.options.GatewaySettings.MemoryBytes))
 	n.servers = append(n.servers, &server{http.Server{
-		Handler: h, ReadHeaderTimeout: readHeaderTimeout, ConnState: tracked.ConnState, ConnContext: tracked.ConnContext,
+		Handler: h, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeadBytes, ConnState: tracked.ConnState, ConnContext: tracked.ConnContext,
 	}, tracked})
 	return nil
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -13,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/jaystage/jaystage/internal/bearer"
+	"github.com/jaystage/jaystage/internal/bounded"
 	"github.com/jaystage/jaystage/internal/caller"
 	"github.com/jaystage/jaystage/internal/cell"
 	"github.com/jaystage/jaystage/internal/event"
@@ -62,8 +63,10 @@
 	endCalls context.CancelFunc
 }
 
-func newEndpoint(l net.Listener, s *http.Server) *endpoint {
+func (n *Node) newEndpoint(l net.Listener, s *http.Server) *endpoint {
 	tracked := listener.New(l)
+	s.MaxHeaderBytes = maxHeaderBytes
+	tracked.Heads = bounded.NewBudget(bounded.LimitFor(int64(n.Settings.Node.Memory) << 20))
 	ctx, cancel := context.WithCancel(context.Background())
 	s.ConnState, s.ConnContext, s.BaseContext = tracked.ConnState, tracked.ConnContext, func(net.Listener) context.Context { return ctx }
 	return &endpoint{tracked, s, cancel}
@@ -118,8 +121,8 @@
 	if err != nil {
 		return eris.Wrapf(err, "cannot listen on %s %q; choose a free address", key, address)
 	}
-	n.listeners = append(n.listeners, newEndpoint(l, &http.Server{
-		ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+	n.listeners = append(n.listeners, n.newEndpoint(l, &http.Server{
+		ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
 	}))
 	return nil
 }
