Keep a silent attempt until another one has begun

Callers saw answers cut or refused, and bookings with an unknown outcome, that their upstream would have completed.

It starts a second attempt (a standby) at another upstream if the request may be repeated, the answer can be continued, a retry is left and a slot is free. The first of the two that goes on answers; call.mu decides between them. The standby reads until its first token (its whole answer where that is buffered, its first bytes at a plain service) and only then ends the first attempt. A standby that is refused, fails or is silent itself ends; another one follows after a backoff. If the first attempt breaks, the standby becomes the next one. Else the first goes on until the call's deadline. Suspects of crashes get no standby. The health check of a silent upstream now runs beside its attempts, once for each silence. If it passes and no other upstream is free of failures, the standby may use a new connection to the same one (TestProbeEjectsOnlyStalledUpstream).

--- a/internal/caller/call.go
+++ b/internal/caller/call.go
@@ -7,6 +7,7 @@
 	"math"
 	"math/bits"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -19,8 +20,13 @@
 	"github.com/jaystage/jaystage/pkg/verdict"
 )
 
-// call is one authorized request.
+// call is one authorized request. Its goroutine needs no lock to change it while no attempt
+// is open.
 type call struct {
+	// mu guards the transcript, responseStarted, passedOn, nextAttempt and the fields that
+	// choosing an upstream and a failed attempt change, as long as an attempt is open.
+	mu sync.Mutex
+
 	id       string
 	start    time.Time
 	deadline time.Time
@@ -69,7 +75,9 @@
 	answered bool
 	// responseStarted is true once the response to the client has started.
 	responseStarted bool
-	attempts        int
+	// passedOn is true once the response to the client is one attempt's, unchanged.
+	passedOn bool
+	attempts int
 	// stalledAttempts counts the attempts since the last new token.
 	stalledAttempts int
 	// reserved is the upstream that is reserved for the isolated run of the call.
@@ -82,7 +90,8 @@
 	status int
 	// avoided holds upstreams that are chosen only if there is no other.
 	avoided map[string]bool
-	// nextAttempt is the attempt with which a moved stream continues.
+	// nextAttempt is the attempt with which a moved stream continues, or a standby that
+	// replaces its first attempt.
 	nextAttempt  *attempt
 	firstTokenAt time.Time
 	lastTokenAt  time.Time
@@ -146,6 +155,8 @@
 	errShutdown   = errors.New("the node reached its shutdown limit")
 	errNoProgress = errors.New("the upstream made no progress within the progress timeout of the class")
 	errMoved      = errors.New("the answer continues on another upstream")
+	errReplaced   = errors.New("another attempt began while the upstream made no progress")
+	errOutrun     = errors.New("the silent attempt beside this one went on")
 	errClientGone = errors.New("the client disconnected")
 )
 
@@ -167,10 +178,14 @@
 		a.Suspects.recordEnd(c.fingerprint, false)
 		c.isolated = false
 	}
-	if c.nextAttempt != nil {
-		a.Slots.release(a.Now(), c.nextAttempt, false)
-		c.nextAttempt = nil
+	switch at := c.nextAttempt; {
+	case at == nil:
+	case at.standbyOf != nil:
+		a.discardStandby(at.standbyOf)
+	default:
+		a.Slots.release(a.Now(), at, false)
 	}
+	c.nextAttempt = nil
 }
 
 // attempt is one attempt to run a call on one upstream.
@@ -205,6 +220,26 @@
 	kvTokens int
 	cancel   context.CancelCauseFunc
 	ctx      context.Context
+	// callCtx is the context of the call.
+	callCtx context.Context
+
+	// standby is the last attempt that was started because this one is silent; nil for none.
+	// It and the fields below are guarded by call.mu.
+	standby *standby
+	// standbyOf is set while this attempt itself is a standby.
+	standbyOf *standby
+	standbys  int
+	// nextStandby is when another standby may be started.
+	nextStandby time.Time
+	// ended is true once no further standby may be started.
+	ended bool
+	// moving is true once another upstream has a slot for the rest of the answer.
+	moving bool
+	// probedSilence is the last progress before the silence in which the upstream was
+	// probed; upstreamHealthy is true if it answered. Only the maintenance goroutine uses
+	// them.
+	probedSilence   int64
+	upstreamHealthy bool
 }
 
 // pause disables the progress timeout until recordProgress is called.
--- a/internal/caller/choose.go
+++ b/internal/caller/choose.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -35,7 +36,7 @@
 	defer a.Slots.cancelReservation(c)
 	for {
 		changed := a.Slots.changed()
-		at, found := a.tryChoose(c)
+		at, found := a.tryChoose(c, "")
 		if at != nil {
 			return at, nil
 		}
@@ -78,16 +79,16 @@
 	}
 }
 
-// tryChoose takes a slot if one is free. found is false when no upstream serves
-// the call at all.
-func (a *API) tryChoose(c *call) (at *attempt, found bool) {
+// tryChoose takes a slot if one is free on an upstream other than except. found is false
+// when no such upstream serves the call at all.
+func (a *API) tryChoose(c *call, except string) (at *attempt, found bool) {
 	now := a.Now()
 	view, _ := a.Viewer.View(now)
 	if view == nil {
 		return nil, true
 	}
 	c.version = a.shares.version(view, c, a.Versions)
-	list := a.candidates(view, c, now)
+	list := slices.DeleteFunc(a.candidates(view, c, now), func(e upstream.Entry) bool { return e.ID == except })
 	if len(list) == 0 {
 		return nil, false
 	}
--- a/internal/caller/finish.go
+++ b/internal/caller/finish.go
@@ -25,7 +25,8 @@
 	// kindUpstreamError means that the upstream reported an error or sent an invalid
 	// answer.
 	kindUpstreamError
-	// kindSilent means that there was no progress within the progress timeout.
+	// kindSilent means that there was no progress within the progress timeout and that
+	// another attempt began in the meantime.
 	kindSilent
 	// kindMismatched means that the answer belongs to another request.
 	kindMismatched
@@ -55,10 +56,11 @@
 // finish returns the attempt's slot and records its outcome. It returns nil if the
 // call is answered; otherwise it diagnoses the upstream and returns the failure.
 func (a *API) finish(ctx context.Context, c *call, at *attempt, err error) *failure {
+	a.settleStandby(c, at, err == nil)
 	now := a.Now()
-	at.end = now
-	a.openAttempts.remove(at)
 	if err == nil {
+		at.end = now
+		a.openAttempts.remove(at)
 		at.cancel(nil)
 		a.Slots.release(now, at, false)
 		a.retryBudgets.recordSuccess(now, c)
@@ -70,6 +72,15 @@
 		a.reportAttempt(now, at, nil)
 		return nil
 	}
+	return a.fail(ctx, c, at, err)
+}
+
+// fail returns the slot of a failed attempt, records the failure and diagnoses the upstream.
+func (a *API) fail(ctx context.Context, c *call, at *attempt, err error) *failure {
+	now := a.Now()
+	at.end = now
+	a.openAttempts.remove(at)
+	c.mu.Lock()
 	f := a.classify(ctx, c, at, err)
 	if at.cancel != nil {
 		at.cancel(nil)
@@ -79,6 +90,7 @@
 		c.mayHaveRun = true
 	}
 	c.avoid(at.target.ID)
+	c.mu.Unlock()
 	a.Metrics.recordFailure(c, at, f.kind)
 	a.reportAttempt(now, at, f)
 	upstreamFailed := a.diagnose(ctx, c, f)
@@ -108,7 +120,7 @@
 		f.kind, f.err = a.contextFailure(ctx, c, f.err.Verdict)
 	case errors.Is(err, errMoved) || errors.Is(cause, errMoved):
 		f.kind = kindMoved
-	case errors.Is(cause, errNoProgress):
+	case errors.Is(cause, errNoProgress) || errors.Is(cause, errReplaced):
 		f.kind = kindSilent
 	case errors.Is(err, stream.ErrMismatchedAnswer) || errors.Is(err, upstream.ErrMismatchedAnswer):
 		f.kind = kindMismatched
@@ -181,15 +193,7 @@
 	case kindUpstreamError:
 		upstreamFailed = true
 	case kindSilent:
-		if err := a.Transport.Probe(ctx, at.target.Address); err != nil && ctx.Err() == nil {
-			upstreamFailed = true
-			a.Slots.eject(a.Now(), at.target)
-			event.With(a.Log, event.UpstreamStalled).WithField("upstream", at.target.ID).WithField("domain", at.target.Domain).Warn("no progress from upstream and its health check failed")
-			break
-		}
-		// Idle connections of the same age may have failed together with this one.
-		a.Transport.CloseIdle()
-		event.With(a.Log, event.ConnectionSilent).WithField("upstream", at.target.ID).Warn("no progress on connection while the upstream is healthy")
+		upstreamFailed = a.Slots.isEjected(a.Now(), at.target) // by the probe of its silence
 	case kindBroken:
 		crash, down := a.detectCrash(ctx, at)
 		if down {
--- a/internal/caller/maintenance.go
+++ b/internal/caller/maintenance.go
@@ -88,17 +88,21 @@
 		slots, sweep := time.NewTicker(slotTickInterval), time.NewTicker(sweepInterval)
 		defer slots.Stop()
 		defer sweep.Stop()
+		probes := newSilenceProbes()
 		for {
 			select {
 			case <-ctx.Done():
+				probes.wait()
 				return
+			case r := <-probes.ended:
+				probes.finish(r)
 			case <-slots.C:
 				a.Slots.Tick(a.Now())
 			case <-sweep.C:
 				now := a.Now()
 				a.refreshSlots(now)
 				a.updateQueues(now)
-				a.sweep(now)
+				a.sweep(ctx, now, probes)
 				a.drain.refuseWaiting(now)
 				a.Parts.update(now)
 			}
@@ -139,32 +143,44 @@
 	})
 }
 
-// sweep cancels attempts without progress. It requests a move of each stream that is
-// not expected to finish before its VM is reclaimed.
-func (a *API) sweep(now time.Time) {
+// sweep starts second attempts beside those without progress. It requests a move of each
+// stream that is not expected to finish before its VM is reclaimed.
+func (a *API) sweep(ctx context.Context, now time.Time, probes *silenceProbes) {
 	for _, at := range a.openAttempts.list() {
-		if now.UnixNano()-at.lastProgress.Load() > int64(at.progressTimeout()) && at.lastProgress.Load() <= now.UnixNano() {
-			at.cancel(errNoProgress)
-			continue
-		}
-		if at.call.transcript == nil || at.call.atMostOnce {
-			continue
-		}
-		e, ok := a.Upstreams.Get(at.target.ID)
-		if !ok || e.Incarnation != at.target.Incarnation {
-			continue
-		}
-		left, notice := e.TimeToReclaim(now)
-		if !notice || at.finishesWithin(now, left) {
-			continue
-		}
-		at.moveRequested.Store(true)
-		if left < reclaimCutoff {
-			at.cancel(errMoved)
+		if last, silent := at.silentSince(now); silent {
+			a.probeSilent(ctx, at, last, probes)
+			a.handleSilence(now, at)
 		}
+		a.requestMove(now, at)
 	}
 }
 
+// requestMove requests a move of a stream whose VM is reclaimed before its end.
+func (a *API) requestMove(now time.Time, at *attempt) {
+	if at.call.transcript == nil || at.call.atMostOnce {
+		return
+	}
+	e, ok := a.Upstreams.Get(at.target.ID)
+	if !ok || e.Incarnation != at.target.Incarnation {
+		return
+	}
+	left, notice := e.TimeToReclaim(now)
+	if !notice || at.finishesWithin(now, left) {
+		return
+	}
+	at.moveRequested.Store(true)
+	if left < reclaimCutoff {
+		at.cancel(errMoved)
+	}
+}
+
+// silentSince returns the time of the last progress and whether it is longer ago than the
+// progress timeout.
+func (at *attempt) silentSince(now time.Time) (last int64, silent bool) {
+	last = at.lastProgress.Load()
+	return last, last <= now.UnixNano() && now.UnixNano()-last > int64(at.progressTimeout())
+}
+
 // progressTimeout returns how long the attempt may go without progress.
 func (at *attempt) progressTimeout() time.Duration {
 	limit := at.call.class.ProgressTimeout.Std()
@@ -195,30 +211,46 @@
 // no slot is free or the answer cannot be continued, it returns false, and the stream
 // stays where it is for now.
 func (a *API) prepareMove(c *call, at *attempt) bool {
-	if !c.transcript.Continuable() {
-		return false
+	c.mu.Lock()
+	if c.nextAttempt != nil {
+		c.mu.Unlock()
+		return true
 	}
-	c.avoid(at.target.ID)
-	next, _ := a.tryChoose(c)
+	next := a.chooseMove(c, at)
+	c.mu.Unlock()
 	if next == nil {
 		return false
 	}
-	if next.target.ID == at.target.ID {
-		a.Slots.release(a.Now(), next, false)
-		return false
-	}
 	tokens := c.transcript.Request.PromptTokens + c.transcript.Delivered()
 	e, _ := a.Upstreams.Get(at.target.ID)
 	left, _ := e.TimeToReclaim(a.Now())
 	if shouldTransferKV(tokens, left, next.target.Price) {
 		next.kv, next.kvTokens = a.exportKV(at, tokens)
 	}
-	event.With(a.Log, event.StreamMoved).WithField("request", at.id).WithField("from", at.target.ID).WithField("to", next.target.ID).
-		WithField("kv", next.kvTokens).Info("moving stream to another upstream before its VM is reclaimed")
+	a.logMove(at, next)
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.nextAttempt = next
 	return true
 }
 
+// chooseMove takes a slot on another upstream for the rest of a stream; nil if there is none
+// or a standby already has one. c.mu must be held.
+func (a *API) chooseMove(c *call, at *attempt) *attempt {
+	if at.moving || at.standbyOf != nil || at.standby.running() || !c.transcript.Continuable() {
+		return nil
+	}
+	c.avoid(at.target.ID)
+	next, _ := a.tryChoose(c, at.target.ID)
+	at.moving = next != nil
+	return next
+}
+
+func (a *API) logMove(at, next *attempt) {
+	event.With(a.Log, event.StreamMoved).WithField("request", at.id).WithField("from", at.target.ID).WithField("to", next.target.ID).
+		WithField("kv", next.kvTokens).Info("moving stream to another upstream before its VM is reclaimed")
+}
+
 // shouldTransferKV reports whether to transfer a KV cache instead of recomputing it.
 // Recomputation costs more on an expensive upstream, so the minimum length decreases
 // as the price increases.
--- a/internal/caller/relay.go
+++ b/internal/caller/relay.go
@@ -60,18 +60,9 @@
 	for {
 		n, readErr := body.Read(buf)
 		p.Feed(buf[:n])
+		var attemptEnds bool
 		var err error
-		out, err = a.relayEvents(c, at, &p, out[:0])
-		if err == nil && readErr != nil && !t.Done() {
-			err = fmt.Errorf("%w: %w", stream.ErrTruncated, readErr)
-		}
-		attemptEnds := err != nil || at.moveRequested.Load()
-		if attemptEnds && !t.Done() {
-			// If the last token was delivered, another attempt would add a token.
-			if end, ok := t.Complete(); ok {
-				out, err = append(out, end...), nil
-			}
-		}
+		out, attemptEnds, err = a.handleRead(c, at, &p, readErr, out[:0])
 		if len(out) > 0 {
 			if !c.responseStarted {
 				setStreamHeaders(w.Header())
@@ -94,14 +85,37 @@
 	}
 }
 
+// handleRead adds the events of one read to the transcript and appends the events for the
+// client to out. attemptEnds is true if no more should be read.
+func (a *API) handleRead(c *call, at *attempt, p *stream.Parser, readErr error, out []byte) (_ []byte, attemptEnds bool, _ error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	t := c.transcript
+	out, err := a.relayEvents(c, at, p, out)
+	if err == nil && readErr != nil && !t.Done() {
+		err = fmt.Errorf("%w: %w", stream.ErrTruncated, readErr)
+	}
+	attemptEnds = err != nil || at.moveRequested.Load()
+	if attemptEnds && !t.Done() {
+		// If the last token was delivered, another attempt would add a token.
+		if end, ok := t.Complete(); ok {
+			out, err = append(out, end...), nil
+		}
+	}
+	return out, attemptEnds, err
+}
+
 // relayEvents adds the parsed events to the transcript and appends the events for the
-// client to out.
+// client to out. c.mu must be held.
 func (a *API) relayEvents(c *call, at *attempt, p *stream.Parser, out []byte) ([]byte, error) {
 	for {
 		data, ok, err := p.Next()
 		if err != nil || !ok {
 			return out, err
 		}
+		if !at.goOn() {
+			return out, errReplaced
+		}
 		before := c.transcript.Delivered()
 		frames, err := c.transcript.HandleEvent(data)
 		out = append(out, frames...)
@@ -141,7 +155,9 @@
 func (a *API) deliver(w http.ResponseWriter, c *call, at *attempt, b []byte) error {
 	if !c.responseStarted {
 		w.Header().Set(RequestIDHeader, c.id)
+		c.mu.Lock()
 		c.responseStarted = true
+		c.mu.Unlock()
 	}
 	control := http.NewResponseController(w)
 	at.pause()
@@ -177,7 +193,10 @@
 			return err
 		}
 		if !c.responseStarted {
-			c.responseStarted = true
+			if !at.passOn() {
+				clear(header)
+				return errReplaced
+			}
 			a.Metrics.recordToken(c, a.Now())
 			w.WriteHeader(resp.StatusCode)
 		}
@@ -206,7 +225,7 @@
 	if len(body) > maxAnswerBytes {
 		return stream.ErrEventTooLong
 	}
-	if body, err = c.transcript.RewriteUnstreamed(body); err != nil {
+	if body, err = at.rewrite(body); err != nil {
 		return err
 	}
 	a.Metrics.recordToken(c, a.Now())
--- a/internal/caller/retry.go
+++ b/internal/caller/retry.go
@@ -71,6 +71,13 @@
 // awaitRetry waits until the call may be sent again and returns nil, or returns
 // the error that ends the call.
 func (a *API) awaitRetry(ctx context.Context, c *call, f *failure) error {
+	if c.nextAttempt != nil && c.nextAttempt.standbyOf != nil {
+		if f.kind >= kindClientGone {
+			return f.err
+		}
+		a.logContinued(c, f)
+		return nil
+	}
 	if !f.progress && f.kind != kindMoved {
 		c.stalledAttempts++
 	}
@@ -97,13 +104,18 @@
 			return a.contextError(ctx, c)
 		}
 	}
-	if c.transcript != nil && c.transcript.Delivered() > 0 {
-		event.With(a.Log, event.RequestContinued).WithField("request", c.id).WithField("tokens", c.transcript.Delivered()).
-			WithField("from", f.attempt.target.ID).WithField("kind", f.kind.String()).Info("answer continues on another upstream")
-	}
+	a.logContinued(c, f)
 	return nil
 }
 
+func (a *API) logContinued(c *call, f *failure) {
+	if c.transcript == nil || c.transcript.Delivered() == 0 {
+		return
+	}
+	event.With(a.Log, event.RequestContinued).WithField("request", c.id).WithField("tokens", c.transcript.Delivered()).
+		WithField("from", f.attempt.target.ID).WithField("kind", f.kind.String()).Info("answer continues on another upstream")
+}
+
 // mayRetry reports whether the shutdown, if any, leaves time to send a call again. A response
 // that has started is always continued, since the client cannot get the rest elsewhere.
 func (a *API) mayRetry(c *call) bool {
@@ -152,6 +164,13 @@
 	b.get(c).RecordSuccess(now)
 }
 
+// hasRetry reports whether the budget of the call's class allows a retry.
+func (b *retryBudgets) hasRetry(now time.Time, c *call) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.get(c).HasRetry(now)
+}
+
 // takeRetry takes a retry from the budget of the call's class. It returns false
 // when the budget is exhausted.
 func (b *retryBudgets) takeRetry(now time.Time, c *call) bool {
--- a/internal/caller/send.go
+++ b/internal/caller/send.go
@@ -19,6 +19,9 @@
 // send sends the request to the attempt's upstream and returns the response once its
 // headers have arrived.
 func (a *API) send(ctx context.Context, c *call, at *attempt) (*http.Response, error) {
+	if at.standbyOf != nil {
+		return a.adopt(c, at)
+	}
 	now := a.Now()
 	if err := a.startSend(ctx, c, now); err != nil {
 		return nil, err
@@ -26,11 +29,7 @@
 	if _, ok := a.Viewer.View(now); !ok && c.attempts == 0 {
 		return nil, leaseExpired()
 	}
-	c.attempts++
-	at.id = c.id + "." + strconv.Itoa(c.attempts)
-	at.ctx, at.cancel = context.WithCancelCause(ctx)
-	at.start = now
-	at.recordProgress(now)
+	at.begin(ctx, c, now)
 	body := c.body
 	if t := c.transcript; t != nil {
 		at.deliveredBefore = t.Delivered()
@@ -40,6 +39,21 @@
 		}
 		a.Metrics.recordRecomputation(c, at)
 	}
+	return a.transmit(c, at, body)
+}
+
+// begin gives an attempt that is about to be sent its id and context.
+func (at *attempt) begin(ctx context.Context, c *call, now time.Time) {
+	c.attempts++
+	at.id = c.id + "." + strconv.Itoa(c.attempts)
+	at.callCtx = ctx
+	at.ctx, at.cancel = context.WithCancelCause(ctx)
+	at.start = now
+	at.recordProgress(now)
+}
+
+// transmit sends the request and returns the response once its headers have arrived.
+func (a *API) transmit(c *call, at *attempt, body []byte) (*http.Response, error) {
 	req, err := http.NewRequestWithContext(at.ctx, c.method, "http://"+at.target.Address+c.path, bytes.NewReader(body))
 	if err != nil {
 		return nil, &verdict.Error{Verdict: verdict.NotRun, Code: verdict.CodeBadRequest, Status: http.StatusBadRequest, Detail: "the request's path cannot be sent", Cause: err}
--- a/internal/caller/slots.go
+++ b/internal/caller/slots.go
@@ -269,6 +269,13 @@
 	s.domainFailures[e.Domain][e.ID] = now
 }
 
+// isEjected reports whether an upstream gets no new requests after a failure.
+func (s *Slots) isEjected(now time.Time, e upstream.Entry) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.usageOf(e.ID).isEjected(now, &e)
+}
+
 func (u *upstreamUsage) isEjected(now time.Time, e *upstream.Entry) bool {
 	return now.Before(u.ejectedUntil) && e.Incarnation <= u.ejectedIncarnation
 }
--- a/internal/caller/standby_test.go
+++ b/internal/caller/standby_test.go
@@ -5,6 +5,8 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -113,3 +115,152 @@
 		t.Errorf("got %s %q, %v, want the answer of the upstream", resp.Status, body, err)
 	}
 }
+
+// silenceAtFive posts a request whose only upstream, m1, falls silent after 5 tokens, and calls
+// then, which adds others. It returns once the answer is complete.
+func (f *fixture) silenceAtFive(t *testing.T, tokens int, then func(n int)) {
+	t.Helper()
+	f.addModel(t, "m1", fastModel(), nil)
+	resp := f.post(t, "/v1/chat/completions", chatBody("hello", tokens, true))
+	checkAnswer(t, resp, "hello", tokens, func(n int) {
+		if n == 5 {
+			f.models["m1"].Stalled.Store(true)
+		}
+		if n >= 5 {
+			then(n)
+		}
+	})
+}
+
+// Guards against two upstreams that work on one request after the second has begun.
+func TestSecondAttemptEndsSilentFirst(t *testing.T) {
+	f := newFixture(t, shortProgressTimeout)
+	began := false
+	f.silenceAtFive(t, 60, func(n int) {
+		m1 := f.models["m1"]
+		switch {
+		case n == 5:
+			f.addModel(t, "m2", fastModel(), nil)
+		case f.models["m2"].Runs.Load() == 1 && !began:
+			began = true
+			for end := time.Now().Add(400 * time.Millisecond); m1.Cancelled.Load() == 0; time.Sleep(time.Millisecond) {
+				if time.Now().After(end) {
+					t.Error("the first upstream still runs the request 400 ms after the second began")
+					return
+				}
+			}
+		}
+	})
+	if !began {
+		t.Error("no second attempt answered the request")
+	}
+}
+
+// Guards against the loss of the first upstream's work when it goes on before the second.
+func TestSilentFirstThatGoesOnEndsStandby(t *testing.T) {
+	f := newFixture(t, shortProgressTimeout)
+	f.silenceAtFive(t, 60, func(n int) {
+		if n != 5 {
+			return
+		}
+		m1, m2 := f.models["m1"], fastModel()
+		m2.Stalled.Store(true)
+		f.addModel(t, "m2", m2, nil)
+		go func() {
+			for m2.Running.Load() == 0 {
+				time.Sleep(time.Millisecond)
+			}
+			m1.Stalled.Store(false)
+		}()
+	})
+	eventually(t, "the second upstream stops", func() bool { return f.models["m2"].Cancelled.Load() == 1 })
+	eventually(t, "its slot is free", func() bool { return f.running("m2") == 0 })
+	if got := f.models["m1"].Runs.Load(); got != 1 {
+		t.Errorf("the first upstream ran the request %d times, want 1", got)
+	}
+}
+
+// Guards against a second attempt that is ended, and its work lost, because the first failed.
+func TestStandbyAnswersWhenFirstBreaks(t *testing.T) {
+	f := newFixture(t, shortProgressTimeout)
+	f.silenceAtFive(t, 60, func(n int) {
+		if n != 5 {
+			return
+		}
+		m2 := fastModel()
+		m2.Stalled.Store(true)
+		f.addModel(t, "m2", m2, nil)
+		go func() {
+			for m2.Running.Load() == 0 {
+				time.Sleep(time.Millisecond)
+			}
+			f.procs["m1"].Kill()
+			time.Sleep(50 * time.Millisecond)
+			m2.Stalled.Store(false)
+		}()
+	})
+	if got := f.models["m2"].Runs.Load(); got != 1 {
+		t.Errorf("the second upstream ran the request %d times, want 1", got)
+	}
+}
+
+// Guards against second attempts beyond the retry budget when all upstreams fall silent.
+func TestStandbysStayWithinRetryBudget(t *testing.T) {
+	const calls, tokens, retries = 12, 40, 3
+	f := newFixture(t, shortProgressTimeout)
+	f.addModel(t, "m1", fastModel(), nil)
+	f.addModel(t, "m2", fastModel(), nil)
+	f.stallAll(silence)
+	var done sync.WaitGroup
+	for range calls {
+		done.Go(func() {
+			checkAnswer(t, f.post(t, "/v1/chat/completions", chatBody("hello", tokens, true)), "hello", tokens, nil)
+		})
+	}
+	done.Wait()
+	if got := f.models["m1"].Runs.Load() + f.models["m2"].Runs.Load(); got > calls+retries {
+		t.Errorf("upstreams ran %d requests for %d calls, want at most %d more", got, calls, retries)
+	}
+}
+
+// Guards against requests whose answer begins only as a whole and that get no second attempt.
+func TestSilentWholeAnswerIsReplaced(t *testing.T) {
+	t.Run("unstreamed completion", func(t *testing.T) {
+		f := newFixture(t, func(s *config.Site) { shortDeadline(s); s.Services[0].Classes[0].CompletionTarget = seconds(3) })
+		f.addModel(t, "m1", fastModel(), nil)
+		f.models["m1"].Stalled.Store(true)
+		go func() {
+			for f.runningModel() == "" {
+				time.Sleep(time.Millisecond)
+			}
+			f.addModel(t, "m2", fastModel(), nil)
+		}()
+		body := strings.Replace(chatBody("hello", 20, false), `"messages"`, `"tools":[{"type":"function"}],"messages"`, 1)
+		checkUnstreamedAnswer(t, f.post(t, "/v1/chat/completions", body), "hello", 20)
+	})
+	t.Run("lookup at a plain service", func(t *testing.T) {
+		f := newFixture(t, func(s *config.Site) { s.Services[1].Classes[0].ProgressTimeout = seconds(0.3) })
+		var requests atomic.Int64
+		ended := make(chan struct{})
+		for _, id := range []string{"b1", "b2"} {
+			f.announce(id, "booking", rawUpstream(t, func(_ int, conn net.Conn, req *http.Request, _ []byte) bool {
+				if requests.Add(1) == 1 {
+					_, _ = conn.Read(make([]byte, 1))
+					close(ended)
+					return false
+				}
+				respond(conn, req.Header.Get(RequestIDHeader), "free")
+				return true
+			}), 1, nil)
+		}
+		resp := f.get(t, "/s/booking/availability")
+		if body, err := io.ReadAll(resp.Body); err != nil || string(body) != "free" {
+			t.Errorf("got %s %q, %v, want free", resp.Status, body, err)
+		}
+		select {
+		case <-ended:
+		case <-time.After(400 * time.Millisecond):
+			t.Error("the first upstream still runs the request 400 ms after the second answered")
+		}
+	})
+}
--- a/internal/caller/suspects.go
+++ b/internal/caller/suspects.go
@@ -71,6 +71,14 @@
 	return decision, decision == routing.Isolate && !busy
 }
 
+// allows reports whether a request may run beside others.
+func (s *Suspects) allows(now time.Time, f routing.Fingerprint) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	decision, _ := s.table.Check(now, f)
+	return decision == routing.Allow
+}
+
 // crashedUpstreams lists the upstreams that crashed with the request in flight.
 func (s *Suspects) crashedUpstreams(f routing.Fingerprint) []string {
 	s.mu.Lock()
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -62,6 +62,7 @@
 	TaskPanicked     ID = 1006
 	ClientsDraining  ID = 1007
 	RequestCut       ID = 2011
+	StandbyStarted   ID = 2012
 	LinkUp           ID = 5001
 	LinkDown         ID = 5002
 	LinkRefused      ID = 5003
--- a/pkg/admission/budget.go
+++ b/pkg/admission/budget.go
@@ -42,15 +42,20 @@
 // TakeRetry takes one retry or hedge from the budget. It returns false if the budget
 // is used up.
 func (b *RetryBudget) TakeRetry(now time.Time) bool {
-	i := b.advance(now)
+	if !b.HasRetry(now) {
+		return false
+	}
+	b.retries[b.advance(now)]++
+	return true
+}
+
+// HasRetry reports whether TakeRetry would return true.
+func (b *RetryBudget) HasRetry(now time.Time) bool {
+	b.advance(now)
 	successes, retries := 0, 0
 	for j := range retryWindowSeconds {
 		successes += b.successes[j]
 		retries += b.retries[j]
 	}
-	if retries >= max(minRetries, int(retryRatio*float64(successes))) {
-		return false
-	}
-	b.retries[i]++
-	return true
+	return retries < max(minRetries, int(retryRatio*float64(successes)))
 }
--- a/pkg/stream/transcript.go
+++ b/pkg/stream/transcript.go
@@ -99,16 +99,40 @@
 // StartAttempt starts an attempt with a unique id and returns the request body for the
 // upstream. It must be called only if Continuable reports true.
 func (t *Transcript) StartAttempt(attempt string, o Options) ([]byte, error) {
+	body, err := t.NextBody(o)
+	t.Adopt(attempt)
+	return body, err
+}
+
+// NextBody returns the request body for an attempt beside the current one. It leads to the
+// rest of the answer as it is now, or to all of it if Restarts reports true.
+func (t *Transcript) NextBody(o Options) ([]byte, error) {
+	if t.Restarts() {
+		return t.Request.upstreamBody("", 0, o)
+	}
+	return t.Request.upstreamBody(t.text.String(), t.Delivered(), o)
+}
+
+// Adopt makes an attempt with a unique id the current one. Its request body is that of the
+// last NextBody, after which no event was handled.
+func (t *Transcript) Adopt(attempt string) {
 	t.earlierTokens += t.attemptTokens
-	if !t.Request.Stream && t.restartReason != "" {
-		// Nothing was sent to the client, so the answer can restart from the prompt.
+	if t.Restarts() {
 		t.earlierTokens, t.header, t.roleSent, t.finishedChoices = 0, chunkHeader{}, false, 0
 		t.text.Reset()
 		t.reasoning.Reset()
 	}
 	t.attemptTokens, t.attemptID, t.chunkID = 0, attempt, ""
 	t.attempts++
-	return t.Request.upstreamBody(t.text.String(), t.earlierTokens, o)
+}
+
+// Restarts reports whether a further attempt answers from the prompt again, because nothing
+// was sent to the client and the answer cannot be continued.
+func (t *Transcript) Restarts() bool { return !t.Request.Stream && t.restartReason != "" }
+
+// Begun reports whether the answer has a token, a tool call or an end.
+func (t *Transcript) Begun() bool {
+	return t.Delivered() > 0 || t.text.Len() > 0 || t.reasoning.Len() > 0 || t.finishedChoices > 0 || t.restartReason != t.Request.RestartReason
 }
 
 // Continuable reports whether another attempt can complete the answer. It can if nothing
