Move answers off a frozen upstream without a retry

Change: a standby needs no retry if the silent attempt has delivered tokens, its upstream fails the health check, and the upstream that continues the answer has not failed. When all upstreams fall silent together each of them is ejected, so that the budget still holds (TestStandbysStayWithinRetryBudget).

Measured: GOMAXPROCS=2 go test -race -count=1 ./internal/caller -run 'TestAnswersOfFrozen|TestSilent|TestStandby|TestProbeEj|SecondAttempt': passes in 20 s.

--- a/internal/caller/call.go
+++ b/internal/caller/call.go
@@ -236,10 +236,9 @@
 	// moving is true once another upstream has a slot for the rest of the answer.
 	moving bool
 	// probedSilence is the last progress before the silence in which the upstream was
-	// probed; upstreamHealthy is true if it answered. Only the maintenance goroutine uses
-	// them.
-	probedSilence   int64
-	upstreamHealthy bool
+	// probed, upstreamHealth the result. Only the maintenance goroutine uses them.
+	probedSilence  int64
+	upstreamHealth health
 }
 
 // pause disables the progress timeout until recordProgress is called.
--- a/internal/caller/silence.go
+++ b/internal/caller/silence.go
@@ -15,10 +15,19 @@
 	ended   chan probeResult
 }
 
+// health is the result of the last check of a silent attempt's upstream.
+type health int
+
+const (
+	healthUnknown health = iota
+	healthPassed
+	healthFailed
+)
+
 // probeResult is the result of the health check of an upstream.
 type probeResult struct {
-	id      string
-	healthy bool
+	id     string
+	health health
 }
 
 func newSilenceProbes() *silenceProbes {
@@ -28,7 +37,7 @@
 // finish applies the result of a check to the attempts that it is for.
 func (p *silenceProbes) finish(r probeResult) {
 	for _, at := range p.running[r.id] {
-		at.upstreamHealthy = r.healthy
+		at.upstreamHealth = r.health
 	}
 	delete(p.running, r.id)
 }
@@ -45,7 +54,7 @@
 	if at.probedSilence == lastProgress {
 		return
 	}
-	at.probedSilence, at.upstreamHealthy = lastProgress, false
+	at.probedSilence, at.upstreamHealth = lastProgress, healthUnknown
 	id := at.target.ID
 	started := len(probes.running[id]) > 0
 	probes.running[id] = append(probes.running[id], at)
@@ -56,16 +65,16 @@
 }
 
 // probe checks the health of a silent upstream and ejects it if the check fails.
-func (a *API) probe(ctx context.Context, target upstream.Entry) (healthy bool) {
+func (a *API) probe(ctx context.Context, target upstream.Entry) health {
 	if err := a.Transport.Probe(ctx, target.Address); err != nil {
 		if ctx.Err() == nil {
 			a.Slots.eject(a.Now(), target)
 			event.With(a.Log, event.UpstreamStalled).WithField("upstream", target.ID).WithField("domain", target.Domain).Warn("no progress from upstream and its health check failed")
 		}
-		return false
+		return healthFailed
 	}
 	// Idle connections of the same age may have failed together with this one.
 	a.Transport.CloseIdle()
 	event.With(a.Log, event.ConnectionSilent).WithField("upstream", target.ID).Warn("no progress on connection while the upstream is healthy")
-	return true
+	return healthPassed
 }
--- a/internal/caller/standby.go
+++ b/internal/caller/standby.go
@@ -70,19 +70,25 @@
 }
 
 // startStandby sends the call to another upstream beside a silent attempt if a retry is left
-// and a slot is free. c.mu must be held.
+// and a slot is free. It needs no retry if the answer moves from a failed upstream to one
+// that has not failed. c.mu must be held.
 func (a *API) startStandby(now time.Time, first *attempt) {
 	c := first.call
 	if first.ended || first.moving || first.standby.running() || now.Before(first.nextStandby) || !a.allowsStandby(now, c) {
 		return
 	}
-	if s := first.standby; s != nil && s.state == standbyBegun || !a.retryBudgets.hasRetry(now, c) {
+	if s := first.standby; s != nil && s.state == standbyBegun || !first.mayResume() && !a.retryBudgets.hasRetry(now, c) {
 		return
 	}
 	at := a.chooseStandby(c, first)
 	if at == nil {
 		return
 	}
+	resumes := first.mayResume() && !a.Slots.isEjected(now, at.target)
+	if !resumes && !a.retryBudgets.takeRetry(now, c) {
+		a.Slots.release(now, at, false)
+		return
+	}
 	body := c.body
 	if t := c.transcript; t != nil {
 		var err error
@@ -92,10 +98,6 @@
 		}
 		at.deliveredBefore = t.Delivered()
 	}
-	if !a.retryBudgets.takeRetry(now, c) {
-		a.Slots.release(now, at, false)
-		return
-	}
 	ctx, stop := context.WithCancel(first.callCtx)
 	at.begin(ctx, c, now)
 	at.callCtx = first.callCtx
@@ -112,12 +114,18 @@
 	go a.runStandby(ctx, first, s, body)
 }
 
+// mayResume reports whether a standby needs no retry, like the resumption of an answer that
+// broke off: the attempt has delivered tokens, and its upstream fails its health check.
+func (at *attempt) mayResume() bool {
+	return at.upstreamHealth == healthFailed && at.delivered.Load() > 0
+}
+
 // chooseStandby takes a slot for a standby. The silent upstream itself gets it only if it
 // answers on new connections, so that the connection may be at fault, and no other is free of
 // failures. c.mu must be held.
 func (a *API) chooseStandby(c *call, first *attempt) *attempt {
 	except := first.target.ID
-	if first.upstreamHealthy {
+	if first.upstreamHealth == healthPassed {
 		c.avoid(except)
 		except = ""
 	}
--- a/internal/caller/standby_test.go
+++ b/internal/caller/standby_test.go
@@ -264,3 +264,27 @@
 		}
 	})
 }
+
+// Guards against answers that stay on a frozen upstream while another one is healthy, because
+// the retry budget is used up.
+func TestAnswersOfFrozenUpstreamContinue(t *testing.T) {
+	const streams, tokens = 8, 200
+	f := newFixture(t, shortDeadline)
+	f.addModel(t, "m1", fastModel(), nil)
+	var ready, done sync.WaitGroup
+	ready.Add(streams)
+	for range streams {
+		done.Go(func() {
+			checkAnswer(t, f.post(t, "/v1/chat/completions", chatBody("hello", tokens, true)), "hello", tokens, func(n int) {
+				if n == 5 {
+					ready.Done()
+				}
+			})
+		})
+	}
+	ready.Wait()
+	f.models["m1"].Stalled.Store(true)
+	f.useUpRetries()
+	f.addModel(t, "m2", fastModel(), nil)
+	done.Wait()
+}
