Interrupt a stream before a reclaim only for another place

A stream without one waited for it until its deadline, and one that cannot be continued was cut, though their upstream still sent tokens.

Measured: GOMAXPROCS=2 go test -race -count=1 ./internal/caller -run 'TestStreamWithoutPlace|TestStreamsMove|TestMoveTransfers|TestFinishedAnswer': passes.

Conclusion: a notice of reclaim alone ends no answer any more.

--- a/internal/caller/maintenance.go
+++ b/internal/caller/maintenance.go
@@ -17,8 +17,8 @@
 	sweepInterval = 50 * time.Millisecond
 	// defaultProgressTimeout applies to classes that set no progress timeout.
 	defaultProgressTimeout = 30 * time.Second
-	// reclaimCutoff is the time before a reclaim at which a stream is interrupted even
-	// if no other upstream has a free slot, so that it does not fail with the VM.
+	// reclaimCutoff is the time before a reclaim at which a stream is interrupted between
+	// two events, so that it does not fail with the VM.
 	reclaimCutoff = 500 * time.Millisecond
 	// completionMargin is added to the estimated remaining time of an answer.
 	completionMargin = 2 * time.Second
@@ -170,6 +170,22 @@
 	}
 	at.moveRequested.Store(true)
 	if left < reclaimCutoff {
+		a.interruptForMove(at)
+	}
+}
+
+// interruptForMove interrupts a stream whose VM is about to be reclaimed, if another upstream
+// has a slot for it. Otherwise it goes on for as long as the VM lives.
+func (a *API) interruptForMove(at *attempt) {
+	c := at.call
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if at.ended || c.nextAttempt != nil {
+		return
+	}
+	if next := a.chooseMove(c, at); next != nil {
+		a.logMove(at, next)
+		c.nextAttempt = next
 		at.cancel(errMoved)
 	}
 }
--- a/internal/caller/standby_test.go
+++ b/internal/caller/standby_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/jaystage/jaystage/internal/config"
+	"github.com/jaystage/jaystage/pkg/wire"
 )
 
 // silence is longer than several progress timeouts of shortProgressTimeout.
@@ -288,3 +289,32 @@
 	f.addModel(t, "m2", fastModel(), nil)
 	done.Wait()
 }
+
+// Guards against a stream that is interrupted before the reclaim of its VM, and lost, while no
+// other upstream has a place for the rest of its answer.
+func TestStreamWithoutPlaceOutlivesReclaimNotice(t *testing.T) {
+	const tokens = 600
+	body := chatBody("hello", tokens, true)
+	tests := []struct {
+		name, body string
+		other      bool
+	}{
+		{"no other upstream", body, false},
+		{"answer that cannot be continued", strings.Replace(body, `"messages"`, `"tools":[{"type":"function"}],"messages"`, 1), true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFixture(t, shortDeadline)
+			f.addModel(t, "m1", fastModel(), nil)
+			checkAnswer(t, f.post(t, "/v1/chat/completions", tt.body), "hello", tokens, func(n int) {
+				if n != 5 {
+					return
+				}
+				if tt.other {
+					f.addModel(t, "m2", fastModel(), nil)
+				}
+				f.announce("m1", "chat", f.procs["m1"].Address(), 1, func(a *wire.Announce) { a.Reclaim = 0.7 })
+			})
+		})
+	}
+}
