Continue an answer however often others refuse it

Cause: 8 refused attempts in a row ended a call whose answer had begun, 2.3 s after its upstream broke, although upstreams that refuse have not run the request and the deadline was a minute away. No other node can complete a response that has started.

Change: refusals to continue an answer no longer count as stalled attempts; they only lengthen the delay before the next one, up to 1 s, until the call's deadline. The delay is computed in one place and cannot overflow. decideRetry and its test are unchanged.

Measured: GOMAXPROCS=2 go test -race -count=1 ./internal/caller -run 'TestRefusedResumes|TestRetry|TestConnectionReset|TestRequestCrashes|TestSilentCall': passes. TestRefusedResumesDoNotEndAnswer (8 upstreams refuse for 5 s) failed before with 502 after 2.3 s.

--- a/internal/caller/call.go
+++ b/internal/caller/call.go
@@ -78,8 +78,9 @@
 	// passedOn is true once the response to the client is one attempt's, unchanged.
 	passedOn bool
 	attempts int
-	// stalledAttempts counts the attempts since the last new token.
-	stalledAttempts int
+	// stalledAttempts counts the attempts since the last new token, refusedResumes those
+	// that were refused while the answer had begun.
+	stalledAttempts, refusedResumes int
 	// reserved is the upstream that is reserved for the isolated run of the call.
 	reserved string
 	// lastErr is the error of the last failed attempt.
--- a/internal/caller/relay.go
+++ b/internal/caller/relay.go
@@ -125,7 +125,7 @@
 		now := a.Now()
 		at.recordProgress(now)
 		if tokens := c.transcript.Delivered() - before; tokens > 0 {
-			c.stalledAttempts = 0
+			c.stalledAttempts, c.refusedResumes = 0, 0
 			at.delivered.Add(int64(tokens))
 			a.Metrics.recordToken(c, now)
 			if !at.tokenSeen {
--- a/internal/caller/retry.go
+++ b/internal/caller/retry.go
@@ -13,7 +13,7 @@
 
 const (
 	// maxStalledAttempts is the number of consecutive attempts without a new
-	// token after which a call fails.
+	// token after which a call fails. Refusals to continue an answer do not count.
 	maxStalledAttempts = 8
 	// initialBackoff is the delay after the first attempt without a new token. It
 	// doubles with each further one.
@@ -78,7 +78,12 @@
 		a.logContinued(c, f)
 		return nil
 	}
-	if !f.progress && f.kind != kindMoved {
+	switch {
+	case f.progress || f.kind == kindMoved:
+	case f.kind == kindRefused && c.hasBegun():
+		// No upstream ran the request, and nobody else can complete the answer.
+		c.refusedResumes++
+	default:
 		c.stalledAttempts++
 	}
 	in := retryInput{
@@ -98,11 +103,8 @@
 			return a.contextError(ctx, c)
 		}
 	}
-	if c.stalledAttempts > 0 && f.kind != kindMoved {
-		delay := time.Duration(float64(initialBackoff) * math.Pow(2, float64(c.stalledAttempts-1)))
-		if !wait(ctx, min(delay, maxBackoff)) {
-			return a.contextError(ctx, c)
-		}
+	if n := c.stalledAttempts + c.refusedResumes; n > 0 && f.kind != kindMoved && !wait(ctx, backoff(n-1)) {
+		return a.contextError(ctx, c)
 	}
 	a.logContinued(c, f)
 	return nil
@@ -116,6 +118,16 @@
 		WithField("from", f.attempt.target.ID).WithField("kind", f.kind.String()).Info("answer continues on another upstream")
 }
 
+// backoff returns the delay after n+1 attempts without a new token.
+func backoff(n int) time.Duration {
+	return time.Duration(min(float64(initialBackoff)*math.Pow(2, float64(n)), float64(maxBackoff)))
+}
+
+// hasBegun reports whether the call has a part of its answer.
+func (c *call) hasBegun() bool {
+	return c.responseStarted || c.transcript != nil && c.transcript.Delivered() > 0
+}
+
 // mayRetry reports whether the shutdown, if any, leaves time to send a call again. A response
 // that has started is always continued, since the client cannot get the rest elsewhere.
 func (a *API) mayRetry(c *call) bool {
--- a/internal/caller/standby.go
+++ b/internal/caller/standby.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math"
 	"net/http"
 	"time"
 
@@ -106,9 +105,8 @@
 	}
 	s := &standby{attempt: at, stop: stop, done: make(chan struct{}), whole: c.beginsWhole()}
 	first.standby, at.standbyOf = s, s
-	delay := time.Duration(float64(initialBackoff) * math.Pow(2, float64(first.standbys)))
+	first.nextStandby = now.Add(backoff(first.standbys))
 	first.standbys++
-	first.nextStandby = now.Add(min(delay, maxBackoff))
 	event.With(a.Log, event.StandbyStarted).WithField("request", at.id).WithField("from", first.target.ID).WithField("to", at.target.ID).
 		Info("second attempt started beside a silent one")
 	go a.runStandby(ctx, first, s, body)
--- a/internal/caller/standby_test.go
+++ b/internal/caller/standby_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -318,3 +319,26 @@
 		})
 	}
 }
+
+// Guards against an answer that is given up after its upstream broke, because the others
+// refuse to continue it for some seconds.
+func TestRefusedResumesDoNotEndAnswer(t *testing.T) {
+	const tokens, refusals = 40, 5 * time.Second
+	for _, streamed := range []bool{true, false} {
+		f := newFixture(t, nil)
+		f.addModel(t, "m1", fastModel(), nil)
+		time.AfterFunc(50*time.Millisecond, func() {
+			for i := range 8 {
+				f.refuseAll(t, "r"+strconv.Itoa(i))
+			}
+			f.procs["m1"].Kill()
+			time.AfterFunc(refusals, func() { f.addModel(t, "m2", fastModel(), nil) })
+		})
+		resp := f.post(t, "/v1/chat/completions", chatBody("hello", tokens, streamed))
+		if streamed {
+			checkAnswer(t, resp, "hello", tokens, nil)
+		} else {
+			checkUnstreamedAnswer(t, resp, "hello", tokens)
+		}
+	}
+}
