--- a/internal/caller/standby_test.go
+++ b/internal/caller/standby_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/jaystage/jaystage/internal/config"
+	"github.com/jaystage/jaystage/pkg/routing"
 	"github.com/jaystage/jaystage/pkg/wire"
 )
 
@@ -342,3 +343,24 @@
 		}
 	}
 }
+
+// Guards against an answer that is given up because the node's lease has lapsed when its
+// upstream breaks, although it returns before the deadline.
+func TestLapsedLeaseBetweenAttemptsDoesNotEndAnswer(t *testing.T) {
+	const tokens = 40
+	f := newFixture(t, nil)
+	m1 := f.addModel(t, "m1", fastModel(), nil)
+	resp := f.post(t, "/v1/chat/completions", chatBody("hello", tokens, true))
+	checkAnswer(t, resp, "hello", tokens, func(n int) {
+		if n != 5 {
+			return
+		}
+		f.models["m1"].Stalled.Store(true)
+		f.noLease.Store(true)
+		f.addModel(t, "m2", fastModel(), nil)
+		time.AfterFunc(routing.SessionTTL+time.Second, func() {
+			m1.Kill()
+			time.AfterFunc(time.Second, func() { f.noLease.Store(false) })
+		})
+	})
+}
