Keep a standby when the silent attempt reports an error

Cause: any event of a silent attempt ended its standby before the event was read, also an error event, a malformed one or one of another request. The attempt then failed with its standby gone, and the work began a third time.

Change: an event counts as going on only once the transcript has accepted it; the same holds for a whole answer.

Measured: GOMAXPROCS=1 go test -race -count=1 ./internal/caller -run 'Standby|SecondAttempt|TestSilent' passes in 17 s; TestStandbyAnswersWhenFirstReportsError failed before (the second upstream ran the request twice).

Conclusion: a standby ends only when the first attempt has delivered something.

--- a/internal/caller/relay.go
+++ b/internal/caller/relay.go
@@ -113,7 +113,7 @@
 		if err != nil || !ok {
 			return out, err
 		}
-		if !at.goOn() {
+		if at.isReplaced() {
 			return out, errReplaced
 		}
 		before := c.transcript.Delivered()
@@ -122,6 +122,7 @@
 		if err != nil {
 			return out, err
 		}
+		at.goOn()
 		now := a.Now()
 		at.recordProgress(now)
 		if tokens := c.transcript.Delivered() - before; tokens > 0 {
--- a/internal/caller/standby.go
+++ b/internal/caller/standby.go
@@ -242,18 +242,17 @@
 	return s.resp, nil
 }
 
-// goOn records that an attempt goes on, which ends its standby. It returns false if the
-// standby has begun already. call.mu must be held.
-func (at *attempt) goOn() bool {
-	s := at.standby
-	if s == nil {
-		return true
-	}
-	if s.state == standbyPending {
+// isReplaced reports whether the standby beside an attempt has begun. call.mu must be held.
+func (at *attempt) isReplaced() bool {
+	return at.standby != nil && at.standby.state == standbyBegun
+}
+
+// goOn records that an attempt goes on, which ends its standby. call.mu must be held.
+func (at *attempt) goOn() {
+	if s := at.standby; s != nil && s.state == standbyPending {
 		s.state = standbyDropped
 		s.attempt.cancel(errOutrun)
 	}
-	return s.state != standbyBegun
 }
 
 // passOn records that the attempt's response is passed on unchanged. It returns false if a
@@ -262,9 +261,10 @@
 	c := at.call
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !at.goOn() {
+	if at.isReplaced() {
 		return false
 	}
+	at.goOn()
 	c.responseStarted, c.passedOn = true, true
 	return true
 }
@@ -274,10 +274,14 @@
 	c := at.call
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !at.goOn() {
+	if at.isReplaced() {
 		return nil, errReplaced
 	}
-	return c.transcript.RewriteUnstreamed(body)
+	out, err := c.transcript.RewriteUnstreamed(body)
+	if err == nil {
+		at.goOn()
+	}
+	return out, err
 }
 
 // standbyStatusError returns the error for a standby that answered with a status that would
--- a/internal/caller/standby_test.go
+++ b/internal/caller/standby_test.go
@@ -207,6 +207,29 @@
 	}
 }
 
+// Guards against a second attempt that is ended, and its work lost, because the first reports
+// an error.
+func TestStandbyAnswersWhenFirstReportsError(t *testing.T) {
+	f := newFixture(t, shortProgressTimeout)
+	m2 := fastModel()
+	m2.Stalled.Store(true)
+	address := rawUpstream(t, func(_ int, conn net.Conn, req *http.Request, _ []byte) bool {
+		f.addModel(t, "m2", m2, nil)
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Request-Id: "+req.Header.Get(RequestIDHeader)+"\r\n\r\n")
+		for m2.Running.Load() == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		_, _ = io.WriteString(conn, "data: {\"error\":{}}\n\n")
+		time.AfterFunc(50*time.Millisecond, func() { m2.Stalled.Store(false) })
+		return false
+	})
+	f.announce("r1", "chat", address, 1, nil)
+	checkAnswer(t, f.post(t, "/v1/chat/completions", chatBody("hello", 40, true)), "hello", 40, nil)
+	if got := m2.Runs.Load(); got != 1 {
+		t.Errorf("the second upstream ran the request %d times, want 1", got)
+	}
+}
+
 // Guards against second attempts beyond the retry budget when all upstreams fall silent.
 func TestStandbysStayWithinRetryBudget(t *testing.T) {
 	const calls, tokens, retries = 12, 40, 3
