--- a/internal/soak/stop_cluster_test.go
+++ b/internal/soak/stop_cluster_test.go
@@ -320,6 +320,7 @@
 	{"look", "idempotent", "s", 3, 800, false},
 	{"chat", "streaming", "s", 1, 800, false},
 	{"gen", "streaming", "s", 2, 800, true},
+	{"gen3", "streaming", "s", 3, 800, true},
 	// Requests wait up to 1.2 s for one of few places.
 	{"few", "non_idempotent", "few", 1, 8000, false},
 	{"crash", "idempotent", "crash", 3, 800, false},
