soak: Wait until stopped voters stand still

Cause: TestStopAnswersOrdersThatWait once got status 200 for an order that must find no quorum, at a load average of 26. SIGSTOP returns before the process stands still: the thread that takes the signal has to get a processor first, and until then the other threads run. On a busy machine that takes 20 to 290 ms, and a voter that still runs may confirm the order, truly. The fault is the test's.

Ruled out: a group of fewer voters (it forms only with all three), and an order that counts as confirmed without a quorum.

Change: pause sends SIGSTOP and waits until the kernel shows all threads as stopped. The bound and all checks are as before.

Conclusion: traced and repaired.

--- a/internal/soak/stop_control_test.go
+++ b/internal/soak/stop_control_test.go
@@ -89,9 +89,7 @@
 	defer c.close(t)
 	for v := 1; v < voters; v++ {
 		process := c.running(v).cmd.Process
-		if err := process.Signal(syscall.SIGSTOP); err != nil {
-			t.Fatal(err)
-		}
+		pause(t, process)
 		defer func() { _ = process.Signal(syscall.SIGCONT) }()
 	}
 	conn, err := net.Dial("tcp", net.JoinHostPort(c.nodes[0].host, fmt.Sprint(controlPort)))
--- a/internal/soak/stop_processor_test.go
+++ b/internal/soak/stop_processor_test.go
@@ -1,11 +1,14 @@
 package soak
 
 import (
+	"bytes"
 	"fmt"
 	"os"
 	"path/filepath"
 	"strconv"
 	"strings"
+	"syscall"
+	"testing"
 	"time"
 )
 
@@ -77,3 +80,30 @@
 	}
 	return total
 }
+
+// pause stops a process by SIGSTOP and waits until all its threads stand still. The signal alone
+// does not: the thread that takes it has to get a processor first, and until then the others run.
+func pause(t testing.TB, process *os.Process) {
+	t.Helper()
+	if err := process.Signal(syscall.SIGSTOP); err != nil {
+		t.Fatal(err)
+	}
+	for end := time.Now().Add(stopStartTime); !threadsStopped(process.Pid); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("process %d still runs %v after SIGSTOP", process.Pid, stopStartTime)
+		}
+	}
+}
+
+// threadsStopped reports whether all threads of a process are stopped by a signal.
+func threadsStopped(pid int) bool {
+	paths, _ := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", pid))
+	for _, path := range paths {
+		text, err := os.ReadFile(path)
+		// The state follows the name, which is in parentheses and may contain any character.
+		if i := bytes.LastIndexByte(text, ')'); err != nil || i < 0 || !bytes.HasPrefix(text[i:], []byte(") T")) {
+			return false
+		}
+	}
+	return len(paths) > 0
+}
