Bound what the bodies of open requests take together

What callers saw: a node of 184 MB took 186 to 188 MB and was killed within seconds by 100 clients that send bodies of 4 MiB fast, or 800 that send 100 KB a second; the requests of its other clients ended with it. Cause: each body was read in full and kept until its answer had ended; only the plan's limit for one body bounded them. Change: bodies count in a budget of an eighth of the VM's memory until their calls end. When it is used up, the longest of those that are still being read is refused with 503, not run; one that was read is never given up.

--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -1,9 +1,6 @@
 package gateway
 
 import (
-	"context"
-	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -18,8 +15,6 @@
 )
 
 const (
-	// defaultMaxBodyBytes bounds a request body when the plan sets no limit.
-	defaultMaxBodyBytes = 4 << 20
 	// minStateRetryAfter is the shortest Retry-After of a node without a lease or a
 	// plan. An election takes about as long.
 	minStateRetryAfter = 500 * time.Millisecond
@@ -193,30 +188,6 @@
 	return max(0, first), max(0, second)
 }
 
-func (c *call) readBody() *verdict.Error {
-	limit := c.view.Plan.Limits.MaxBodyBytes
-	if limit <= 0 {
-		limit = defaultMaxBodyBytes
-	}
-	controller := http.NewResponseController(c.w)
-	// Only a test's ResponseWriter does not support read deadlines.
-	stopWatch := context.AfterFunc(c.ctx, func() { _ = controller.SetReadDeadline(time.Unix(1, 0)) })
-	defer stopWatch()
-	body, err := io.ReadAll(http.MaxBytesReader(c.w.ResponseWriter, c.r.Body, limit))
-	var tooLarge *http.MaxBytesError
-	switch {
-	case err != nil && c.ended():
-		return c.stopRefusal()
-	case errors.As(err, &tooLarge):
-		return refusal(http.StatusRequestEntityTooLarge, verdict.CodeTooLarge, 0, "the body is larger than the plan allows")
-	case err != nil:
-		return refusal(http.StatusBadRequest, verdict.CodeRequestIncomplete, 0, "the body could not be read in full")
-	}
-	c.body, c.bodyRead = body, time.Now()
-	c.phase.store(phaseChoosing)
-	return nil
-}
-
 // charge takes the call's cost from its account's token bucket, and refuses the call if
 // the account is over its limit.
 func (c *call) charge() *verdict.Error {
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/jaystage/jaystage/internal/bounded"
 	"github.com/jaystage/jaystage/internal/config"
 	"github.com/jaystage/jaystage/pkg/placement"
 	"github.com/jaystage/jaystage/pkg/poison"
@@ -30,6 +31,8 @@
 	service  *traffic.Service
 	account  *traffic.Account // nil on public routes without a known key, or if the plan has no accounts
 	body     []byte
+	// bodyAccount counts the body in the node's budget; nil before it is read.
+	bodyAccount *bounded.Account
 	// bodyRead is when the body was complete; zero before.
 	bodyRead time.Time
 	phase    phaseValue
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -99,6 +99,8 @@
 	Metrics      *Metrics
 	// Budget limits what all open answers of the process hold.
 	Budget *bounded.Budget
+	// bodies limits what the bodies of all open requests take.
+	bodies *bounded.Budget
 	// Detour opens connections to upstreams, through other nodes if it knows any.
 	Detour    *detour.Detour
 	upstreams *upstreamSet
@@ -127,6 +129,7 @@
 		pool: newPool(settings.LocalIP), ledger: newLedger(settings.UsageWindow), parts: newPartRecords(), started: time.Now(), writeGrace: clientWriteGrace,
 	}
 	g.Budget = bounded.NewBudget(bounded.LimitFor(settings.MemoryBytes))
+	g.bodies = bounded.NewBudget(bodiesPerAnswers * g.Budget.Limit())
 	g.Metrics.Budget = g.Budget
 	g.open.durations = drain.NewDurations()
 	g.upstreams, g.Detour = newUpstreamSet(g), detour.New()
@@ -149,6 +152,7 @@
 	defer c.cancel(nil)
 	g.open.add(c)
 	defer g.open.remove(c)
+	defer func() { c.bodyAccount.Close() }()
 	defer c.recoverPanic()
 	defer c.dropStandbys()
 	// This replaces the deadline of the previous request on the connection.
