Let a call use the upstream of an unneeded standby again

Cause: an upstream whose standby was closed because the first one went on counted as tried. Change: it does not. Lines tell more: obstacle in event 3017, the number of an attempt, gap_ms and via_leaving in 'attempt failed', candidates and bars of broken-off streams. Conclusion: a closed standby takes no upstream away from its call.

--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -60,7 +60,7 @@
 	if c.lastEventID != "" {
 		fields["last_event"] = c.lastEventID
 	}
-	if e != nil && e.Verdict == verdict.NotRun && c.service != nil {
+	if e != nil && (e.Verdict == verdict.NotRun || c.headersSent) && c.service != nil {
 		fields["candidates"], fields["bars"] = c.candidates, c.exclusions
 	}
 	if c.status != 0 {
@@ -85,13 +85,16 @@
 // held.
 func (c *call) logFailedAttempt(now time.Time, a *attempt, failed *failure) {
 	fields := logrus.Fields{
-		"request": c.id, "upstream": a.upstream.ID, "address": a.upstream.Address, "domain": a.upstream.Domain, "attempt": c.attempts,
+		"request": c.id, "upstream": a.upstream.ID, "address": a.upstream.Address, "domain": a.upstream.Domain, "attempt": a.number,
 		"cause": failed.cause, "verdict": failed.verdict.String(), "took_ms": millis(now.Sub(a.started)), "reused": a.conn != nil && a.conn.reused,
 		"load": a.upstream.Load(a.started), "open": a.upstream.Open, "others": a.upstream.OtherNodesOpen, "reported": a.upstream.ReportedLoad,
 		"report_age_ms": millis(a.started.Sub(a.upstream.ReportedAt)), "seen_age_ms": millis(now.Sub(a.entry.lastStatus)), "expected_ms": millis(a.expectedDelay),
 	}
 	if a.conn != nil && a.conn.via != "" {
-		fields["via"] = a.conn.via
+		fields["via"], fields["via_leaving"] = a.conn.via, a.conn.leaving()
+	}
+	if !a.answer.lastEvent.IsZero() {
+		fields["gap_ms"] = millis(now.Sub(a.answer.lastEvent))
 	}
 	if lost := c.g.Detour.LostFor(now); lost > 0 {
 		fields["path_lost_ms"] = millis(lost)
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -42,6 +42,8 @@
 	// pathCheck is when the node's own path is suspected if no upstream has sent anything; zero
 	// for never.
 	pathCheck time.Time
+	// number counts the attempts of the call, from 1.
+	number int
 	// replaceable is true if another attempt may answer when this one gets a failure status.
 	replaceable bool
 	// silent is true once the upstream was noticed to be silent.
@@ -100,7 +102,7 @@
 // newAttempt counts a new attempt.
 func (c *call) newAttempt(chosen choice) *attempt {
 	c.attempts++
-	return &attempt{choice: chosen, started: time.Now(), promptPending: true, replaceable: c.attempts < c.route.MaxAttempts}
+	return &attempt{choice: chosen, started: time.Now(), promptPending: true, number: c.attempts, replaceable: c.attempts < c.route.MaxAttempts}
 }
 
 // obtain sends the request of an attempt and waits until its answer has begun. onSilence is
--- a/internal/gateway/standby.go
+++ b/internal/gateway/standby.go
@@ -112,12 +112,12 @@
 	}
 	c.longestSilence = max(c.longestSilence, now.Sub(since))
 	c.addTried(a)
-	chosen, ok := c.chooseStandby(now)
+	chosen, obstacle := c.chooseStandby(now)
 	if !a.silent {
 		a.silent = true
-		c.recordSilence(now, a, chosen.upstream.ID)
+		c.recordSilence(now, a, chosen.upstream.ID, obstacle)
 	}
-	if !ok {
+	if obstacle != "" {
 		return now.Add(standbyPollInterval)
 	}
 	if c.reports == nil {
@@ -149,22 +149,32 @@
 }
 
 // chooseStandby picks an upstream for a standby, without waiting for a free place, and takes a
-// retry from the budget.
-func (c *call) chooseStandby(now time.Time) (choice, bool) {
+// retry from the budget. The obstacle is why there is none; empty if one was chosen.
+func (c *call) chooseStandby(now time.Time) (chosen choice, obstacle string) {
 	view, ok := c.g.State.View(now)
-	if !ok || !c.mayContinue(now) || c.checkParts(view, now) != nil || !c.headersSent && !c.g.open.admits(now, c) || !c.takeRetry(now) {
-		return choice{}, false
+	switch {
+	case !ok:
+		return choice{}, "lease"
+	case !c.mayContinue(now):
+		return choice{}, "cannot continue"
+	case c.checkParts(view, now) != nil:
+		return choice{}, "crashes"
+	case !c.headersSent && !c.g.open.admits(now, c):
+		return choice{}, "stop"
+	case !c.takeRetry(now):
+		return choice{}, "budget"
 	}
 	chosen, _, found := c.g.upstreams.choose(now, c, view)
 	if !found {
 		c.returnRetry(now)
+		return choice{}, "place"
 	}
-	return chosen, found
+	return chosen, ""
 }
 
 // recordSilence records that the upstream of an attempt has been silent for too long, although
 // the attempt goes on: other requests had better go elsewhere.
-func (c *call) recordSilence(now time.Time, a *attempt, standbyID string) {
+func (c *call) recordSilence(now time.Time, a *attempt, standbyID, obstacle string) {
 	c.g.pool.closeIdle(a.upstream.Address)
 	set := c.g.upstreams
 	set.mu.Lock()
@@ -175,7 +185,7 @@
 	c.g.Metrics.count("upstream silent")
 	event.With(c.g.Log, event.UpstreamSilent).WithFields(map[string]any{
 		"request": c.id, "upstream": a.upstream.ID, "address": a.upstream.Address, "attempt": c.attempts, "silent_ms": millis(c.longestSilence),
-		"begun": c.headersSent, "standby": standbyID, "candidates": c.candidates, "bars": c.exclusions,
+		"begun": c.headersSent, "standby": standbyID, "obstacle": obstacle, "candidates": c.candidates, "bars": c.exclusions,
 	}).Info("upstream is silent; its answer is still awaited")
 }
 
@@ -217,7 +227,8 @@
 	return nil
 }
 
-// dropStandbys ends the standbys, since the current attempt answers or the call ends.
+// dropStandbys ends the standbys, since the current attempt answers or the call ends. Their
+// upstreams may be chosen again.
 func (c *call) dropStandbys() {
 	for len(c.standbys) > 0 {
 		for _, s := range c.standbys {
@@ -229,6 +240,7 @@
 			v = s.failure.verdict
 		}
 		c.endStandby(s, &failure{verdict: v, cause: "unneeded"})
+		c.prompt.Tried = slices.DeleteFunc(c.prompt.Tried, func(id string) bool { return id == s.upstream.ID })
 	}
 }
 
