Test which standbys are started and forwarded

Change: TestNoStandbyIsStarted, TestStandbyTakesOverFromStandby and TestStandbyWithoutStreamIsNotForwarded. The case of a stopping node also passes without the check at the choice, since the send checks again. Conclusion: no fault was found here; no code changes.

--- a/internal/gateway/standby_test.go
+++ b/internal/gateway/standby_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/jaystage/jaystage/pkg/drain"
 	"github.com/jaystage/jaystage/pkg/traffic"
 )
 
@@ -451,3 +452,71 @@
 	time.AfterFunc(minResponseWait+2*standbyPollInterval, func() { setOthersOpen(0) })
 	wantBody(t, env.callPatiently("/look/"), "found")
 }
+
+// Guards against a standby beyond the attempts of its route, of a request that has been blocked
+// meanwhile, and of one that a stopping node cannot finish in time.
+func TestNoStandbyIsStarted(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		attempts int
+		setUp    func(env *testEnv)
+		want     int
+	}{
+		{"one attempt", 1, func(*testEnv) {}, 1},
+		{"two attempts", 2, func(*testEnv) {}, 2},
+		{"blocked part", 2, func(env *testEnv) { env.state.block("bad") }, 1},
+		{"stopping node", 2, func(env *testEnv) {
+			now := time.Now()
+			env.gateway.Stop(drain.Window{Start: now, Settled: now, End: now})
+		}, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			script := func(_ int, r *http.Request) []step {
+				return []step{{pause: 3 * time.Second}, {send: response(r, 200, "found")}}
+			}
+			upstreams := []*fakeUpstream{newFakeUpstream(t, script), newFakeUpstream(t, script), newFakeUpstream(t, script)}
+			env := newSilenceEnv(t, upstreams...)
+			for i := range env.state.view.Plan.Routes {
+				env.state.view.Plan.Routes[i].MaxAttempts = c.attempts
+			}
+			time.AfterFunc(200*time.Millisecond, func() { c.setUp(env) })
+			res := env.call("POST", "/look/", "x", "X-Deadline", "8000", "X-Model", "m", "X-Parts", "x:10,bad:10,own:5")
+			wantBody(t, res, "found")
+			if got := upstreams[0].count() + upstreams[1].count() + upstreams[2].count(); got != c.want {
+				t.Errorf("upstreams reached: got %d, want %d", got, c.want)
+			}
+		})
+	}
+}
+
+// Guards against an answer that waits for a second silent upstream, which has taken over from the
+// first, although a third one could go on.
+func TestStandbyTakesOverFromStandby(t *testing.T) {
+	var n atomic.Int64
+	script := func(_ int, r *http.Request) []step {
+		pauseBefore := []int{0, 2, 4, eventCount + 1}[n.Add(1)]
+		return pausing(pauseBefore, 10*time.Second)(0, r)
+	}
+	env := newSilenceEnv(t, newFakeUpstream(t, script), newFakeUpstream(t, script), newFakeUpstream(t, script))
+	for i := range env.state.view.Plan.Routes {
+		env.state.view.Plan.Routes[i].MaxAttempts = 3
+	}
+	wantBody(t, env.callPatiently("/chat/"), allEvents())
+	env.wantNothingOpen(t)
+}
+
+// Guards against a stream that goes on with an answer that is no part of it.
+func TestStandbyWithoutStreamIsNotForwarded(t *testing.T) {
+	for _, status := range []int{200, 404} {
+		t.Run(fmt.Sprint(status), func(t *testing.T) {
+			t.Parallel()
+			env := newSilenceEnv(t, newFakeUpstream(t, pausing(silentEvent, briefSilence)), newFakeUpstream(t, func(_ int, r *http.Request) []step {
+				return []step{{send: response(r, status, "no stream")}}
+			}))
+			env.preferFirst()
+			wantBody(t, env.callPatiently("/chat/"), allEvents())
+			env.wantNothingOpen(t)
+		})
+	}
+}
