Test that standbys reach each upstream once

Change: TestStandbysReachEachUpstreamOnce. Measured: go test -race -run ReachEachUpstream ./internal/gateway passes; it fails without the addTried of a standby. Conclusion: no fault was found here; no code changes.

--- a/internal/gateway/standby_test.go
+++ b/internal/gateway/standby_test.go
@@ -520,3 +520,19 @@
 		})
 	}
 }
+
+// Guards against two attempts of a request at one upstream.
+func TestStandbysReachEachUpstreamOnce(t *testing.T) {
+	script := func(_ int, r *http.Request) []step {
+		return []step{{pause: 3 * time.Second}, {send: response(r, 200, "found")}}
+	}
+	a, b := newFakeUpstream(t, script), newFakeUpstream(t, script)
+	env := newSilenceEnv(t, a, b)
+	for i := range env.state.view.Plan.Routes {
+		env.state.view.Plan.Routes[i].MaxAttempts = 3
+	}
+	wantBody(t, env.callPatiently("/look/"), "found")
+	if a.count() != 1 || b.count() != 1 {
+		t.Errorf("arrivals: got %d and %d, want 1 each", a.count(), b.count())
+	}
+}
