--- a/internal/peer/endless_link_test.go
+++ b/internal/peer/endless_link_test.go
@@ -131,3 +131,53 @@
 		t.Errorf("end of the connection: got none within %v, want a reset", waitTimeout)
 	}
 }
+
+// Fault of another node: a frame of a stream that is too long, or fragments without end. Guards
+// against a node that keeps them, at either end of the stream.
+func TestLongStreamFramesEndTheStream(t *testing.T) {
+	for name, size := range map[string]int{"one frame": 0, "many fragments": 1 << 10} {
+		t.Run(name, func(t *testing.T) {
+			var addresses sync.Map
+			server, client := startNode(t, "server", "0123456789abcdef", 0, &addresses), startNode(t, "client", "0123456789abcdef", 0, &addresses)
+			read := make(chan error, 2)
+			receive := func(conn *websocket.Conn) {
+				_, _, err := conn.ReadMessage()
+				read <- err
+				_ = conn.Close()
+			}
+			server.HandleStream("sends", func(_ context.Context, _ string, conn *websocket.Conn) { sendLongMessage(conn, size) })
+			server.HandleStream("receives", func(_ context.Context, _ string, conn *websocket.Conn) { receive(conn) })
+			for _, kind := range []string{"sends", "receives"} {
+				ctx, cancel := context.WithTimeout(t.Context(), waitTimeout)
+				conn, err := client.OpenStream(ctx, "server", kind)
+				cancel()
+				if err != nil {
+					t.Fatal(err)
+				}
+				if kind == "sends" {
+					receive(conn)
+				} else {
+					sendLongMessage(conn, size)
+				}
+				if err := <-read; !errors.Is(err, websocket.ErrReadLimit) {
+					t.Errorf("long message where the server %s: got %v, want %v", kind, err, websocket.ErrReadLimit)
+				}
+			}
+		})
+	}
+}
+
+// sendLongMessage sends a message of several times the limit, in fragments of a size unless
+// that is zero.
+func sendLongMessage(conn *websocket.Conn, fragment int) {
+	defer conn.Close()
+	message := make([]byte, 4*maxStreamFrameBytes)
+	if fragment == 0 {
+		_ = conn.WriteMessage(websocket.BinaryMessage, message)
+		return
+	}
+	w, err := conn.NextWriter(websocket.BinaryMessage)
+	for sent := 0; err == nil && sent < len(message); sent += fragment {
+		_, err = w.Write(message[:fragment])
+	}
+}
