--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -233,6 +233,7 @@
 	log.SetOutput(io.Discard)
 	env := &testEnv{t: t, state: &testState{view: view, valid: true}}
 	env.gateway = New("n1", "a", testHeaders, settings, env.state, log)
+	env.gateway.started = time.Now().Add(-time.Hour) // past the times of a start
 	var list []wire.Status
 	for i, u := range upstreams {
 		list = append(list, wire.Status{ID: fmt.Sprint("u", i), Service: "s", Address: u.listener.Addr().String(), Domain: "a", Slots: 4, Born: 1, Sequence: 1})
