Read replies of the platform's API in parts

Change: bounded.ReadAll, which copies once. Measured: go test -race -count=3 -run TestEndlessReplyIsCutOff ./internal/cloud passes. Conclusion: the bound of the test holds with the race detector too.

--- a/internal/cloud/cloud.go
+++ b/internal/cloud/cloud.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/jaystage/jaystage/internal/bounded"
 )
 
 // VM is an entry in the platform's list of VMs.
@@ -174,7 +176,7 @@
 		return err
 	}
 	defer func() { _ = resp.Body.Close() }()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxBodyBytes+1))
+	data, err := bounded.ReadAll(io.LimitReader(resp.Body, maxBodyBytes+1), nil)
 	if err != nil {
 		return err
 	}
