Prefer a whole standby to the start of a long body

Cause: a body counts as begun at 256 KiB, and then ended the standbys, also one whose whole answer was in hand. Change: such a standby takes over. Conclusion: what is whole goes before what may never be.

--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -116,6 +116,9 @@
 
 // forwardBody forwards a response that is not a stream.
 func (c *call) forwardBody(a *attempt) *failure {
+	if !a.answer.whole && c.hasWholeStandby() {
+		return &failure{verdict: verdict.MayHaveRun, cause: "superseded", err: errSuperseded}
+	}
 	c.dropStandbys()
 	c.recordStart(a)
 	c.sendHeaders(a, a.answer.whole)
--- a/internal/gateway/standby.go
+++ b/internal/gateway/standby.go
@@ -80,18 +80,8 @@
 // checkSilence decides what to do while the current attempt waits for its upstream. due is when
 // the check was due; zero if a standby has ended.
 func (c *call) checkSilence(now, due time.Time, a *attempt) (next time.Time, err error) {
-	for len(c.standbys) > 0 {
-		select {
-		case s := <-c.reports:
-			if s.failure == nil {
-				c.reports <- s // awaitStandby takes it
-				return time.Time{}, errSuperseded
-			}
-			c.endStandby(s, s.failure)
-			continue
-		default:
-		}
-		break
+	if c.begunStandby() != nil {
+		return time.Time{}, errSuperseded
 	}
 	if !due.IsZero() && now.Sub(due) >= lateWake && now.Before(c.deadline) {
 		return now.Add(lateReadTimeout), nil
@@ -103,6 +93,31 @@
 	return c.startStandby(now, a), nil
 }
 
+// begunStandby returns a standby whose answer has begun; nil if there is none. awaitStandby takes
+// it. It ends those that have failed.
+func (c *call) begunStandby() *standby {
+	for len(c.standbys) > 0 {
+		select {
+		case s := <-c.reports:
+			if s.failure == nil {
+				c.reports <- s
+				return s
+			}
+			c.endStandby(s, s.failure)
+		default:
+			return nil
+		}
+	}
+	return nil
+}
+
+// hasWholeStandby reports whether a standby has a whole body. It goes before a long one of the
+// current attempt, of which only the start is there and which may never end.
+func (c *call) hasWholeStandby() bool {
+	s := c.begunStandby()
+	return s != nil && s.answer.whole
+}
+
 // startStandby starts a standby if a place and a retry are free. It returns when the silence is
 // checked next.
 func (c *call) startStandby(now time.Time, a *attempt) (next time.Time) {
--- a/internal/gateway/standby_end_test.go
+++ b/internal/gateway/standby_end_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -168,3 +169,23 @@
 	wantBody(t, env.callPatiently("/chat/"), allEvents())
 	env.wantNothingOpen(t)
 }
+
+// Guards against a whole answer of a standby that is dropped for the start of a long body that
+// never ends.
+func TestWholeStandbyGoesBeforeStartOfLongBody(t *testing.T) {
+	answered := make(chan struct{})
+	first := newFakeUpstream(t, func(_ int, r *http.Request) []step {
+		head := fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Attempt: %s\r\nX-Signature: s\r\n\r\n", r.Header.Get("X-Attempt"))
+		<-answered
+		// The start of a long body arrives together with the answer of the standby.
+		return []step{{send: head + strings.Repeat("x", maxBufferedBytes+1), pause: 10 * time.Second}}
+	})
+	second := newFakeUpstream(t, func(_ int, r *http.Request) []step {
+		defer close(answered)
+		return []step{{send: response(r, 200, "found")}}
+	})
+	env := newSilenceEnv(t, first, second)
+	env.preferFirst()
+	wantBody(t, env.callPatiently("/look/"), "found")
+	env.wantNothingOpen(t)
+}
