Bound what open answers hold on the product's own path

Cause: an answer that is buffered may take 16 MiB, whatever the number of requests; with a standby a call may hold two. Change: each attempt has an account in API.Budget, whose limit follows from node.memory: buffered answers, events, the start of a standby's answer, answers to bookings and to questions for their outcome. An answer that is given up counts as an error of its upstream. Conclusion: both paths are bounded by the VM's memory.

--- a/internal/caller/api.go
+++ b/internal/caller/api.go
@@ -12,6 +12,7 @@
 	"github.com/gorilla/mux"
 	"github.com/sirupsen/logrus"
 
+	"github.com/jaystage/jaystage/internal/bounded"
 	"github.com/jaystage/jaystage/internal/config"
 	"github.com/jaystage/jaystage/internal/upstream"
 	"github.com/jaystage/jaystage/pkg/routing"
@@ -57,6 +58,9 @@
 	// Unready is true once the node shuts down: the readiness check fails, and
 	// responses close their connection.
 	Unready atomic.Bool
+	// Budget limits what all open answers of upstreams hold; its default is that of a VM whose
+	// memory is not known.
+	Budget *bounded.Budget
 	// WriteTimeout is how long a client may leave its connection unread before
 	// its request is canceled.
 	WriteTimeout time.Duration
@@ -75,7 +79,7 @@
 	now := time.Now()
 	a := &API{
 		Viewer: viewer, Upstreams: upstreams, Transport: upstream.NewTransport(), Log: log, Now: time.Now,
-		WriteTimeout: writeTimeout, Metrics: NewMetrics(), Suspects: NewSuspects(), Parts: NewParts(), Slots: NewSlots(now, self, slotPolicy()),
+		WriteTimeout: writeTimeout, Budget: bounded.NewBudget(bounded.LimitFor(0)), Metrics: NewMetrics(), Suspects: NewSuspects(), Parts: NewParts(), Slots: NewSlots(now, self, slotPolicy()),
 	}
 	a.drain.init()
 	a.refreshSlots(now)
--- a/internal/caller/begin.go
+++ b/internal/caller/begin.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 
+	"github.com/jaystage/jaystage/internal/bounded"
 	"github.com/jaystage/jaystage/pkg/stream"
 )
 
@@ -56,7 +57,7 @@
 	if !t.Request.Unstreamed() {
 		return a.awaitToken(s, t, resp.Body)
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
+	body, err := bounded.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1), s.attempt.account)
 	if err == nil && len(body) > maxAnswerBytes {
 		err = stream.ErrEventTooLong
 	}
@@ -94,6 +95,9 @@
 		if len(head) > limit {
 			return nil, stream.ErrEventTooLong
 		}
+		if err := s.attempt.account.Set(bounded.BodyFactor * len(head)); err != nil {
+			return nil, err
+		}
 	}
 }
 
--- a/internal/caller/booking.go
+++ b/internal/caller/booking.go
@@ -15,6 +15,7 @@
 	"strings"
 	"time"
 
+	"github.com/jaystage/jaystage/internal/bounded"
 	"github.com/jaystage/jaystage/internal/event"
 	"github.com/jaystage/jaystage/internal/hop"
 	"github.com/jaystage/jaystage/internal/replica"
@@ -289,7 +290,7 @@
 	}
 	defer resp.Body.Close()
 	c.firstTokenAt, c.status = a.Now(), resp.StatusCode
-	body, err := io.ReadAll(io.LimitReader(resp.Body, state.MaxAnswerBytes+1))
+	body, err := bounded.ReadAll(io.LimitReader(resp.Body, state.MaxAnswerBytes+1), at.account)
 	if err != nil {
 		return wire.Answer{}, &verdict.Error{Verdict: verdict.MayHaveRun, Code: verdict.CodeUpstreamFailed, Status: http.StatusBadGateway, Detail: "the upstream's answer ended early", Cause: err}
 	}
@@ -362,6 +363,8 @@
 // records the answer. Only status 200 settles the booking: a service that does not
 // know the key yet may still receive the request.
 func (a *API) settle(ctx context.Context, c *call, b wire.Booking) (wire.Booked, bool) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	now := a.Now()
 	view, _ := a.Viewer.View(now)
 	list := a.candidates(view, c, now)
@@ -378,7 +381,9 @@
 		return wire.Booked{}, false
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, state.MaxAnswerBytes+1))
+	account := a.Budget.Open(cancel)
+	defer account.Close()
+	body, err := bounded.ReadAll(io.LimitReader(resp.Body, state.MaxAnswerBytes+1), account)
 	if err != nil || resp.StatusCode != http.StatusOK {
 		return wire.Booked{}, false
 	}
--- a/internal/caller/call.go
+++ b/internal/caller/call.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/jaystage/jaystage/internal/bounded"
 	"github.com/jaystage/jaystage/internal/config"
 	"github.com/jaystage/jaystage/internal/upstream"
 	"github.com/jaystage/jaystage/pkg/drain"
@@ -219,8 +220,10 @@
 	// kv identifies the KV cache of kvTokens tokens that the attempt imports.
 	kv       json.RawMessage
 	kvTokens int
-	cancel   context.CancelCauseFunc
-	ctx      context.Context
+	// account counts what the attempt's answer holds in API.Budget; nil before it is sent.
+	account *bounded.Account
+	cancel  context.CancelCauseFunc
+	ctx     context.Context
 	// callCtx is the context of the call.
 	callCtx context.Context
 
--- a/internal/caller/finish.go
+++ b/internal/caller/finish.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/jaystage/jaystage/internal/bounded"
 	"github.com/jaystage/jaystage/internal/event"
 	"github.com/jaystage/jaystage/internal/upstream"
 	"github.com/jaystage/jaystage/pkg/stream"
@@ -61,6 +62,7 @@
 	if err == nil {
 		at.end = now
 		a.openAttempts.remove(at)
+		at.account.Close()
 		at.cancel(nil)
 		a.Slots.release(now, at, false)
 		a.retryBudgets.recordSuccess(now, c)
@@ -80,6 +82,7 @@
 	now := a.Now()
 	at.end = now
 	a.openAttempts.remove(at)
+	at.account.Close()
 	c.mu.Lock()
 	f := a.classify(ctx, c, at, err)
 	if at.cancel != nil {
@@ -126,7 +129,8 @@
 		f.kind = kindMismatched
 	case errors.Is(err, errUpstreamStatus) && f.err.Verdict == verdict.NotRun:
 		f.kind = kindRefused
-	case errors.Is(err, errUpstreamStatus), errors.Is(err, stream.ErrUpstream), errors.Is(err, stream.ErrMalformed), errors.Is(err, stream.ErrEventTooLong):
+	case errors.Is(err, errUpstreamStatus), errors.Is(err, stream.ErrUpstream), errors.Is(err, stream.ErrMalformed), errors.Is(err, stream.ErrEventTooLong),
+		errors.Is(err, bounded.ErrOverBudget), errors.Is(cause, bounded.ErrOverBudget):
 		f.kind = kindUpstreamError
 	case at.cancel == nil || f.err.Code == verdict.CodeBadRequest:
 		f.kind = kindInvalid
--- a/internal/caller/relay.go
+++ b/internal/caller/relay.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"github.com/jaystage/jaystage/internal/bounded"
 	"github.com/jaystage/jaystage/internal/hop"
 	"github.com/jaystage/jaystage/pkg/stream"
 	"github.com/jaystage/jaystage/pkg/verdict"
@@ -63,6 +64,9 @@
 		var attemptEnds bool
 		var err error
 		out, attemptEnds, err = a.handleRead(c, at, &p, readErr, out[:0])
+		if err == nil {
+			err = at.account.Set(bounded.BodyFactor * p.Held())
+		}
 		if len(out) > 0 {
 			if !c.responseStarted {
 				setStreamHeaders(w.Header())
@@ -219,7 +223,7 @@
 // relayBuffered writes an unstreamed answer to the client after reading all of it, so
 // that the request can be retried if reading fails.
 func (a *API) relayBuffered(w http.ResponseWriter, c *call, at *attempt, resp *http.Response) error {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
+	body, err := bounded.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1), at.account)
 	if err != nil {
 		return err
 	}
--- a/internal/caller/send.go
+++ b/internal/caller/send.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"github.com/jaystage/jaystage/internal/bounded"
 	"github.com/jaystage/jaystage/pkg/pace"
 	"github.com/jaystage/jaystage/pkg/stream"
 	"github.com/jaystage/jaystage/pkg/verdict"
@@ -61,6 +62,7 @@
 	req.Header = c.header.Clone()
 	req.Header.Set(RequestIDHeader, at.id)
 	a.openAttempts.add(at)
+	at.account = a.Budget.Open(func() { at.cancel(bounded.ErrOverBudget) })
 	resp, err := a.Transport.Do(req, c.atMostOnce)
 	if err != nil {
 		return nil, err
--- a/internal/caller/standby.go
+++ b/internal/caller/standby.go
@@ -185,6 +185,7 @@
 		_ = s.resp.Body.Close()
 	}
 	a.openAttempts.remove(s.attempt)
+	s.attempt.account.Close()
 	a.Slots.release(a.Now(), s.attempt, false)
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -99,6 +99,7 @@
 		Self: self, Name: n.Settings.Node.Cell, Links: n.Links, State: n.State, Registry: n.Registry, Log: n.Log, Now: time.Now,
 	}
 	n.Callers = caller.New(self, n.Cell, n.Registry, n.Log)
+	n.Callers.Budget = bounded.NewBudget(bounded.LimitFor(int64(n.Settings.Node.Memory) << 20))
 	n.Callers.Bookings = n.State
 	n.Callers.UseDetour(reach.Node{Name: self.Name, Domain: n.Settings.Node.Domain}, n.Links)
 	n.tunnels = n.Callers.NewTunnelServer()
--- a/pkg/stream/parser.go
+++ b/pkg/stream/parser.go
@@ -32,6 +32,9 @@
 	bomChecked bool
 }
 
+// Held returns the size of the bytes that are kept of an event that is not complete.
+func (p *Parser) Held() int { return len(p.buf) - p.readPos + len(p.data) }
+
 // Feed appends bytes of the stream to the parser's buffer. It invalidates the slice
 // that Next returned.
 func (p *Parser) Feed(b []byte) {
