--- a/review/stage/stage.go
+++ b/review/stage/stage.go
@@ -39,9 +39,11 @@
 type machine struct {
 	name, ip, zone string
 	voter          bool
-	dir            string
-	peerPort       int
-	cmd            *exec.Cmd
+	// spare is true if the machine is not there at first.
+	spare    bool
+	dir      string
+	peerPort int
+	cmd      *exec.Cmd
 }
 
 // stage is a deployment with its stand-ins.
@@ -53,6 +55,8 @@
 	runners  []*runnerProcess
 	paths    []*path
 	cloud    *http.Server
+	// entryLimits are the limits of entry nodes in their settings.
+	entryLimits []string
 
 	mu     sync.Mutex
 	record *os.File
@@ -76,7 +80,10 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &stage{dir: dir, started: time.Now(), record: file, log: log}
+	s := &stage{
+		dir: dir, started: time.Now(), record: file, log: log,
+		entryLimits: []string{"limits.memory_mb=284", "limits.file_descriptors=4100"},
+	}
 	for range 50 {
 		s.network = fmt.Sprintf("127.%d.%d", 100+rand.IntN(100), 1+rand.IntN(250))
 		l, err := net.Listen("tcp", fmt.Sprintf("%s.1:%d", s.network, controlPort))
@@ -164,7 +171,6 @@
 	}
 	class, lines := "frontend", []string{
 		fmt.Sprintf("listen.frontend=%s:%d", m.ip, clientPort), fmt.Sprintf("listen.readiness=%s:%d", m.ip, readinessPort),
-		"limits.memory_mb=284", "limits.file_descriptors=4100",
 	}
 	if m.voter {
 		class, lines = "core", []string{
@@ -172,6 +178,9 @@
 			"limits.memory_mb=280", "limits.file_descriptors=4096",
 		}
 	}
+	if !m.voter {
+		lines = append(lines, s.entryLimits...)
+	}
 	lines = append(lines, "node_name="+m.name, "machine_class="+class, "ip="+m.ip, "zone="+m.zone, "region=r1",
 		fmt.Sprintf("internal_ports=%d,%d", m.peerPort, m.peerPort), "seed_nodes="+strings.Join(seeds[:min(3, len(seeds))], ","),
 		fmt.Sprintf("bootstrap=%v", bootstrap), "heartbeat_interval_ms=1200", fmt.Sprintf("fault_tolerance.machines=%d", (len(s.voters())-1)/2),
@@ -201,6 +210,9 @@
 		return err
 	}
 	for _, m := range s.machines {
+		if m.spare {
+			continue
+		}
 		if err := s.start(m, true); err != nil {
 			return err
 		}
