--- a/review/stage/path.go
+++ b/review/stage/path.go
@@ -4,17 +4,17 @@
 	"fmt"
 	"io"
 	"net"
-	"sync/atomic"
-	"time"
+	"sync"
 )
 
-// path is the way from one machine to another, through a proxy that can delay what passes.
+// path is the way from one machine to another, through a proxy that can reset its connections.
 type path struct {
 	listener net.Listener
 	target   string
-	// core is true between two voters.
-	core  bool
-	delay atomic.Int64
+	from, to *machine
+
+	mu    sync.Mutex
+	conns map[net.Conn]bool
 }
 
 // openPaths opens the paths between all machines. A machine connects to the others at its own
@@ -29,7 +29,7 @@
 			if err != nil {
 				return err
 			}
-			p := &path{listener: l, target: fmt.Sprintf("%s:%d", to.ip, to.peerPort), core: from.voter && to.voter}
+			p := &path{listener: l, target: fmt.Sprintf("%s:%d", to.ip, to.peerPort), from: from, to: to, conns: make(map[net.Conn]bool)}
 			s.paths = append(s.paths, p)
 			go p.accept()
 		}
@@ -37,13 +37,43 @@
 	return nil
 }
 
-// delayCore delays what passes between voters, in each direction.
-func (s *stage) delayCore(d time.Duration) {
+// resetCore resets the connections between a voter and the other voters. New ones work. It returns
+// how many there were, and how many connections the voter has with all machines.
+func (s *stage) resetCore(m *machine) (reset, all int) {
 	for _, p := range s.paths {
-		if p.core {
-			p.delay.Store(int64(d))
+		if p.from != m && p.to != m {
+			continue
+		}
+		n := p.reset(p.from.voter && p.to.voter)
+		all += n
+		if p.from.voter && p.to.voter {
+			reset += n
+		}
+	}
+	return reset, all
+}
+
+// reset counts the connections, and resets them if it is told to.
+func (p *path) reset(now bool) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.conns {
+		if now {
+			_ = c.(*net.TCPConn).SetLinger(0)
+			_ = c.Close()
 		}
 	}
+	return len(p.conns) / 2 // each has two ends at the proxy
+}
+
+func (p *path) track(c net.Conn, open bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if open {
+		p.conns[c] = true
+	} else {
+		delete(p.conns, c)
+	}
 }
 
 func (p *path) accept() {
@@ -58,42 +88,17 @@
 
 func (p *path) forward(client net.Conn) {
 	defer client.Close()
-	target, err := net.DialTimeout("tcp", p.target, time.Second)
+	target, err := net.Dial("tcp", p.target)
 	if err != nil {
 		return
 	}
 	defer target.Close()
+	for _, c := range []net.Conn{client, target} {
+		p.track(c, true)
+		defer p.track(c, false)
+	}
 	done := make(chan struct{}, 2)
-	go func() { p.copy(target, client); done <- struct{}{} }()
-	go func() { p.copy(client, target); done <- struct{}{} }()
+	go func() { _, _ = io.Copy(target, client); done <- struct{}{} }()
+	go func() { _, _ = io.Copy(client, target); done <- struct{}{} }()
 	<-done
 }
-
-// chunk is what was read at once, and when it is due at the other end.
-type chunk struct {
-	data []byte
-	due  time.Time
-}
-
-func (p *path) copy(to io.Writer, from io.Reader) {
-	chunks := make(chan chunk, 4096)
-	go func() {
-		defer close(chunks)
-		for {
-			buffer := make([]byte, 16<<10)
-			n, err := from.Read(buffer)
-			if n > 0 {
-				chunks <- chunk{buffer[:n], time.Now().Add(time.Duration(p.delay.Load()))}
-			}
-			if err != nil {
-				return
-			}
-		}
-	}()
-	for c := range chunks {
-		time.Sleep(time.Until(c.due))
-		if _, err := to.Write(c.data); err != nil {
-			return
-		}
-	}
-}
--- a/review/stage/rollout.go
+++ b/review/stage/rollout.go
@@ -1,26 +1,30 @@
 package main
 
 import (
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"strings"
+	"sync"
 	"time"
 )
 
+func init() { cases["rollout"] = playRollout }
+
 const (
-	// coreDelay is the delay of the links between voters during the trouble.
-	coreDelay = 60 * time.Millisecond
-	// rolloutPairs is the number of pairs of rollouts that are ordered.
-	rolloutPairs = 6
+	// rolloutPairs is the number of pairs of rollouts that are ordered at most.
+	rolloutPairs = 8
+	// orderPause is the time between the two orders of a pair.
+	orderPause = 10 * time.Millisecond
 )
 
-func init() { cases["rollout"] = playRollout }
-
 // playRollout orders a rollout and, while it runs, another one of the same service. What was
-// acknowledged last must be there after all processes were killed.
+// acknowledged last must be there after all processes were killed. The trouble resets connections
+// of the leader as the second order is sent.
 func playRollout(s *stage, trouble bool) (broken bool, err error) {
-	if err := s.addMachines(3, 1); err != nil {
+	if err := s.addMachines(3, 2); err != nil {
 		return false, err
 	}
 	if _, err := s.startRunner("engine"); err != nil {
@@ -30,35 +34,85 @@
 		return false, err
 	}
 	time.Sleep(2 * time.Second)
-	if trouble {
-		s.delayCore(coreDelay)
-		s.note("the links between voters are slowed by %v", coreDelay)
-		time.Sleep(time.Second)
-	}
 	last := ""
 	for i := range rolloutPairs {
-		for _, operator := range []string{"a", "b"} {
-			target := fmt.Sprintf("v%d-%s", i+2, operator)
-			body := fmt.Sprintf(`{"service":"engine","target":%q,"duration_s":12}`, target)
-			status, err := s.order(http.MethodPost, "/rollouts", body, 5*time.Second)
-			s.note("operator %s ordered a rollout to %s: status %d, error: %v", operator, target, status, err)
-			if err != nil || status != http.StatusOK {
-				return false, fmt.Errorf("rollout: status %d, %w", status, err)
-			}
-			last = target
+		first, second := fmt.Sprintf("v%d-a", i+2), fmt.Sprintf("v%d-b", i+2)
+		leader := s.leader()
+		if err := s.rollOut(leader, first); err != nil {
+			return false, err
+		}
+		time.Sleep(orderPause)
+		if err := s.rollOutInTrouble(leader, second, trouble); err != nil {
+			return false, err
 		}
+		last = second
 		time.Sleep(time.Second + rand.N(250*time.Millisecond))
-		_, state, err := s.call(s.voters()[0], http.MethodGet, "/rollouts/engine", "")
+		_, state, err := s.call(s.leader(), http.MethodGet, "/rollouts/engine", "")
 		s.note("a voter answers %s, error: %v", state, err)
 		if err == nil && strings.Contains(state, "target") && !strings.Contains(state, last) {
 			break
 		}
 	}
+	return s.readAfterFinalFault(last)
+}
+
+// rollOutInTrouble orders a rollout, and resets the leader's connections with the other voters just
+// after it was sent.
+func (s *stage) rollOutInTrouble(leader *machine, target string, trouble bool) error {
+	var reset sync.WaitGroup
+	if trouble {
+		reset.Add(1)
+		go func() {
+			defer reset.Done()
+			n, all := s.resetCore(leader)
+			s.note("%d of the %d connections of %s with other machines are reset", n, all, leader.name)
+		}()
+	}
+	err := s.rollOut(leader, target)
+	reset.Wait()
+	return err
+}
+
+// rollOut orders a rollout at a voter, and at others until one acknowledges it.
+func (s *stage) rollOut(voter *machine, target string) error {
+	body := fmt.Sprintf(`{"service":"engine","target":%q,"duration_s":12}`, target)
+	status, _, err := s.call(voter, http.MethodPost, "/rollouts", body)
+	if err != nil || status >= http.StatusInternalServerError {
+		s.note("the order of a rollout to %s got status %d from %s, error: %v; it is sent again", target, status, voter.name, err)
+		status, err = s.order(http.MethodPost, "/rollouts", body, 4*time.Second)
+	}
+	s.note("the operator ordered a rollout to %s: status %d, error: %v", target, status, err)
+	if err != nil || status != http.StatusOK {
+		return fmt.Errorf("rollout: status %d, %w", status, err)
+	}
+	return nil
+}
+
+// leader returns the voter that became the leader last, by the log of the processes.
+func (s *stage) leader() *machine {
+	found := s.voters()[0]
+	text, _ := os.ReadFile(s.log.Name())
+	for line := range strings.Lines(string(text)) {
+		var entry struct{ Msg, Node string }
+		if json.Unmarshal([]byte(line), &entry) != nil || entry.Msg != "this node became the leader" {
+			continue
+		}
+		for _, m := range s.voters() {
+			if m.name == entry.Node {
+				found = m
+			}
+		}
+	}
+	return found
+}
+
+// readAfterFinalFault kills all processes, starts them again and reports whether the rollout that
+// was acknowledged last is gone.
+func (s *stage) readAfterFinalFault(last string) (broken bool, err error) {
 	s.note("all processes are killed")
 	for _, m := range s.machines {
 		m.kill()
 	}
-	s.delayCore(0)
 	for _, m := range s.machines {
 		if err := s.start(m, false); err != nil {
 			return false, err
