Decide every change of the control plane on the state it replaces

Cause: a step of a move, decided on an older copy, was written back with a base version above every recorded one, so that it replaced whatever an operator or the next leader had recorded since. Same cause: drains, resumptions, leaving upstreams, usage windows, blocked parts. Change: Control.change passes the version of the view that a change was decided on; unconditional writes are gone. Why it works: the state machine refuses a change whose entry has changed since its base version, at the place in the log where the change is applied, so no delay before that matters.

--- a/internal/config/move.go
+++ b/internal/config/move.go
@@ -35,6 +35,11 @@
 	Sent bool `json:"sent"`
 }
 
+// SameOrder reports whether both are states of one ordered move.
+func (m Move) SameOrder(other Move) bool {
+	return m.Service == other.Service && m.Target == other.Target && m.Started == other.Started
+}
+
 // Elapsed returns the time since the start of the move.
 func (m Move) Elapsed(now time.Time) time.Duration { return now.Sub(time.UnixMilli(m.Started)) }
 
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -6,7 +6,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"time"
@@ -118,7 +117,7 @@
 				Info("plan ignored: its version is not newer than the current one")
 			return nil
 		}
-		changed, err := c.State.Change(ctx, wire.Change{Base: view.Version, Author: "operator", Items: []wire.Item{{Key: config.KeyPlan, Value: value}}})
+		changed, err := c.State.Change(ctx, wire.Change{Base: view.Version, Author: authorOperator, Items: []wire.Item{{Key: config.KeyPlan, Value: value}}})
 		if err != nil {
 			return err
 		}
@@ -147,39 +146,35 @@
 
 // DrainDomain takes a failure domain out of service.
 func (c *Control) DrainDomain(ctx context.Context, now time.Time, domain string) error {
-	view, err := c.State.Current(ctx)
-	if err != nil {
-		return err
-	}
-	if _, drained := view.DrainedDomains[domain]; drained {
-		return nil
-	}
-	return c.overwrite(ctx, config.PrefixDrainDomain+domain, config.Drain{Author: "operator", Since: now.UnixMilli()})
+	overtaken := false
+	return c.executeOrder(ctx, func(view *config.View) (wire.Item, bool, error) {
+		if _, drained := view.DrainedDomains[domain]; drained {
+			return wire.Item{}, false, nil
+		}
+		if overtaken {
+			return wire.Item{}, false, ErrOvertaken // the domain was drained and resumed meanwhile
+		}
+		overtaken = true
+		item, err := encodeItem(config.PrefixDrainDomain+domain, config.Drain{Author: authorOperator, Since: now.UnixMilli()})
+		return item, true, err
+	})
 }
 
 // ResumeDomain returns a drained failure domain to service.
 func (c *Control) ResumeDomain(ctx context.Context, domain string) error {
-	_, err := c.State.Change(ctx, wire.Change{Base: unconditionalBase, Author: "operator", Items: []wire.Item{{Key: config.PrefixDrainDomain + domain, Deleted: true}}})
+	overtaken := false
+	err := c.executeOrder(ctx, func(view *config.View) (wire.Item, bool, error) {
+		if _, drained := view.DrainedDomains[domain]; !drained {
+			return wire.Item{}, false, nil
+		}
+		if overtaken {
+			return wire.Item{}, false, ErrOvertaken // the domain was resumed and drained meanwhile
+		}
+		overtaken = true
+		return wire.Item{Key: config.PrefixDrainDomain + domain, Deleted: true}, true, nil
+	})
 	if err == nil {
 		event.With(c.Log, event.DomainResumed).WithField("domain", domain).Info("failure domain resumed")
 	}
 	return err
 }
-
-// unconditionalBase is a base version above every recorded one, so that a change with it
-// never conflicts.
-const unconditionalBase = ^uint64(0)
-
-// overwrite stores an entry regardless of its current value.
-func (c *Control) overwrite(ctx context.Context, key string, value any) error {
-	data, err := json.Marshal(value)
-	if err != nil {
-		return err
-	}
-	changed, err := c.State.Change(ctx, wire.Change{Base: unconditionalBase, Author: c.Self, Items: []wire.Item{{Key: key, Value: data}}})
-	if err != nil {
-		return err
-	}
-	event.With(c.Log, event.EntryRecorded).WithFields(logrus.Fields{"key": key, "version": changed.Version}).Info("entry recorded")
-	return nil
-}
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -28,6 +28,8 @@
 	failing   bool         // calls that need a quorum fail
 	// onConfirm runs before a leadership is confirmed, if set.
 	onConfirm func()
+	// onChange runs once before the next change is applied, if set: another writer is first.
+	onChange func()
 }
 
 func (s *fakeState) ConfirmLeading(term uint64) error {
@@ -75,6 +77,10 @@
 }
 
 func (s *fakeState) Change(_ context.Context, c wire.Change) (wire.Changed, error) {
+	if first := s.onChange; first != nil {
+		s.onChange = nil
+		first()
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.failing {
--- a/internal/control/move.go
+++ b/internal/control/move.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -15,8 +14,6 @@
 
 const moveInterval = 250 * time.Millisecond
 
-func encodeJSON(v any) ([]byte, error) { return json.Marshal(v) }
-
 // mover advances the moves of traffic to new versions while this voter leads.
 type mover struct {
 	c *Control
@@ -33,17 +30,24 @@
 
 type outcomeKey struct{ version, route string }
 
-// StartMove starts moving a service's traffic to the target version.
+// StartMove starts moving a service's traffic to the target version. It replaces the move that
+// is the latest one when the order arrives, whatever step that one has reached.
 func (c *Control) StartMove(ctx context.Context, now time.Time, service, target string, within time.Duration) error {
-	view, err := c.State.Current(ctx)
-	if err != nil {
-		return err
-	}
-	if m, ok := view.Moves[service]; ok && m.Target == target && (m.Phase == config.MoveRunning || now.UnixMilli() < m.Deadline) {
-		return nil // a repeated request
-	}
-	return c.overwrite(ctx, config.PrefixMove+service, config.Move{
+	next := config.Move{
 		Service: service, Target: target, Started: now.UnixMilli(), Deadline: now.Add(within).UnixMilli(), Phase: config.MoveRunning,
+	}
+	var replaced *config.Move
+	return c.executeOrder(ctx, func(view *config.View) (wire.Item, bool, error) {
+		latest := view.Moves[service]
+		if latest.Target == target && (latest.Phase == config.MoveRunning || now.UnixMilli() < latest.Deadline) {
+			return wire.Item{}, false, nil // a repeated request
+		}
+		if replaced != nil && !replaced.SameOrder(latest) {
+			return wire.Item{}, false, ErrOvertaken
+		}
+		replaced = &latest
+		item, err := encodeItem(config.PrefixMove+service, next)
+		return item, true, err
 	})
 }
 
@@ -63,16 +67,17 @@
 	if !leads || !valid {
 		return
 	}
-	for service, move := range view.Moves {
+	for _, move := range view.Moves {
 		if move.Phase == config.MoveRunning {
-			m.step(ctx, now, term, service, move)
+			m.step(ctx, now, term, view, move)
 		}
 	}
 }
 
-// step decides the next step of a move and records it.
-func (m *mover) step(ctx context.Context, now time.Time, term uint64, service string, move config.Move) {
-	state := m.moveState(term, service, move)
+// step decides the next step of a move of the view and records it, unless the move has
+// changed since: an operator may have ordered another one, or another leader have ended it.
+func (m *mover) step(ctx context.Context, now time.Time, term uint64, view *config.View, move config.Move) {
+	state := m.moveState(term, move.Service, move)
 	step := state.Step(now)
 	next := move
 	next.Share = step.Share
@@ -87,11 +92,16 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	err := m.c.overwrite(ctx, config.PrefixMove+service, next)
-	event.With(m.c.Log, event.MoveStep).WithFields(logrus.Fields{
-		"service": service, "target": move.Target, "phase": next.Phase, "share": next.Share, "cause": next.Cause, "present": state.HasUpstreams,
+	err := m.c.put(ctx, view, config.PrefixMove+move.Service, next)
+	log := event.With(m.c.Log, event.MoveStep).WithFields(logrus.Fields{
+		"service": move.Service, "target": move.Target, "phase": next.Phase, "share": next.Share, "cause": next.Cause, "present": state.HasUpstreams,
 		"next": state.NewVersion, "before": state.OldVersions, "term": term,
-	}).WithError(err).Info("move advanced")
+	})
+	if err != nil {
+		log.WithError(err).Warn("move not advanced; deciding again")
+		return
+	}
+	log.Info("move advanced")
 }
 
 // moveState collects the inputs for deciding the next step of a move.
--- a/internal/control/parts.go
+++ b/internal/control/parts.go
@@ -122,7 +122,7 @@
 	store, release := b.decision(now, term, view)
 	for p, entry := range store {
 		log := event.With(b.c.Log, event.PartBlocked).WithFields(logrus.Fields{"part": entry.Name, "key": config.PartKey(p), "with": len(entry.With)})
-		if err := b.c.overwrite(ctx, config.PartKey(p), entry); err != nil {
+		if err := b.c.put(ctx, view, config.PartKey(p), entry); err != nil {
 			log.WithError(err).Warn("could not block a part of prompts that crashes upstreams")
 			return // the next call tries again
 		}
@@ -130,7 +130,7 @@
 	}
 	for _, p := range release {
 		log := event.With(b.c.Log, event.PartReleased).WithFields(logrus.Fields{"part": view.BlockedParts[p].Name, "key": config.PartKey(p)})
-		if _, err := b.c.State.Change(ctx, wire.Change{Base: unconditionalBase, Author: b.c.Self, Items: []wire.Item{{Key: config.PartKey(p), Deleted: true}}}); err != nil {
+		if err := b.c.change(ctx, view, b.c.Self, wire.Item{Key: config.PartKey(p), Deleted: true}); err != nil {
 			log.WithError(err).Warn("could not release a part of prompts")
 			return
 		}
--- a/internal/control/parts_test.go
+++ b/internal/control/parts_test.go
@@ -198,7 +198,7 @@
 func TestBlockedPartsOfTheState(t *testing.T) {
 	s := newFakeState()
 	c := newControl(s)
-	if err := c.overwrite(context.Background(), config.PartKey(badPart), config.BlockedPart{Name: "bad", Since: 5, With: []poison.Part{soundPart}}); err != nil {
+	if err := c.put(context.Background(), s.view(), config.PartKey(badPart), config.BlockedPart{Name: "bad", Since: 5, With: []poison.Part{soundPart}}); err != nil {
 		t.Fatal(err)
 	}
 	if got, want := s.view().BlockedParts[badPart], (config.BlockedPart{Name: "bad", Since: 5, With: []poison.Part{soundPart}}); !reflect.DeepEqual(got, want) {
--- a/internal/control/relay.go
+++ b/internal/control/relay.go
@@ -179,10 +179,14 @@
 			return err
 		}
 	}
-	if d, ok := view.DrainedUpstreams[s.ID]; ok && d.StartMillis >= born {
-		return nil
-	}
-	return c.overwrite(ctx, config.PrefixDrainUpstream+s.ID, config.Drain{Author: "upstream", Since: now.UnixMilli(), StartMillis: born})
+	// Statuses of several starts may come to several voters at once; the latest start counts.
+	return c.execute(ctx, view, c.Self, func(view *config.View) (wire.Item, bool, error) {
+		if d, ok := view.DrainedUpstreams[s.ID]; ok && d.StartMillis >= born {
+			return wire.Item{}, false, nil
+		}
+		item, err := encodeItem(config.PrefixDrainUpstream+s.ID, config.Drain{Author: "upstream", Since: now.UnixMilli(), StartMillis: born})
+		return item, true, err
+	})
 }
 
 // RegisterHandlers registers the message handlers. Call it before the links start.
--- a/internal/control/usage_reporter.go
+++ b/internal/control/usage_reporter.go
@@ -110,11 +110,11 @@
 
 // createUsageEntry stores the counts of a window; it fails if the entry exists.
 func (r *usageReporter) createUsageEntry(ctx context.Context, key string, usage config.Usage) error {
-	value, err := encodeJSON(usage)
+	item, err := encodeItem(key, usage)
 	if err != nil {
 		return err
 	}
-	changed, err := r.c.State.Change(ctx, wire.Change{Author: r.c.Self, Items: []wire.Item{{Key: key, Value: value}}})
+	changed, err := r.c.State.Change(ctx, wire.Change{Author: r.c.Self, Items: []wire.Item{item}})
 	if err == nil && len(changed.Conflict) > 0 {
 		return errors.New("the usage window is already settled")
 	}
@@ -140,7 +140,7 @@
 		}
 		usage.Sent = true
 		recordCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), callTimeout)
-		err = r.c.overwrite(recordCtx, config.PrefixUsage+key, usage)
+		err = r.c.put(recordCtx, view, config.PrefixUsage+key, usage)
 		cancel()
 		if err != nil {
 			r.c.Log.WithError(err).Warn("could not record that a usage window was reported; the report will be repeated")
@@ -167,7 +167,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	if _, err := r.c.State.Change(ctx, wire.Change{Base: unconditionalBase, Author: r.c.Self, Items: expired}); err != nil {
+	if err := r.c.change(ctx, view, r.c.Self, expired...); err != nil {
 		r.c.Log.WithError(err).Info("could not delete old usage windows; retrying later")
 	}
 }
