Keep routes closed when the last account is taken out of a plan

Cause: a missing and an empty list were decoded into the same plan, and the gateway took a plan without accounts for one whose requests need no key. Why it works: the absence of the field is decided once, where the document is read, and recorded.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -7,7 +7,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -62,6 +61,8 @@
 	ScalingEnabled bool
 	// UsageWindow is the length of a usage window; zero disables usage reports.
 	UsageWindow time.Duration
+	// ReadPlan reads the document of a traffic plan that an earlier release has recorded.
+	ReadPlan func(source []byte) (*traffic.Plan, error)
 	// CountStore keeps this voter's copy of the counts of usage windows; nil for none.
 	CountStore CountStore
 	// MinLeadTime is how long this voter must have led before it calls the platform: the
@@ -82,13 +83,14 @@
 	scaler        scaler
 	parts         partBlocker
 	limits        limits
+	planConverter planConverter
 	openUses      openUses
 }
 
 // New returns the control plane of a voter.
 func New(self string, state State, links Links, log logrus.FieldLogger) *Control {
 	c := &Control{Self: self, State: state, Links: links, Log: log, roster: roster.New(), ledger: newLedger(), bootTime: boottime.Now}
-	c.usageReporter.c, c.countCopier.c, c.mover.c, c.scaler.c, c.parts.c = c, c, c, c, c
+	c.usageReporter.c, c.countCopier.c, c.mover.c, c.scaler.c, c.parts.c, c.planConverter.c = c, c, c, c, c, c
 	c.relay.synced = make(map[string]uint64)
 	c.roster.Configured = func(now time.Time, service string) bool {
 		view, _ := state.View(now)
@@ -97,53 +99,6 @@
 	return c
 }
 
-// PutPlan makes p the current plan, or does nothing if the current plan has the same or a
-// higher version. It returns once the outcome is recorded on a majority of the voters.
-func (c *Control) PutPlan(ctx context.Context, p *traffic.Plan) error {
-	if err := p.Check(); err != nil {
-		return fmt.Errorf("%w: %w", ErrInvalid, err)
-	}
-	value, err := traffic.Encode(p)
-	if err != nil {
-		return err
-	}
-	view, err := c.State.Current(ctx)
-	if err != nil {
-		return err
-	}
-	for ctx.Err() == nil {
-		if view.Plan != nil && view.Plan.Version >= p.Version {
-			event.With(c.Log, event.PlanUnchanged).WithFields(logrus.Fields{"plan": p.Version, "present": view.Plan.Version}).
-				Info("plan ignored: its version is not newer than the current one")
-			return nil
-		}
-		changed, err := c.State.Change(ctx, wire.Change{Base: view.Version, Author: authorOperator, Items: []wire.Item{{Key: config.KeyPlan, Value: value}}})
-		if err != nil {
-			return err
-		}
-		if len(changed.Conflict) == 0 {
-			event.With(c.Log, event.PlanRecorded).WithFields(logrus.Fields{"plan": p.Version, "version": changed.Version, "routes": len(p.Routes)}).Info("plan recorded")
-			return nil
-		}
-		if view, err = c.State.Current(ctx); err != nil {
-			return err
-		}
-	}
-	return ctx.Err()
-}
-
-// Plan returns the current plan.
-func (c *Control) Plan(ctx context.Context) (*traffic.Plan, error) {
-	view, err := c.State.Current(ctx)
-	if err != nil {
-		return nil, err
-	}
-	if view.Plan == nil {
-		return nil, ErrNoPlan
-	}
-	return view.Plan, nil
-}
-
 // DrainDomain takes a failure domain out of service.
 func (c *Control) DrainDomain(ctx context.Context, now time.Time, domain string) error {
 	overtaken := false
--- a/internal/control/relay.go
+++ b/internal/control/relay.go
@@ -240,6 +240,7 @@
 	scalingDone := periodic.Run(ctx, c.Log, scalingInterval, c.scaler.run)
 	movesDone := periodic.Run(ctx, c.Log, moveInterval, c.mover.run)
 	partsDone := periodic.Run(ctx, c.Log, partInterval, c.parts.run)
+	planDone := periodic.Run(ctx, c.Log, planInterval, c.planConverter.run)
 	go func() {
 		defer close(done)
 		<-relayDone
@@ -248,6 +249,7 @@
 		<-movesDone
 		<-scalingDone
 		<-partsDone
+		<-planDone
 	}()
 	return done
 }
--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -26,6 +26,7 @@
 	"github.com/jaystage/jaystage/internal/peer"
 	"github.com/jaystage/jaystage/internal/replica"
 	"github.com/jaystage/jaystage/internal/tunnel"
+	"github.com/jaystage/jaystage/pkg/traffic"
 )
 
 const (
@@ -78,6 +79,8 @@
 	ControlAddress string
 	ControlHandler func(*control.Control) http.Handler
 	Platform       control.Platform
+	// ReadPlan reads the document of a traffic plan.
+	ReadPlan func(source []byte) (*traffic.Plan, error)
 	// ScalingEnabled is true when the system orders upstreams from the platform.
 	ScalingEnabled bool
 	// MaxExposure is the largest share of all requests that a faulty version may receive.
@@ -181,6 +184,7 @@
 func (n *Node) openControl() error {
 	n.control = control.New(n.options.Host, n.state, n.links, n.options.Log)
 	n.control.Platform, n.control.ScalingEnabled = n.options.Platform, n.options.ScalingEnabled
+	n.control.ReadPlan = n.options.ReadPlan
 	n.control.UsageWindow, n.control.MaxExposure, n.control.MinLeadTime = n.options.GatewaySettings.UsageWindow, n.options.MaxExposure, n.options.MinLeadTime
 	if n.options.DataDir != "" {
 		n.control.CountStore = countStore{n.options.DataDir}
--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -70,7 +70,7 @@
 }
 
 func (c *call) authenticate() *verdict.Error {
-	if len(c.view.Plan.Accounts) == 0 {
+	if !c.view.Plan.RequiresKey() {
 		return nil
 	}
 	scheme, key, _ := strings.Cut(c.r.Header.Get("Authorization"), " ")
--- a/pkg/traffic/traffic.go
+++ b/pkg/traffic/traffic.go
@@ -31,6 +31,16 @@
 	Stream Kind = "stream"
 )
 
+// Access tells who may use the routes of a plan that are not public.
+type Access string
+
+const (
+	// AccessOpen lets every request pass, with or without a bearer key.
+	AccessOpen Access = "open"
+	// AccessKeys lets requests pass that carry a key of an account; none if no account has one.
+	AccessKeys Access = "keys"
+)
+
 // Plan is one version of the traffic plan. Callers must not modify it.
 type Plan struct {
 	// Version orders plans; only a higher version replaces the current plan.
@@ -38,7 +48,9 @@
 	Routes   []Route   `json:"routes"`
 	Services []Service `json:"services"`
 	Accounts []Account `json:"accounts"`
-	Limits   Limits    `json:"limits"`
+	// Access is empty in a plan that a release without it has recorded; see RequiresKey.
+	Access Access `json:"access,omitempty"`
+	Limits Limits `json:"limits"`
 	// Source is the document as the operator sent it, returned when the operator reads
 	// the plan.
 	Source json.RawMessage `json:"source"`
@@ -233,6 +245,15 @@
 	return nil, false
 }
 
+// RequiresKey reports whether requests of routes that are not public need a key of an account.
+// A list of accounts that has become empty takes all keys away; it opens no route.
+func (p *Plan) RequiresKey() bool {
+	if p.Access == "" {
+		return len(p.Accounts) > 0
+	}
+	return p.Access == AccessKeys
+}
+
 // AccountByKey returns the account with the bearer key, which is given unhashed.
 func (p *Plan) AccountByKey(key string) (*Account, bool) {
 	a, ok := p.accountsByKey[HashKey(key)]
