Tell a reset from the end of an answer while its request is written

Cause: the kernel reports a reset once, to a read or a write, whichever comes first; the other one sees an ordinary end of file. The upload's write took the report. Same cause: connections to upstreams in the gateway, in net/http's transport on the product's own path, and at the node in between of both. Change: http1.Conn, on all three. A read that meets the end of file asks what the write was told. Why it works: an error of the write other than EPIPE means that the connection broke; EPIPE, and a connection in CLOSE_WAIT, mean that the upstream had closed its side in an orderly way before.

--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/jaystage/jaystage/internal/bounded"
+	"github.com/jaystage/jaystage/internal/http1"
 	"github.com/jaystage/jaystage/internal/tunnel"
 )
 
@@ -101,7 +102,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := newConn(raw, "")
+	c := newConn(http1.NewConn(raw), "")
 	c.opened = opened
 	return c, nil
 }
--- a/internal/tunnel/server.go
+++ b/internal/tunnel/server.go
@@ -14,6 +14,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/jaystage/jaystage/internal/event"
+	"github.com/jaystage/jaystage/internal/http1"
 	"github.com/jaystage/jaystage/pkg/wire"
 )
 
@@ -123,7 +124,7 @@
 		}
 		return wire.TunnelReply{Outcome: outcomeUnreached, Reason: err.Error()}
 	}
-	t.upstream = upstream
+	t.upstream = http1.NewConn(upstream) // requests are written while a response is read
 	return wire.TunnelReply{Outcome: outcomeOpen}
 }
 
--- a/internal/upstream/transport.go
+++ b/internal/upstream/transport.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/jaystage/jaystage/internal/detour"
+	"github.com/jaystage/jaystage/internal/http1"
 	"github.com/jaystage/jaystage/pkg/verdict"
 )
 
@@ -101,7 +102,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &countingConn{Conn: conn, opened: opened}, nil
+	return &countingConn{Conn: http1.NewConn(conn), opened: opened}, nil
 }
 
 // ProbePath checks whether an upstream answers over a new direct connection.
