Refuse heads of answers that are none

The gateway took a status below 200 for an informational answer and what stood in its body for the next one; a blank before the colon of Transfer-Encoding or Content-Length hid the framing; the product's own path passed them on; a status of 000 of the platform counted as an accepted report. Change: http1.CheckHead after each head that is read of an upstream or the platform. Such an upstream counts as one that sends bytes that are no answer, also where net/http refuses the head itself. Why it works: one check at the place where heads are read, informational ones included, so that neither their lines nor the bytes after them are used. Result: TestCheckHead, TestMalformedHeadIsNoAnswer, TestMalformedHeadIsNoResponse and TestMalformedPlatformReplyIsNoSuccess fail without the check and pass.

--- a/internal/gateway/malformed.go
+++ b/internal/gateway/malformed.go
@@ -9,6 +9,7 @@
 
 	"github.com/jaystage/jaystage/internal/bounded"
 	"github.com/jaystage/jaystage/internal/event"
+	"github.com/jaystage/jaystage/internal/http1"
 	"github.com/jaystage/jaystage/pkg/stream"
 )
 
@@ -41,7 +42,7 @@
 	case f == nil || f.isOwn() || a.conn == nil:
 	case a.conn.limit.Account.GivenUp():
 		f.malformed, f.cause, f.err = !a.hasEnd(), "budget", bounded.ErrOverBudget
-	case errors.Is(f.err, bounded.ErrTooLong):
+	case errors.Is(f.err, bounded.ErrTooLong), errors.Is(f.err, http1.ErrMalformed):
 		f.malformed, f.cause = true, "head"
 	case errors.Is(f.err, stream.ErrEventTooLong), errors.Is(f.err, errOnlyOthers), errors.Is(f.err, errStrayTooLong):
 		f.malformed = true
--- a/internal/gateway/path.go
+++ b/internal/gateway/path.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"time"
 
 	"github.com/jaystage/jaystage/internal/config"
+	"github.com/jaystage/jaystage/internal/http1"
 	"github.com/jaystage/jaystage/internal/tunnel"
 	"github.com/jaystage/jaystage/pkg/reach"
 )
@@ -153,7 +155,7 @@
 	if err := r.Write(c.Conn); err != nil {
 		return err
 	}
-	if _, err := c.readHead(http.MethodGet); err != nil {
+	if _, err := c.readHead(http.MethodGet); err != nil && !errors.Is(err, http1.ErrMalformed) {
 		return err
 	}
 	g.recordBytes(time.Now(), c, address)
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"strconv"
@@ -122,7 +123,7 @@
 }
 
 // readHead reads the status line and headers of a response to a request with this method,
-// at most maxHeadBytes and a read buffer.
+// at most maxHeadBytes and a read buffer. The error wraps http1.ErrMalformed if they are none.
 func (c *conn) readHead(method string) (*http.Response, error) {
 	c.limit.Limit(maxHeadBytes)
 	resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
@@ -130,7 +131,12 @@
 	switch {
 	case c.limit.Exceeded():
 		return nil, bounded.ErrTooLong
-	case err != nil:
+	case err == nil:
+		err = http1.CheckHead(resp)
+	case !c.limit.Failed():
+		err = fmt.Errorf("%w: %w", http1.ErrMalformed, err) // the bytes have come, but cannot be parsed
+	}
+	if err != nil {
 		return nil, err
 	}
 	buffered := c.reader.Buffered()
--- a/internal/upstream/transport.go
+++ b/internal/upstream/transport.go
@@ -124,7 +124,8 @@
 // rewound, so Do clears GetBody and replaces an empty body. With newConn set, the request
 // also gets a connection of its own, because a kept-alive connection can fail after the
 // upstream has read the request. A response with the id of another request, and a refusal
-// without an id on a reused connection, are discarded and their connection is closed.
+// without an id on a reused connection, and a malformed one are discarded and their connection
+// is closed.
 func (t *Transport) Do(req *http.Request, newConn bool) (*http.Response, error) {
 	var written writeTracker
 	req.GetBody = nil
@@ -142,7 +143,10 @@
 	}
 	if err == nil {
 		id := resp.Header.Get(RequestIDHeader)
+		malformed := http1.CheckHead(resp)
 		switch {
+		case malformed != nil:
+			err = malformed
 		case id == "" && written.reused.Load() && claimsNotRun(resp.StatusCode):
 			err = ErrUnattributedRefusal
 		case id == "" || id == req.Header.Get(RequestIDHeader):
@@ -181,6 +185,9 @@
 		return err
 	}
 	defer resp.Body.Close()
+	if err := http1.CheckHead(resp); err != nil {
+		return err
+	}
 	if resp.StatusCode >= http.StatusInternalServerError {
 		return errors.New("the upstream's health check answered " + resp.Status)
 	}
