Part orders from the writes that carry them out

Cause: the drain and the resumption of a failure domain held the same steps twice, and a plan had a loop of its own beside the one for orders. Change: setDrained; PutPlan uses executeOrder.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -101,35 +101,34 @@
 
 // DrainDomain takes a failure domain out of service.
 func (c *Control) DrainDomain(ctx context.Context, now time.Time, domain string) error {
-	overtaken := false
-	return c.executeOrder(ctx, func(view *config.View) (wire.Item, bool, error) {
-		if _, drained := view.DrainedDomains[domain]; drained {
-			return wire.Item{}, false, nil
-		}
-		if overtaken {
-			return wire.Item{}, false, ErrOvertaken // the domain was drained and resumed meanwhile
-		}
-		overtaken = true
-		item, err := encodeItem(config.PrefixDrainDomain+domain, config.Drain{Author: authorOperator, Since: now.UnixMilli()})
-		return item, true, err
-	})
+	item, err := encodeItem(config.PrefixDrainDomain+domain, config.Drain{Author: authorOperator, Since: now.UnixMilli()})
+	if err != nil {
+		return err
+	}
+	return c.setDrained(ctx, domain, true, item)
 }
 
 // ResumeDomain returns a drained failure domain to service.
 func (c *Control) ResumeDomain(ctx context.Context, domain string) error {
-	overtaken := false
-	err := c.executeOrder(ctx, func(view *config.View) (wire.Item, bool, error) {
-		if _, drained := view.DrainedDomains[domain]; !drained {
-			return wire.Item{}, false, nil
-		}
-		if overtaken {
-			return wire.Item{}, false, ErrOvertaken // the domain was resumed and drained meanwhile
-		}
-		overtaken = true
-		return wire.Item{Key: config.PrefixDrainDomain + domain, Deleted: true}, true, nil
-	})
+	err := c.setDrained(ctx, domain, false, wire.Item{Key: config.PrefixDrainDomain + domain, Deleted: true})
 	if err == nil {
 		event.With(c.Log, event.DomainResumed).WithField("domain", domain).Info("failure domain resumed")
 	}
 	return err
 }
+
+// setDrained records the entry that drains or resumes a failure domain, unless it is drained or
+// in service already. Two orders that came first and cancel each other overtake it.
+func (c *Control) setDrained(ctx context.Context, domain string, drained bool, item wire.Item) error {
+	tried := false
+	return c.executeOrder(ctx, func(view *config.View) (wire.Item, bool, error) {
+		if _, is := view.DrainedDomains[domain]; is == drained {
+			return wire.Item{}, false, nil
+		}
+		if tried {
+			return wire.Item{}, false, ErrOvertaken
+		}
+		tried = true
+		return item, true, nil
+	})
+}
--- a/internal/control/plan.go
+++ b/internal/control/plan.go
@@ -23,29 +23,19 @@
 	if err != nil {
 		return err
 	}
-	view, err := c.State.Current(ctx)
-	if err != nil {
-		return err
-	}
-	for ctx.Err() == nil {
-		if view.Plan != nil && view.Plan.Version >= p.Version {
+	recorded := false
+	err = c.executeOrder(ctx, func(view *config.View) (wire.Item, bool, error) {
+		recorded = view.Plan == nil || view.Plan.Version < p.Version
+		if !recorded {
 			event.With(c.Log, event.PlanUnchanged).WithFields(logrus.Fields{"plan": p.Version, "present": view.Plan.Version}).
 				Info("plan ignored: its version is not newer than the current one")
-			return nil
-		}
-		changed, err := c.State.Change(ctx, wire.Change{Base: view.Version, Author: authorOperator, Items: []wire.Item{{Key: config.KeyPlan, Value: value}}})
-		if err != nil {
-			return err
-		}
-		if len(changed.Conflict) == 0 {
-			event.With(c.Log, event.PlanRecorded).WithFields(logrus.Fields{"plan": p.Version, "version": changed.Version, "routes": len(p.Routes)}).Info("plan recorded")
-			return nil
-		}
-		if view, err = c.State.Current(ctx); err != nil {
-			return err
 		}
+		return wire.Item{Key: config.KeyPlan, Value: value}, recorded, nil
+	})
+	if err == nil && recorded {
+		event.With(c.Log, event.PlanRecorded).WithFields(logrus.Fields{"plan": p.Version, "routes": len(p.Routes)}).Info("plan recorded")
 	}
-	return ctx.Err()
+	return err
 }
 
 // Plan returns the current plan.
