Refuse changes of members of a kind that does not exist

Change: only kinds from ChangePromote to ChangeDemote are carried out for a member. Result: TestInvalidMembershipChangesAreRejected tries kinds 0 and one above the last; it passes, and fails without the bound for kind 0 by the code. go test ./pkg/raft passes.

--- a/pkg/raft/membership.go
+++ b/pkg/raft/membership.go
@@ -76,7 +76,7 @@
 	case c.Kind == ChangeAdd:
 		next.Learner = true
 		members = append(members, next)
-	case !sameIncarnation || c.Kind > ChangeDemote:
+	case !sameIncarnation || c.Kind < ChangePromote || c.Kind > ChangeDemote:
 		return nil, ErrUnknownMember
 	case c.Kind != ChangePromote && !old.Learner && n.voterCount() <= c.MinVoters:
 		return nil, ErrTooFewVoters
--- a/pkg/raft/step_test.go
+++ b/pkg/raft/step_test.go
@@ -124,6 +124,9 @@
 	wantErr(t, proposeChange(t, s, leader, Change{Kind: ChangePromote, Member: self}), ErrAlreadyMember)
 	wantErr(t, proposeChange(t, s, leader, Change{Kind: ChangeRemove, Member: Member{Name: "a", Incarnation: 9}}), ErrUnknownMember)
 	wantErr(t, proposeChange(t, s, leader, Change{Kind: ChangeRemove, Member: other}), ErrUnknownMember)
+	for _, kind := range []ChangeKind{0, ChangeDemote + 1} {
+		wantErr(t, proposeChange(t, s, leader, Change{Kind: kind, Member: self}), ErrUnknownMember)
+	}
 	wantErr(t, proposeChange(t, s, leader, Change{Kind: ChangeAdd, Member: other}), nil)
 	wantErr(t, proposeChange(t, s, leader, Change{Kind: ChangeRemove, Member: self}), ErrChangePending)
 	for _, name := range s.names {
