--- a/internal/hostile/deployment_test.go
+++ b/internal/hostile/deployment_test.go
@@ -127,7 +127,7 @@
 {"name":"look","host":"h.example","path_prefix":"/look/","route_kind":"idempotent","timeout_ms":8000,"target_latency_ms":1000,"service":"s","max_attempts":2},
 {"name":"large","host":"h.example","path_prefix":"/large/","route_kind":"idempotent","timeout_ms":8000,"target_latency_ms":1000,"service":"s","max_attempts":2}],
 "services":[{"name":"s","health_path":"/health"}],
-"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000},"tenants":[]}`
+"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}}`
 
 // startUpstream starts an upstream that answers all requests.
 func (d *deployment) startUpstream(t *testing.T) {
--- a/internal/soak/stop_cluster_test.go
+++ b/internal/soak/stop_cluster_test.go
@@ -347,7 +347,7 @@
 			services = append(services, fmt.Sprintf(`{"name":%q,"health_path":"/health"}`, r.service))
 		}
 	}
-	plan := fmt.Sprintf(`{"version":1,"routes":[%s],"services":[%s],"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000},"tenants":[]}`,
+	plan := fmt.Sprintf(`{"version":1,"routes":[%s],"services":[%s],"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}}`,
 		strings.Join(routes, ","), strings.Join(services, ","))
 	for end := time.Now().Add(stopStartTime); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
 		for v := range voters {
