--- /dev/null
+++ b/review/stage3/case_reclaim.go
@@ -0,0 +1,159 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+)
+
+const (
+	reportLines = 40
+	linePause   = 100 * time.Millisecond
+	lastLine    = "end of the report\n"
+	// leavesMS is the notice that a reclaimed runner gives.
+	leavesMS      = 2000
+	reportTimeout = 8 * time.Second
+	reportClients = 12
+)
+
+// serveReports is a runner's process: its answers have no length and end with the connection.
+func serveReports(address, id string) error {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return err
+		}
+		go func() {
+			defer c.Close()
+			req, err := http.ReadRequest(bufio.NewReader(c))
+			if err != nil {
+				return
+			}
+			writeReport(c, id, req)
+		}()
+	}
+}
+
+func writeReport(c io.Writer, id string, req *http.Request) {
+	if req.URL.Path == "/health" {
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Runner-Id: %s\r\nConnection: close\r\nContent-Length: 0\r\n\r\n", id)
+		return
+	}
+	_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Runner-Signature: %s\r\nContent-Type: text/plain\r\nConnection: close\r\n\r\n", req.Header.Get("X-Attempt-Id"), signature)
+	for i := 0; i < reportLines && err == nil; i++ {
+		_, err = fmt.Fprintf(c, "line %d of %d\n", i+1, reportLines)
+		time.Sleep(linePause)
+	}
+	if err == nil {
+		_, _ = io.WriteString(c, lastLine)
+	}
+}
+
+// playReclaim ends the process of a reclaimable runner at the end of its notice, while it answers.
+func playReclaim(record string) (bool, error) {
+	s, err := newStage(record, 3, 2)
+	if err != nil {
+		return false, err
+	}
+	defer s.close()
+	const runners = 3
+	processes := make([]*exec.Cmd, runners)
+	for i := range processes {
+		r := s.newRunner("reports")
+		cmd := exec.Command(os.Args[0], "runner", r.address, r.id)
+		if err := cmd.Start(); err != nil {
+			return false, err
+		}
+		processes[i] = cmd
+		defer func() { _ = cmd.Process.Kill(); _ = cmd.Wait() }()
+	}
+	config := map[string]any{
+		"version": 1, "limits": limits(),
+		"routes": []any{map[string]any{
+			"name": "report", "host": host, "path_prefix": "/report/", "route_kind": "idempotent", "timeout_ms": reportTimeout.Milliseconds(),
+			"target_latency_ms": 4000, "priority": 0, "service": "reports", "max_attempts": 1, "public": true,
+		}},
+		"services": []any{map[string]any{"name": "reports", "health_path": "/health", "max_connections": 300, "protocol": "h1", "tls": false, "cold_start_s": 0, "cold_per_s": 0}},
+	}
+	if err := s.startAll(config); err != nil {
+		return false, err
+	}
+	var ids, whole, partial, other atomic.Int64
+	var done atomic.Bool
+	var clients sync.WaitGroup
+	for i := range reportClients {
+		clients.Go(func() {
+			client := newClient(reportTimeout)
+			defer client.CloseIdleConnections()
+			time.Sleep(time.Duration(i) * reportLines * linePause / reportClients)
+			for !done.Load() {
+				id := fmt.Sprintf("%016x", ids.Add(1))
+				body, complete := fetch(client, s.entries[i%len(s.entries)], id)
+				switch {
+				case !complete:
+					other.Add(1)
+				case strings.HasSuffix(body, lastLine):
+					whole.Add(1)
+				default:
+					partial.Add(1)
+					s.note("request %s got a whole answer with status 200 that ends with %q", id, tail(body))
+				}
+			}
+		})
+	}
+	time.Sleep(10 * time.Second)
+	leaving := s.runners[0]
+	leaving.mu.Lock()
+	leaving.state, leaving.leavesMS = "draining", leavesMS
+	leaving.mu.Unlock()
+	if !leaving.report() {
+		return false, fmt.Errorf("%w: no confirmation that a runner leaves", errCannotRun)
+	}
+	s.note("runner %s has said that it leaves in %d ms, with a confirmation", leaving.id, leavesMS)
+	if s.trouble {
+		time.Sleep(leavesMS * time.Millisecond)
+		_ = processes[0].Process.Signal(syscall.SIGKILL)
+		s.note("its machine is taken away: SIGKILL")
+	}
+	time.Sleep(6 * time.Second)
+	done.Store(true)
+	clients.Wait()
+	s.note("whole answers: %d, answers that look whole and are not: %d, other ends: %d", whole.Load(), partial.Load(), other.Load())
+	if whole.Load() < 10 {
+		return false, errTooFew
+	}
+	return s.judge(partial.Load() > 0, "MIXED: %d answers with status 200 ended early and looked complete", partial.Load()), nil
+}
+
+func tail(body string) string { return body[max(0, len(body)-20):] }
+
+// fetch gets a report. complete is true if the answer has status 200 and its end arrived.
+func fetch(client *http.Client, n *node, id string) (body string, complete bool) {
+	req, err := http.NewRequest(http.MethodGet, fmt.Sprintf("http://%s:%d/report/1", n.ip, clientPort), http.NoBody)
+	if err != nil {
+		return "", false
+	}
+	req.Host = host
+	req.Header.Set("X-Attempt-Id", id)
+	req.Header.Set("X-Deadline-Ms", fmt.Sprint(reportTimeout.Milliseconds()))
+	resp, err := client.Do(req)
+	if err != nil {
+		return "", false
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	return string(data), err == nil && resp.StatusCode == http.StatusOK
+}
