review: case 14, part of an answer of a crashed runner looks whole

Cause: through another node, a crash counts only if that node trusts its own path, which it doesn't once two runners have crashed together.

--- a/review/stage3/case_reclaim.go
+++ b/review/stage3/case_reclaim.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -25,17 +26,41 @@
 	reportClients = 12
 )
 
-// serveReports is a runner's process: its answers have no length and end with the connection.
-func serveReports(address, id string) error {
+// serveReports is a runner's process: its answers have no length and end with the connection. From a
+// SIGUSR1 on, connections of the machine at cutIP are reset, as on a path that is lost.
+func serveReports(address, id, cutIP string) error {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return err
 	}
+	var mu sync.Mutex
+	cut, open := false, make(map[net.Conn]bool) // those of cutIP
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGUSR1)
+	go func() {
+		<-signals
+		mu.Lock()
+		defer mu.Unlock()
+		cut = true
+		for c := range open {
+			reset(c)
+		}
+	}()
 	for {
 		c, err := l.Accept()
 		if err != nil {
 			return err
 		}
+		if c.RemoteAddr().(*net.TCPAddr).IP.String() == cutIP {
+			mu.Lock()
+			open[c] = true
+			lost := cut
+			mu.Unlock()
+			if lost {
+				reset(c)
+				continue
+			}
+		}
 		go func() {
 			defer c.Close()
 			req, err := http.ReadRequest(bufio.NewReader(c))
@@ -69,18 +94,55 @@
 		return false, err
 	}
 	defer s.close()
-	const runners = 3
-	processes := make([]*exec.Cmd, runners)
-	for i := range processes {
+	processes, stop, err := s.startReportRunners(3)
+	if err != nil {
+		return false, err
+	}
+	defer stop()
+	if err := s.startAll(reportConfig()); err != nil {
+		return false, err
+	}
+	reports := s.load(s.entries, reportClients)
+	time.Sleep(10 * time.Second)
+	leaving := s.runners[0]
+	leaving.mu.Lock()
+	leaving.state, leaving.leavesMS = "draining", leavesMS
+	leaving.mu.Unlock()
+	if !leaving.report() {
+		return false, fmt.Errorf("%w: no confirmation that a runner leaves", errCannotRun)
+	}
+	s.note("runner %s has said that it leaves in %d ms, with a confirmation", leaving.id, leavesMS)
+	if s.trouble {
+		time.Sleep(leavesMS * time.Millisecond)
+		_ = processes[0].Process.Signal(syscall.SIGKILL)
+		s.note("its machine is taken away: SIGKILL")
+	}
+	time.Sleep(6 * time.Second)
+	return s.judgeReports(reports)
+}
+
+// startReportRunners starts the processes of runners that serve reports.
+func (s *stage) startReportRunners(n int) (processes []*exec.Cmd, stop func(), err error) {
+	stop = func() {
+		for _, cmd := range processes {
+			_ = cmd.Process.Kill()
+			_ = cmd.Wait()
+		}
+	}
+	for range n {
 		r := s.newRunner("reports")
-		cmd := exec.Command(os.Args[0], "runner", r.address, r.id)
+		cmd := exec.Command(os.Args[0], "runner", r.address, r.id, s.entries[0].ip)
 		if err := cmd.Start(); err != nil {
-			return false, err
+			stop()
+			return nil, nil, err
 		}
-		processes[i] = cmd
-		defer func() { _ = cmd.Process.Kill(); _ = cmd.Wait() }()
+		processes = append(processes, cmd)
 	}
-	config := map[string]any{
+	return processes, stop, nil
+}
+
+func reportConfig() map[string]any {
+	return map[string]any{
 		"version": 1, "limits": limits(),
 		"routes": []any{map[string]any{
 			"name": "report", "host": host, "path_prefix": "/report/", "route_kind": "idempotent", "timeout_ms": reportTimeout.Milliseconds(),
@@ -88,54 +150,53 @@
 		}},
 		"services": []any{map[string]any{"name": "reports", "health_path": "/health", "max_connections": 300, "protocol": "h1", "tls": false, "cold_start_s": 0, "cold_per_s": 0}},
 	}
-	if err := s.startAll(config); err != nil {
-		return false, err
-	}
-	var ids, whole, partial, other atomic.Int64
-	var done atomic.Bool
-	var clients sync.WaitGroup
-	for i := range reportClients {
-		clients.Go(func() {
+}
+
+// reports are the answers that clients have got.
+type reports struct {
+	clients               sync.WaitGroup
+	done                  atomic.Bool
+	whole, partial, other atomic.Int64
+}
+
+// load starts clients that get one report after the other, at different times.
+func (s *stage) load(entries []*node, clients int) *reports {
+	r := &reports{}
+	var ids atomic.Int64
+	for i := range clients {
+		r.clients.Go(func() {
 			client := newClient(reportTimeout)
 			defer client.CloseIdleConnections()
-			time.Sleep(time.Duration(i) * reportLines * linePause / reportClients)
-			for !done.Load() {
+			time.Sleep(time.Duration(i) * reportLines * linePause / time.Duration(clients))
+			for !r.done.Load() {
+				n := entries[i%len(entries)]
 				id := fmt.Sprintf("%016x", ids.Add(1))
-				body, complete := fetch(client, s.entries[i%len(s.entries)], id)
+				body, complete := fetch(client, n, id)
 				switch {
 				case !complete:
-					other.Add(1)
+					r.other.Add(1)
+					time.Sleep(100 * time.Millisecond)
 				case strings.HasSuffix(body, lastLine):
-					whole.Add(1)
+					r.whole.Add(1)
 				default:
-					partial.Add(1)
-					s.note("request %s got a whole answer with status 200 that ends with %q", id, tail(body))
+					r.partial.Add(1)
+					s.note("request %s got a whole answer with status 200 from %s that ends with %q", id, n.name, tail(body))
 				}
 			}
 		})
 	}
-	time.Sleep(10 * time.Second)
-	leaving := s.runners[0]
-	leaving.mu.Lock()
-	leaving.state, leaving.leavesMS = "draining", leavesMS
-	leaving.mu.Unlock()
-	if !leaving.report() {
-		return false, fmt.Errorf("%w: no confirmation that a runner leaves", errCannotRun)
-	}
-	s.note("runner %s has said that it leaves in %d ms, with a confirmation", leaving.id, leavesMS)
-	if s.trouble {
-		time.Sleep(leavesMS * time.Millisecond)
-		_ = processes[0].Process.Signal(syscall.SIGKILL)
-		s.note("its machine is taken away: SIGKILL")
-	}
-	time.Sleep(6 * time.Second)
-	done.Store(true)
-	clients.Wait()
-	s.note("whole answers: %d, answers that look whole and are not: %d, other ends: %d", whole.Load(), partial.Load(), other.Load())
-	if whole.Load() < 10 {
+	return r
+}
+
+func (s *stage) judgeReports(r *reports) (bool, error) {
+	r.done.Store(true)
+	r.clients.Wait()
+	partial := r.partial.Load()
+	s.note("whole answers: %d, answers that look whole and are not: %d, other ends: %d", r.whole.Load(), partial, r.other.Load())
+	if r.whole.Load() < 10 {
 		return false, errTooFew
 	}
-	return s.judge(partial.Load() > 0, "MIXED: %d answers with status 200 ended early and looked complete", partial.Load()), nil
+	return s.judge(partial > 0, "MIXED: %d answers with status 200 ended early and looked complete", partial), nil
 }
 
 func tail(body string) string { return body[max(0, len(body)-20):] }
--- a/review/stage3/case_relay.go
+++ b/review/stage3/case_relay.go
@@ -146,7 +146,7 @@
 	go func() { defer close(restarts); s.restartEnded(stopped) }()
 	time.Sleep(beforeCut)
 	if s.trouble {
-		s.note("%s loses its path to all runners: its connections to them are reset", lost.name)
+		s.note("%s loses its path to all runners: open connections live on, new ones are refused", lost.name)
 		s.cutAll(lost, true)
 	}
 	time.Sleep(cutLength)
--- a/review/stage3/main.go
+++ b/review/stage3/main.go
@@ -11,11 +11,12 @@
 	"relay":   playRelay,
 	"reclaim": playReclaim,
 	"rejoin":  playRejoin,
+	"crash":   playCrash,
 }
 
 func main() {
-	if len(os.Args) == 4 && os.Args[1] == "runner" {
-		fmt.Fprintln(os.Stderr, serveReports(os.Args[2], os.Args[3]))
+	if len(os.Args) == 5 && os.Args[1] == "runner" {
+		fmt.Fprintln(os.Stderr, serveReports(os.Args[2], os.Args[3], os.Args[4]))
 		os.Exit(2)
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
--- a/review/stage3/runner.go
+++ b/review/stage3/runner.go
@@ -79,16 +79,12 @@
 	_ = c.Close()
 }
 
-// setCut cuts the path of a machine to the runner, or heals it.
+// setCut cuts the path of a machine to the runner, or heals it: open connections live on while new
+// ones are refused.
 func (r *runner) setCut(ip string, cut bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.cut[ip] = cut
-	for c, from := range r.conns {
-		if cut && from == ip {
-			reset(c)
-		}
-	}
 }
 
 func (r *runner) handle(c net.Conn) {
