--- a/review/stage3/case_reclaim.go
+++ b/review/stage3/case_reclaim.go
@@ -175,12 +175,14 @@
 				switch {
 				case !complete:
 					r.other.Add(1)
+					s.note("request %s to %s: no whole answer with status 200", id, n.name)
 					time.Sleep(100 * time.Millisecond)
 				case strings.HasSuffix(body, lastLine):
 					r.whole.Add(1)
+					s.note("request %s to %s: the whole report", id, n.name)
 				default:
 					r.partial.Add(1)
-					s.note("request %s got a whole answer with status 200 from %s that ends with %q", id, n.name, tail(body))
+					s.note("request %s to %s: WRONG: an answer with status 200 that looks whole and ends with %q", id, n.name, tail(body))
 				}
 			}
 		})
--- a/review/stage3/case_relay.go
+++ b/review/stage3/case_relay.go
@@ -161,6 +161,7 @@
 	<-restarts
 	seen.summarise(s)
 	s.note("uploads turned away by full runners: %d", uploads.turnedAway.Load())
+	seen.noteLost(s)
 	broken := seen.count(func(a *attempt) bool { return a.kept && a.ran > 0 && a.end == closedWithoutAnswer })
 	if len(seen.list) < 200 {
 		return false, errTooFew
@@ -218,3 +219,20 @@
 		s.note("attempts that ended with %s: %d", end, ends[end])
 	}
 }
+
+// noteLost writes the attempts that ran and got no answer to the record.
+func (a *attempts) noteLost(s *stage) {
+	a.mu.Lock()
+	var lost []string
+	for id, at := range a.list {
+		if at.ran > 0 && at.end == closedWithoutAnswer {
+			lost = append(lost, fmt.Sprintf("request %s: sent at %.3f s on a kept connection: %v, ran at %d runners, closed without an answer at %.3f s",
+				id, at.sent.Sub(s.began).Seconds(), at.kept, at.ran, at.ended.Sub(s.began).Seconds()))
+		}
+	}
+	a.mu.Unlock()
+	slices.Sort(lost)
+	for _, line := range lost {
+		s.note("%s", line)
+	}
+}
