review: case 12, a removed core machine and two lost disks

Cause: a lost voter of a surplus counts until the leader notices, so that two disks lost in that moment leave three of six voters.

--- a/review/stage3/case_rejoin.go
+++ b/review/stage3/case_rejoin.go
@@ -178,10 +178,7 @@
 	}
 	stopped = make(chan struct{})
 	restarts.Go(func() { s.restartEnded(stopped) })
-	var version uint64
-	for end := time.Now().Add(recovery); version == 0 && time.Now().Before(end); time.Sleep(500 * time.Millisecond) {
-		version = s.readVersion()
-	}
+	version := s.awaitVersion(recovery)
 	s.note("read back: version %d (0: no core machine answers with status 200)", version)
 	close(stopped)
 	restarts.Wait()
--- a/review/stage3/main.go
+++ b/review/stage3/main.go
@@ -8,10 +8,11 @@
 
 // cases holds the cases by the number of their folder.
 var cases = map[string]func(record string) (broken bool, err error){
-	"relay":   playRelay,
-	"reclaim": playReclaim,
-	"rejoin":  playRejoin,
-	"crash":   playCrash,
+	"rejoin":   playRejoin,
+	"crash":    playCrash,
+	"removed":  playRemoved,
+	"start":    playStart,
+	"attempts": playAttempts,
 }
 
 func main() {
--- a/review/stage3/runner.go
+++ b/review/stage3/runner.go
@@ -21,10 +21,8 @@
 
 	mu       sync.Mutex
 	listener *net.TCPListener
-	conns    map[net.Conn]string
-	cut      map[string]bool // hosts of machines whose connections are reset
+	conns    map[net.Conn]bool
 	state    string
-	leavesMS float64
 	stopped  bool
 	sequence int
 }
@@ -34,7 +32,7 @@
 	i := len(s.runners) + 1
 	r := &runner{
 		s: s, id: fmt.Sprintf("i-%04d", i), service: service, address: fmt.Sprintf("%s:%d", s.ip(3, i), runnerPort), born: time.Now().UnixMilli(),
-		conns: make(map[net.Conn]string), cut: make(map[string]bool), state: "ready",
+		conns: make(map[net.Conn]bool), state: "ready",
 	}
 	s.runners = append(s.runners, r)
 	return r
@@ -59,14 +57,13 @@
 		if err != nil {
 			return
 		}
-		from := c.RemoteAddr().(*net.TCPAddr).IP.String()
 		r.mu.Lock()
-		if r.cut[from] || r.stopped {
+		if r.stopped {
 			r.mu.Unlock()
 			reset(c)
 			continue
 		}
-		r.conns[c] = from
+		r.conns[c] = true
 		r.mu.Unlock()
 		go r.handle(c)
 	}
@@ -79,14 +76,6 @@
 	_ = c.Close()
 }
 
-// setCut cuts the path of a machine to the runner, or heals it: open connections live on while new
-// ones are refused.
-func (r *runner) setCut(ip string, cut bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.cut[ip] = cut
-}
-
 func (r *runner) handle(c net.Conn) {
 	defer func() {
 		r.mu.Lock()
@@ -156,9 +145,6 @@
 		"service": r.service, "address": r.address, "zone": "gulberg", "version": "v1", "slots": 8, "state": r.state, "cold_remaining_ms": 0,
 		"sequence": r.sequence, "born": r.born,
 	}
-	if r.leavesMS > 0 {
-		body["leaves_ms"], body["spot_instances"] = r.leavesMS, true
-	}
 	r.mu.Unlock()
 	status, _ := r.s.call(http.MethodPut, "/runners/"+r.id, body)
 	return status == http.StatusOK
--- a/review/stage3/case_relay.go
+++ b/review/stage3/service.go
@@ -2,27 +2,20 @@
 
 import (
 	"bufio"
-	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"slices"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 )
 
 const (
-	uploadBytes   = 2 << 20
-	uploaders     = 40
 	callers       = 12
 	relaySlots    = 4
 	relayQueue    = 2
-	cutLength     = 5 * time.Second
-	beforeCut     = 5 * time.Second
-	afterCut      = 5 * time.Second
 	restartDelay  = 500 * time.Millisecond
 	clientTimeout = 5 * time.Second
 	// maxLost is the number of requests from kept connections that LOST bears.
@@ -99,77 +92,6 @@
 	return routes, services
 }
 
-// playRelay cuts the path of one entry machine to all runners, while runners that are full turn
-// uploads away.
-func playRelay(record string) (bool, error) {
-	s, err := newStage(record, 3, 3)
-	if err != nil {
-		return false, err
-	}
-	defer s.close()
-	seen := newAttempts()
-	uploads := &busyRunners{seen: seen, held: make(map[*runner]int)}
-	holds := &busyRunners{seen: seen, held: make(map[*runner]int)}
-	for range 4 {
-		_, err1 := s.addRunner("upload", uploads.serve)
-		_, err2 := s.addRunner("hold", holds.serve)
-		if err := errors.Join(err1, err2); err != nil {
-			return false, err
-		}
-	}
-	routes, services := desk()
-	if err := s.startAll(map[string]any{"version": 1, "routes": routes, "services": services, "limits": limits()}); err != nil {
-		return false, err
-	}
-	lost := s.entries[0]
-	var ids atomic.Int64
-	var done atomic.Bool
-	var clients sync.WaitGroup
-	load := func(n *node, path string, size int) {
-		client := newClient(clientTimeout)
-		defer client.CloseIdleConnections()
-		for !done.Load() {
-			id := fmt.Sprintf("%016x", ids.Add(1))
-			if end := seen.send(client, n, id, path, size, clientTimeout); !strings.HasPrefix(end, "200") {
-				time.Sleep(200 * time.Millisecond)
-			}
-		}
-	}
-	for i := range uploaders {
-		clients.Go(func() { load(s.entries[i%len(s.entries)], "/upload/1", uploadBytes) })
-	}
-	for range callers {
-		clients.Go(func() { load(lost, "/hold/1", 300) })
-	}
-	stopped := make(chan struct{})
-	restarts := make(chan struct{})
-	go func() { defer close(restarts); s.restartEnded(stopped) }()
-	time.Sleep(beforeCut)
-	if s.trouble {
-		s.note("%s loses its path to all runners: open connections live on, new ones are refused", lost.name)
-		s.cutAll(lost, true)
-	}
-	time.Sleep(cutLength)
-	if s.trouble {
-		s.cutAll(lost, false)
-		s.note("%s has its path again", lost.name)
-	}
-	time.Sleep(afterCut)
-	done.Store(true)
-	clients.Wait()
-	close(stopped)
-	<-restarts
-	seen.summarise(s)
-	s.note("uploads turned away by full runners: %d", uploads.turnedAway.Load())
-	seen.noteLost(s)
-	broken := seen.count(func(a *attempt) bool { return a.kept && a.ran > 0 && a.end == closedWithoutAnswer })
-	if len(seen.list) < 200 {
-		return false, errTooFew
-	}
-	return s.judge(broken > maxLost,
-		"LOST: %d requests from kept connections ran at a runner and got no answer (%d are borne); processes that ended by themselves: %v", broken, maxLost, s.ends()), nil
-}
-
 // restartEnded starts processes again that have ended, as the platform does.
 func (s *stage) restartEnded(stopped <-chan struct{}) {
 	for {
@@ -191,13 +113,6 @@
 	}
 }
 
-// cutAll cuts the path of a machine to all runners, or heals it.
-func (s *stage) cutAll(n *node, cut bool) {
-	for _, r := range s.runners {
-		r.setCut(n.ip, cut)
-	}
-}
-
 func limits() map[string]any {
 	return map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000}
 }
--- a/review/stage3/stage.go
+++ b/review/stage3/stage.go
@@ -51,6 +51,7 @@
 // stage is a small deployment with its stand-ins.
 type stage struct {
 	network byte
+	lock    net.Listener
 	dir     string
 	trouble bool
 	record  *os.File
@@ -84,7 +85,7 @@
 	if s.log, err = os.Create(filepath.Join(dir, "log")); err != nil {
 		return nil, err
 	}
-	if s.network, err = freeNetwork(); err != nil {
+	if s.network, s.lock, err = freeNetwork(); err != nil {
 		return nil, err
 	}
 	for i := range voters {
@@ -97,16 +98,16 @@
 	return s, nil
 }
 
-// freeNetwork returns the second octet of loopback addresses on which nothing listens.
-func freeNetwork() (byte, error) {
+// freeNetwork returns the second octet of loopback addresses that no other run uses while the listener
+// is open.
+func freeNetwork() (byte, net.Listener, error) {
 	for range 50 {
 		n := byte(100 + rand.IntN(100))
-		// The listener stays open, so that no other run takes the network.
-		if _, err := net.Listen("tcp", fmt.Sprintf("127.%d.0.1:%d", n, controlPort)); err == nil {
-			return n, nil
+		if lock, err := net.Listen("tcp", fmt.Sprintf("127.%d.0.1:%d", n, controlPort)); err == nil {
+			return n, lock, nil
 		}
 	}
-	return 0, errors.New("no network is free")
+	return 0, nil, errors.New("no network is free")
 }
 
 // nodes lists all machines.
@@ -230,6 +231,7 @@
 	if keep := os.Getenv("KEEP"); keep != "" {
 		_ = exec.Command("cp", filepath.Join(s.dir, "log"), keep).Run()
 	}
+	_ = s.lock.Close()
 	_ = os.RemoveAll(s.dir)
 	_ = s.record.Close()
 }
