--- a/review/stage3/case_crash.go
+++ b/review/stage3/case_crash.go
@@ -9,6 +9,7 @@
 	crashRunners = 12
 	crashed      = 2
 	crashClients = 90
+	cutLength    = 5 * time.Second
 	// settle is the time after the loss of the path until the crash.
 	settle = 2500 * time.Millisecond
 )
@@ -44,6 +45,12 @@
 			s.note("runner %s crashes: SIGKILL", s.runners[i].id)
 		}
 	}
-	time.Sleep(3 * time.Second)
+	time.Sleep(cutLength - settle)
+	if s.trouble {
+		for _, p := range processes {
+			_ = p.Process.Signal(syscall.SIGUSR2) // fails for those that have crashed
+		}
+		s.note("%s has its path again", s.entries[0].name)
+	}
 	return s.judgeReports(reports)
 }
--- a/review/stage3/main.go
+++ b/review/stage3/main.go
@@ -8,11 +8,10 @@
 
 // cases holds the cases by the number of their folder.
 var cases = map[string]func(record string) (broken bool, err error){
-	"rejoin":   playRejoin,
-	"crash":    playCrash,
-	"removed":  playRemoved,
-	"start":    playStart,
-	"attempts": playAttempts,
+	"rejoin":  playRejoin,
+	"crash":   playCrash,
+	"removed": playRemoved,
+	"start":   playStart,
 }
 
 func main() {
--- a/review/stage3/report.go
+++ b/review/stage3/report.go
@@ -24,7 +24,7 @@
 )
 
 // serveReports is a runner's process: its answers have no length and end with the connection. From a
-// SIGUSR1 on, connections of the machine at cutIP are reset, as on a path that is lost.
+// SIGUSR1 to a SIGUSR2, connections of the machine at cutIP are reset, as on a path that is lost.
 func serveReports(address, id, cutIP string) error {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
@@ -33,14 +33,18 @@
 	var mu sync.Mutex
 	cut, open := false, make(map[net.Conn]bool) // those of cutIP
 	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGUSR1)
+	signal.Notify(signals, syscall.SIGUSR1, syscall.SIGUSR2)
 	go func() {
-		<-signals
-		mu.Lock()
-		defer mu.Unlock()
-		cut = true
-		for c := range open {
-			reset(c)
+		for received := range signals {
+			mu.Lock()
+			cut = received == syscall.SIGUSR1
+			for c := range open {
+				if cut {
+					reset(c)
+				}
+				delete(open, c)
+			}
+			mu.Unlock()
 		}
 	}()
 	for {
--- a/review/stage3/service.go
+++ b/review/stage3/service.go
@@ -13,7 +13,6 @@
 )
 
 const (
-	callers       = 12
 	relaySlots    = 4
 	relayQueue    = 2
 	restartDelay  = 500 * time.Millisecond
