Count a join only once it is committed

Cause: a leader told a newcomer the name of its group before the add was committed. When another leader overwrote the add, that leader took the newcomer for an incarnation that had been replaced, and said so.

Ruled out: the restart alone.

Change: a node learns its group when its add is known to be committed. The leader says "replaced" only to an incarnation that it has seen in a committed membership and marks the note; an unmarked one of an earlier release counts only for an incarnation that was a member by its own log. A voter whose own add is not committed asks to be added, not promoted. The simulation has cuts, and a process waits an interval before its first join.

TestLearnerLearnsGroupFromLeader expected the group's name for an add that no voter had; it now expects none before the commit, and the name after it.

--- a/internal/replica/fulldisk_sim_test.go
+++ b/internal/replica/fulldisk_sim_test.go
@@ -80,8 +80,13 @@
 	changes         []*simChange
 	unacked         []*simChange
 	log             logrus.FieldLogger
+	// cutOff are the voters on the smaller side of a network that is cut in two.
+	cutOff map[string]bool
 }
 
+// connected reports whether the network connects two voters.
+func (s *sim) connected(a, b string) bool { return s.cutOff[a] == s.cutOff[b] }
+
 // simLinks delivers Raft messages through the simulated network.
 type simLinks struct {
 	s    *sim
@@ -94,7 +99,7 @@
 func (l simLinks) Call(context.Context, string, string, any, any) error { return peer.ErrUnreachable }
 
 func (l simLinks) Send(to, kind string, message any) error {
-	if m, ok := message.(raft.Message); ok && kind == kindRaft {
+	if m, ok := message.(raft.Message); ok && kind == kindRaft && l.s.connected(l.from, to) {
 		due := l.s.now.Add(time.Duration(1+l.s.rng.IntN(8)) * time.Millisecond)
 		m.To = to
 		l.s.network = append(l.s.network, simMessage{due, m})
@@ -159,6 +164,7 @@
 		return
 	}
 	p.r, p.v, p.batch, p.lastHeard, p.session = r, r.voter, nil, s.now, 0
+	p.nextJoin = s.now.Add(joinInterval)
 	p.serving, p.reopenAt = p.v.inService, s.now.Add(reopenInterval)
 }
 
@@ -270,14 +276,23 @@
 	}
 }
 
-// leader returns the voter that leads, if any.
+// leader returns the voter that leads in the highest term, if any.
 func (s *sim) leader() *simVoter {
+	return s.leaderAmong(func(string) bool { return true })
+}
+
+// leaderFor returns the leader that a process can reach, if any.
+func (s *sim) leaderFor(p *simVoter) *simVoter {
+	return s.leaderAmong(func(name string) bool { return s.connected(p.name, name) })
+}
+
+func (s *sim) leaderAmong(reached func(name string) bool) (leader *simVoter) {
 	for _, p := range s.voters {
-		if p.serving && p.v.leaderState != nil {
-			return p
+		if p.serving && p.v.leaderState != nil && reached(p.name) && (leader == nil || p.v.status.Term > leader.v.status.Term) {
+			leader = p
 		}
 	}
-	return nil
+	return leader
 }
 
 // join does what Replica.Join and the leader's Replica.onVoters do.
@@ -291,7 +306,7 @@
 		p.lastHeard = s.now
 	}
 	step, due := p.r.joinStep(own, s.now.Sub(p.lastHeard))
-	l := s.leader()
+	l := s.leaderFor(p)
 	if !known || !due || l == nil {
 		return
 	}
@@ -311,7 +326,7 @@
 
 // renewSession keeps up the session of a process, as session.run does.
 func (s *sim) renewSession(p *simVoter) {
-	l := s.leader()
+	l := s.leaderFor(p)
 	if p.r == nil || l == nil || s.now.Before(p.nextRenewal) {
 		return
 	}
@@ -383,7 +398,7 @@
 		})
 		for _, m := range due {
 			for _, p := range s.voters {
-				if p.name == m.message.To {
+				if p.name == m.message.To && s.connected(m.message.From, p.name) {
 					s.step(p, raft.Input{Message: &m.message})
 				}
 			}
--- a/internal/replica/join.go
+++ b/internal/replica/join.go
@@ -75,7 +75,9 @@
 
 // membership is a voter's role in the group according to its own log.
 type membership struct {
-	incarnation    uint64
+	incarnation uint64
+	// learner is true only by a committed change. The leader knows nothing of one that was
+	// undone, so that such a voter asks to be added.
 	learner, voter bool
 	// leaderKnown is true while the voter hears of a leader, or leads.
 	leaderKnown bool
@@ -109,7 +111,7 @@
 	own := membership{incarnation: v.incarnation, leaderKnown: v.status.Leader != ""}
 	for _, m := range v.status.Members {
 		if m.Name == v.r.config.Entry.Name && m.Incarnation == own.incarnation {
-			own.learner, own.voter = m.Learner, !m.Learner
+			own.learner, own.voter = m.Learner && v.settled(m), !m.Learner
 		}
 	}
 	if v.inService && v.leaderState == nil && v.r.config.GroupSize > 0 && v.surplus() > 0 {
@@ -118,6 +120,14 @@
 	return own, v.inService
 }
 
+// settled reports whether an incarnation is a member, in any role, by a change that is known to
+// be committed.
+func (v *voter) settled(member raft.Member) bool {
+	return slices.ContainsFunc(v.status.Settled, func(m raft.Member) bool {
+		return m.Name == member.Name && m.Incarnation == member.Incarnation
+	})
+}
+
 // stoppedVoter returns a voter whose process has ended its session, if any. Only the voter's
 // loop may call it.
 func (v *voter) stoppedVoter() raft.Member {
--- a/internal/replica/replace_sim_test.go
+++ b/internal/replica/replace_sim_test.go
@@ -81,7 +81,7 @@
 func (s *sim) sendLeave(p *simVoter) {
 	answer := make(chan result, 1)
 	p.stop.answer, p.stop.sentAt = answer, s.now
-	l := s.leader()
+	l := s.leaderFor(p)
 	if l == nil {
 		return
 	}
@@ -101,7 +101,7 @@
 
 // endProcess ends a process that was told to stop.
 func (s *sim) endProcess(p *simVoter) {
-	if l := s.leader(); l != nil && p.session > 0 {
+	if l := s.leaderFor(p); l != nil && p.session > 0 {
 		s.sendSession(l, p, false)
 	}
 	p.gone, p.restartAt = !p.stop.comesBack, s.now.Add(simDown/2)
--- a/pkg/raft/bootstrap.go
+++ b/pkg/raft/bootstrap.go
@@ -63,8 +63,8 @@
 }
 
 // onJoin handles a join request. A node without a group records whether the sender has
-// none either. A node with a group sends its ID to a sender that is a member but does not
-// know its group yet. The leader sends KindRegressed to an incarnation that was replaced,
+// none either. A node with a group sends its ID to a sender that is a member, by a change
+// that is committed, but does not know its group yet. The leader sends KindRegressed to an incarnation that was replaced,
 // and reports other senders that are not members in Output.JoinRequests.
 func (n *Node) onJoin(m Message) {
 	if n.group == "" {
@@ -80,11 +80,11 @@
 	known, ok := n.member(m.From)
 	switch {
 	case ok && known.Incarnation == m.Incarnation:
-		if m.Group == "" {
+		if m.Group == "" && n.isSettled(m.From, m.Incarnation) {
 			n.send(n.replyTo(m, Message{Kind: KindJoinReply}))
 		}
 	case m.Group != "" && n.senderReplaced(m):
-		n.send(n.replyTo(m, Message{Kind: KindRegressed, Term: n.term}))
+		n.send(n.replyTo(m, Message{Kind: KindRegressed, Term: n.term, Reject: true}))
 	case n.role == Leader:
 		n.out.JoinRequests = append(n.out.JoinRequests, Member{Name: m.From, Incarnation: m.Incarnation})
 	}
--- a/pkg/raft/leader.go
+++ b/pkg/raft/leader.go
@@ -141,12 +141,12 @@
 			Kind: KindHeartbeat, To: m.Name, Target: m.Incarnation, Term: n.term,
 			Index: index, Prior: prior, Commit: n.commit, Sent: uint64(n.elapsed()), Silent: silent,
 		})
-		if m.Learner && p.lastContact == 0 {
+		if m.Learner && p.lastContact == 0 && n.isSettled(m.Name, m.Incarnation) {
 			// It may not know its group yet, and the voters that it could ask may be gone.
 			n.send(Message{Kind: KindJoinReply, To: m.Name, Target: m.Incarnation, Term: n.term})
 		}
 		if p.regressed {
-			n.send(Message{Kind: KindRegressed, To: m.Name, Target: m.Incarnation, Term: n.term})
+			n.send(Message{Kind: KindRegressed, To: m.Name, Target: m.Incarnation, Term: n.term, Reject: true})
 		}
 		if n.transferTarget == m.Name && n.leaseRevoked {
 			n.send(Message{Kind: KindTimeoutNow, To: m.Name, Target: m.Incarnation, Term: n.term})
--- a/pkg/raft/member_test.go
+++ b/pkg/raft/member_test.go
@@ -1,6 +1,9 @@
 package raft
 
-import "testing"
+import (
+	"testing"
+	"time"
+)
 
 // Guards against two voters that leave at the same time, each by a surplus that is there once.
 func TestRemovalKeepsMinVoters(t *testing.T) {
@@ -38,26 +41,87 @@
 	}
 }
 
+// joiner is a node outside the simulated group that receives the messages for its name.
+type joiner struct {
+	s       *sim
+	mailbox *server
+	node    *Node
+}
+
+// newJoiner returns a node with an empty disk that knows none of the members.
+func newJoiner(s *sim, name string, incarnation uint64) *joiner {
+	j := &joiner{s: s, mailbox: &server{name: name, clockRate: 1}, node: New(Config{
+		Name: name, Incarnation: incarnation, Peers: []string{"gone"}, ElectionTimeout: simElectionTimeout, HeartbeatInterval: simHeartbeatInterval,
+	})}
+	s.servers[name] = j.mailbox
+	return j
+}
+
+// run simulates a time and passes on what the group sends to the node.
+func (j *joiner) run(d time.Duration) {
+	for end := j.s.now + d; j.s.now < end; {
+		j.s.run(simTick)
+		for _, m := range j.mailbox.inbox {
+			j.node.Step(j.s.clock(j.mailbox), Input{Message: &m})
+		}
+		j.mailbox.inbox = nil
+	}
+}
+
 // Guards against a new voter that is added but never replies, because all voters that it could
-// ask for its group have been replaced.
+// ask for its group have been replaced, and against one that belongs to the group by an add that
+// is not committed, which another leader may undo (review/11).
 func TestLearnerLearnsGroupFromLeader(t *testing.T) {
 	s, leader := newIdleGroup(t, 3, Config{})
-	newcomer := New(Config{Name: "n", Incarnation: 9, Peers: []string{"gone"}, ElectionTimeout: simElectionTimeout, HeartbeatInterval: simHeartbeatInterval})
-	newcomer.Step(s.clock(leader), Input{})
-	wantErr(t, proposeChange(t, s, leader, Change{Kind: ChangeAdd, Member: Member{Name: "n", Incarnation: 9}}), nil)
-	for range 10 {
-		s.now += simHeartbeatInterval
-		for _, m := range leader.node.Step(s.clock(leader), Input{}).Messages {
-			if m.To == "n" {
-				newcomer.Step(s.clock(leader), Input{Message: &m})
-			}
+	j := newJoiner(s, "n", 9)
+	for _, name := range s.names {
+		if name != leader.name {
+			s.block(name, true, true)
+			s.blocked[[2]string{leader.name, "n"}] = false
 		}
 	}
-	if got, want := newcomer.Status().Group, leader.node.Status().Group; got != want {
+	wantErr(t, proposeChange(t, s, leader, Change{Kind: ChangeAdd, Member: Member{Name: "n", Incarnation: 9}}), nil)
+	j.run(4 * simHeartbeatInterval)
+	if got := j.node.Status().Group; got != "" || leader.node.role != Leader || !leader.node.pendingChange() {
+		t.Errorf("group of the new voter: got %q from a %v, want none while the add is not committed", got, leader.node.role)
+	}
+	s.blocked = map[[2]string]bool{}
+	j.run(10 * simHeartbeatInterval)
+	if got, want := j.node.Status().Group, leader.node.Status().Group; got != want {
 		t.Errorf("group of the new voter: got %q, want %q", got, want)
 	}
 }
 
+// Guards against a node that ends because it is told that it was replaced, although its add was
+// only undone; an incarnation that was a member, or that is excluded, has to end.
+func TestOnlyFormerMembersAreReplaced(t *testing.T) {
+	others := []Member{{Name: "a", Incarnation: 1}, {Name: "b", Incarnation: 2}, {Name: "n", Incarnation: 3}}
+	listed := []Member{others[0], others[1], {Name: "n", Incarnation: 9, Learner: true}}
+	promoted := []Member{others[0], others[1], {Name: "n", Incarnation: 9}}
+	for _, c := range []struct {
+		name    string
+		members []Member // of entry 2
+		commit  uint64
+		reject  bool
+		want    error
+	}{
+		{"an add that is not known to be committed", listed, 1, false, nil},
+		{"an add that is committed", listed, 2, false, ErrRegressed},
+		{"a promotion, so that the add was committed", promoted, 1, false, ErrRegressed},
+		{"a leader with proof", listed, 1, true, ErrRegressed},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			n := New(Config{
+				Name: "n", Incarnation: 9, Group: "group", Restarted: true, Peers: []string{"a"},
+				State:   HardState{Term: 1, Commit: c.commit},
+				Entries: []Entry{{Index: 1, Term: 1, Kind: EntryMembership, Members: others}, {Index: 2, Term: 1, Kind: EntryMembership, Members: c.members}},
+			})
+			told := Message{Kind: KindRegressed, Group: "group", From: "a", Incarnation: 1, To: "n", Target: 9, Term: 2, Reject: c.reject}
+			wantErr(t, n.Step(time.Unix(1000, 0), Input{Message: &told}).Fault, c.want)
+		})
+	}
+}
+
 // Guards against a learner that was removed while it was down and waits for its old leader for
 // good instead of asking to be added.
 func TestRemovedLearnerForgetsLeader(t *testing.T) {
--- a/pkg/raft/membership.go
+++ b/pkg/raft/membership.go
@@ -7,12 +7,59 @@
 func (n *Node) members() []Member { return n.log.memberships[len(n.log.memberships)-1].members }
 
 // member returns the member with the given name in the membership in effect.
-func (n *Node) member(name string) (Member, bool) {
-	i := slices.IndexFunc(n.members(), func(m Member) bool { return m.Name == name })
+func (n *Node) member(name string) (Member, bool) { return findMember(n.members(), name) }
+
+// findMember returns the member with the given name.
+func findMember(members []Member, name string) (Member, bool) {
+	i := slices.IndexFunc(members, func(m Member) bool { return m.Name == name })
 	if i < 0 {
 		return Member{}, false
 	}
-	return n.members()[i], true
+	return members[i], true
+}
+
+// settledMembers returns the newest membership that is known to be committed. Before the
+// first commit that is the one with which the group was formed, as no leader can overwrite
+// entry 1.
+func (n *Node) settledMembers() []Member {
+	list := n.log.memberships
+	if n.commit == 0 && len(list) > 1 && list[1].index == 1 {
+		return list[1].members
+	}
+	return list[n.log.membershipAt(n.commit)].members
+}
+
+// isSettled reports whether this incarnation is a member in the newest membership that is
+// known to be committed.
+func (n *Node) isSettled(name string, incarnation uint64) bool {
+	m, ok := findMember(n.settledMembers(), name)
+	return ok && m.Incarnation == incarnation
+}
+
+// noteFormerMembers remembers the incarnations in the memberships that have been committed
+// since the last step.
+func (n *Node) noteFormerMembers() {
+	if n.log.memberships[len(n.log.memberships)-1].index < n.formerThrough {
+		return
+	}
+	for _, c := range n.log.memberships {
+		if c.index > n.commit || c.index < n.formerThrough {
+			continue
+		}
+		for _, m := range c.members {
+			n.former[Member{Name: m.Name, Incarnation: m.Incarnation}] = true
+		}
+		n.formerThrough = c.index + 1
+	}
+}
+
+// onceMember reports whether this incarnation's own log shows that it was a member by a
+// committed change: the change is known to be committed, or it was promoted later.
+func (n *Node) onceMember() bool {
+	return n.former[Member{Name: n.name, Incarnation: n.incarnation}] ||
+		slices.ContainsFunc(n.log.memberships, func(c membership) bool {
+			return slices.Contains(c.members, Member{Name: n.name, Incarnation: n.incarnation})
+		})
 }
 
 // hasVote reports whether the member with this name and incarnation is a voter.
--- a/pkg/raft/message.go
+++ b/pkg/raft/message.go
@@ -41,7 +41,7 @@
 		return
 	}
 	if n.senderReplaced(m) {
-		n.send(n.replyTo(m, Message{Kind: KindRegressed, Term: n.term}))
+		n.send(n.replyTo(m, Message{Kind: KindRegressed, Term: n.term, Reject: true}))
 		return
 	}
 	if m.Target != 0 && m.Target != n.incarnation && !n.hooks.anyIncarnation {
@@ -55,8 +55,10 @@
 	case KindTimeoutNow:
 		n.onTimeoutNow(m)
 	case KindRegressed:
-		// An incarnation that was replaced or excluded can never become a member again.
-		if m.Target == n.incarnation {
+		// An incarnation that was replaced or excluded can never become a member again. A
+		// leader of an earlier release says so without proof, also to one whose add was undone;
+		// that one asks to be added again.
+		if m.Target == n.incarnation && (m.Reject || n.onceMember()) {
 			n.regressed = true
 			n.out.Fault = ErrRegressed
 		}
@@ -66,10 +68,12 @@
 }
 
 // senderReplaced reports whether this member is the leader and a committed membership
-// lists a different incarnation under the sender's name.
+// lists a different incarnation under the sender's name, although the sender's was a member
+// before. Without that proof the sender may be the newer one, whose add was undone.
 func (n *Node) senderReplaced(m Message) bool {
 	known, ok := n.member(m.From)
 	return n.role == Leader && ok && known.Incarnation != m.Incarnation &&
+		n.former[Member{Name: m.From, Incarnation: m.Incarnation}] &&
 		!n.pendingChange() && n.committedInTerm() && !n.hooks.anyIncarnation
 }
 
--- a/pkg/raft/node.go
+++ b/pkg/raft/node.go
@@ -76,10 +76,14 @@
 	preVoteReservedUntil time.Time
 	nextJoinAt           time.Time
 	peersWithoutGroup    map[string]joinRequest
-	partialSnapshot      *Snapshot // snapshot being received
-	partialFrom          string
-	partialTerm          uint64
-	regressed            bool
+	// former contains the incarnations, without Member.Learner, of all memberships that this
+	// process has known to be committed. An incarnation whose add was undone is not in it.
+	former          map[Member]bool
+	formerThrough   uint64    // memberships before this index are in former
+	partialSnapshot *Snapshot // snapshot being received
+	partialFrom     string
+	partialTerm     uint64
+	regressed       bool
 
 	votesGranted     map[string]bool // by voter name, in the current campaign
 	transferElection bool            // the leader requested the election (KindTimeoutNow)
@@ -141,9 +145,11 @@
 		recovering:        cfg.Restarted,
 		peersWithoutGroup: map[string]joinRequest{},
 		progress:          map[string]*progress{},
+		former:            map[Member]bool{},
 	}
 	n.applied = cfg.Snapshot.Index
 	n.commit = max(cfg.Snapshot.Index, min(cfg.State.Commit, n.log.last()))
+	n.noteFormerMembers()
 	return n
 }
 
@@ -177,6 +183,7 @@
 	if n.role == Leader {
 		n.advanceLeader()
 	}
+	n.noteFormerMembers()
 	n.finishStep()
 	return n.out
 }
--- a/pkg/raft/property_test.go
+++ b/pkg/raft/property_test.go
@@ -255,7 +255,7 @@
 		mutation{},
 	},
 	{
-		"messages accepted from any incarnation", leaderCompleteness, 548,
+		"messages accepted from any incarnation", leaderCompleteness, 2198,
 		[]int{faultWipeDisk, faultRestoreOldDisk, faultRestoreOldDisk, faultIsolateLeader, faultHeal, faultNone},
 		mutation{hooks: hooks{anyIncarnation: true}},
 		mutation{},
--- a/pkg/raft/status.go
+++ b/pkg/raft/status.go
@@ -23,10 +23,11 @@
 	LastIndex      uint64
 	SnapshotIndex  uint64 // index of the newest snapshot
 	Members        []Member
-	ChangePending  bool   // the membership in effect is not yet committed
-	HasLease       bool   // the leader may serve reads without another heartbeat round
-	Recovering     bool   // restarted and not yet allowed to vote or campaign
-	TransferTarget string // voter to which leadership is being transferred
+	Settled        []Member // newest membership that is known to be committed
+	ChangePending  bool     // the membership in effect is not yet committed
+	HasLease       bool     // the leader may serve reads without another heartbeat round
+	Recovering     bool     // restarted and not yet allowed to vote or campaign
+	TransferTarget string   // voter to which leadership is being transferred
 	Progress       []MemberStatus
 }
 
@@ -35,7 +36,7 @@
 	s := Status{
 		Role: n.role, Group: n.group, Term: n.term, Leader: n.leader,
 		CommitIndex: n.commit, AppliedIndex: n.applied, LastIndex: n.log.last(),
-		SnapshotIndex: n.log.snapshot.Index, Members: n.members(), ChangePending: n.pendingChange(),
+		SnapshotIndex: n.log.snapshot.Index, Members: n.members(), Settled: n.settledMembers(), ChangePending: n.pendingChange(),
 		Recovering: n.recovering, TransferTarget: n.transferTarget,
 	}
 	if n.role != Leader {
--- a/pkg/raft/types.go
+++ b/pkg/raft/types.go
@@ -46,7 +46,7 @@
 	KindSnapshot
 	KindSnapshotReply
 	KindTimeoutNow // requests the transfer target to start an election immediately
-	KindRegressed  // the receiver's incarnation was replaced or excluded
+	KindRegressed  // the receiver's incarnation was replaced or excluded; Message.Reject if that is proven
 )
 
 // Errors returned for a rejected proposal, change or read, or as a Fault.
--- a/pkg/wire/raft.go
+++ b/pkg/wire/raft.go
@@ -69,7 +69,8 @@
 	// Term of the entry at that position.
 	Prior uint64 `json:"prior,omitempty,omitzero"`
 
-	// True when the reply rejects the request.
+	// True when the reply rejects the request; in a note that the receiver was
+	// replaced, when its sender knows that the receiver was a member.
 	Reject bool `json:"reject,omitempty,omitzero"`
 
 	// Time at which the leader sent the message, in nanoseconds of the leader's
