Let half of the voters decide once another one is proven lost

Cause: with its successor the group has six voters and needs four. Three of six hold everything, and by counting alone they cannot be told from half of a split.

Ruled out: any shorter time until the removed voter is taken out. In the case and in the simulation the losses come together.

Change: - One function, agreed, answers for pre-votes, votes, commits, leases and confirmed reads whether enough voters agree. Half of an even number does if all of them answered requests that were sent after another voter was proven lost. The proof is the answer of a process under its name, asked for its incarnation, that the directory has never held a log (KindEmpty). - A change out of an even number of voters needs their quorum as well as that of the new ones until it is known to be committed. - A leader appends a committed membership once more.

TestDemotedVoterIsPromotedAgain read the quorum right after the demotion was appended, when the old one counts too now; it checks the voters that count once the demotion is committed.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -61,6 +61,7 @@
 	UsageSettled      ID = 4018
 	UsageReported     ID = 4019
 	CountsUnsaved     ID = 4020
+	LeaderMissing     ID = 4021
 	SettingsReloaded  ID = 1004
 	ShutdownCut       ID = 1005
 	TaskPanicked      ID = 1006
--- a/internal/replica/voter.go
+++ b/internal/replica/voter.go
@@ -28,6 +28,10 @@
 	maxCommandBytes        = 3 << 20
 	transferTimeout        = 2 * time.Second
 	transferPollInterval   = 10 * time.Millisecond
+	// missingLeaderAfter is how long a voter knows no leader before it reports this; elections
+	// take less. It repeats the report every missingLeaderInterval.
+	missingLeaderAfter    = 2 * time.Second
+	missingLeaderInterval = 10 * time.Second
 )
 
 var (
@@ -69,6 +73,7 @@
 	lastID         uint64                  // id of the latest proposal or read
 	proposals      map[uint64]request      // by id, until the Raft core returns the result
 	pending        map[uint64]pendingEntry // by log index, until applied
+	changed        []chan result           // of membership changes that are committed but not settled
 	reads          map[uint64]func(error)
 	unappliedReads []unappliedRead
 	joinRequests   map[string]uint64
@@ -79,6 +84,7 @@
 	bytesSinceSnapshot   int
 	lastSnapshotBytes    int
 	nextExpiry           time.Time // of expired records; only the leader uses it
+	leaderMissing        time.Time // when a missing leader is reported next; zero while there is one
 }
 
 // pendingEntry is a proposal in the log that has not been applied yet.
@@ -203,6 +209,8 @@
 	v.handleReads(out.Reads)
 	v.logMembershipEvents(out)
 	v.updateStatus()
+	v.answerChanges()
+	v.reportMissingLeader(now)
 	if v.leaderState != nil {
 		v.leaderState.tick(now, oldVersion)
 	}
@@ -269,16 +277,32 @@
 		v.bytesSinceSnapshot += len(e.Data)
 		if proposal, ok := v.pending[e.Index]; ok {
 			delete(v.pending, e.Index)
-			if proposal.term == e.Term {
-				proposal.answer <- result{outcome: outcome}
-			} else {
+			switch {
+			case proposal.term != e.Term:
 				proposal.answer <- result{err: errNotLeader}
+			case e.Kind == raft.EntryMembership:
+				v.changed = append(v.changed, proposal.answer)
+			default:
+				proposal.answer <- result{outcome: outcome}
 			}
 		}
 	}
 	return nil
 }
 
+// answerChanges answers the membership changes that are settled: a quorum holds an entry which
+// shows that the change is committed. After the loss of the leader, too, the voters then need no
+// answer of one that the change took out.
+func (v *voter) answerChanges() {
+	if v.status.ChangePending {
+		return
+	}
+	for _, answer := range v.changed {
+		answer <- result{}
+	}
+	v.changed = nil
+}
+
 func (v *voter) handleReads(reads []raft.ReadResult) {
 	for _, read := range reads {
 		fn, ok := v.reads[read.ID]
@@ -337,8 +361,35 @@
 	}
 	if leads && v.leaderState == nil {
 		v.leaderState = newLeaderState(v)
-		event.With(v.r.config.Log, event.LeaderChanged).WithField("term", v.status.Term).Info("this node became the leader")
+		event.With(v.r.config.Log, event.LeaderChanged).WithField("term", v.status.Term).
+			WithField("lost", voterNames(v.status.Lost)).Info("this node became the leader")
+	}
+}
+
+// reportMissingLeader logs which voters are missing while the group has no leader.
+func (v *voter) reportMissingLeader(now time.Time) {
+	switch {
+	case v.status.Leader != "" || v.status.Group == "":
+		v.leaderMissing = time.Time{}
+	case v.leaderMissing.IsZero():
+		v.leaderMissing = now.Add(missingLeaderAfter)
+	case !now.Before(v.leaderMissing):
+		v.leaderMissing = now.Add(missingLeaderInterval)
+		event.With(v.r.config.Log, event.LeaderMissing).WithField("unheard", voterNames(v.status.Unheard)).
+			WithField("lost", voterNames(v.status.Lost)).WithField("voters", voterNames(v.status.Members)).
+			Warn("the group has no leader")
+	}
+}
+
+// voterNames returns the names of the voters among members.
+func voterNames(members []raft.Member) []string {
+	names := make([]string, 0, len(members))
+	for _, m := range members {
+		if !m.Learner {
+			names = append(names, m.Name)
+		}
 	}
+	return names
 }
 
 // failPending fails all pending requests.
@@ -347,6 +398,10 @@
 		delete(v.pending, index)
 		w.answer <- result{err: err}
 	}
+	for _, answer := range v.changed {
+		answer <- result{err: err}
+	}
+	v.changed = nil
 	for id, q := range v.proposals {
 		delete(v.proposals, id)
 		q.answer <- result{err: err}
--- a/pkg/raft/check_test.go
+++ b/pkg/raft/check_test.go
@@ -143,7 +143,7 @@
 func (s *sim) canLoseDisk() bool {
 	return !slices.ContainsFunc(s.names, func(name string) bool {
 		d := &s.servers[name].disk
-		return d.lastIndex() < s.commitAtDiskLoss || !slices.Contains(s.checker.members, Member{Name: name, Incarnation: d.incarnation})
+		return !s.servers[name].gone && (d.lastIndex() < s.commitAtDiskLoss || !slices.Contains(s.checker.members, Member{Name: name, Incarnation: d.incarnation}))
 	})
 }
 
@@ -156,6 +156,6 @@
 	}
 	return !slices.ContainsFunc(s.names, func(name string) bool {
 		srv := s.servers[name]
-		return srv.node == nil || srv.appliedIndex+20 < s.checker.commitIndex // followers lag by the entries in flight
+		return !srv.gone && (srv.node == nil || srv.appliedIndex+20 < s.checker.commitIndex) // followers lag by the entries in flight
 	})
 }
--- a/pkg/raft/election.go
+++ b/pkg/raft/election.go
@@ -43,6 +43,9 @@
 		n.transferTarget = ""
 	}
 	n.role, n.leader = Follower, leader
+	if leader != "" {
+		n.answered, n.unheard = nil, nil
+	}
 	n.votesGranted, n.selfVoteWrite = nil, 0
 	n.resetElection()
 }
@@ -64,20 +67,29 @@
 func (n *Node) startCampaign(transfer bool) {
 	n.resetElection()
 	n.leader = ""
+	n.noteUnheard()
 	n.transferElection = transfer
 	if transfer {
 		n.startElection()
 		return
 	}
 	n.role = PreCandidate
-	n.votesGranted = map[string]bool{n.name: n.isVoter()}
-	if n.grantedVotes() >= n.quorum() {
+	n.votesGranted = map[Member]time.Duration{n.self(): n.elapsed()}
+	if n.votesSuffice() {
 		n.startElection()
 		return
 	}
 	n.requestPreVotes()
 }
 
+// noteUnheard notes the voters that did not answer the campaign which ends now, if one does.
+func (n *Node) noteUnheard() {
+	if n.answered != nil {
+		n.unheard = slices.DeleteFunc(slices.Clone(n.deciders()), func(m Member) bool { return m == n.self() || n.answered[m] })
+	}
+	n.answered = map[Member]bool{}
+}
+
 // requestPreVotes requests pre-votes from all other voters. It is repeated until the
 // election timeout, because a member that has just restarted, or has recently received a
 // message from the former leader, does not answer at first. The retry delay is random, so
@@ -92,7 +104,7 @@
 	n.term++
 	n.votedFor = Member{Name: n.name, Incarnation: n.incarnation}
 	n.hardStateChanged = true
-	n.votesGranted, n.selfVoteWrite = map[string]bool{}, 0
+	n.votesGranted, n.selfVoteWrite = map[Member]time.Duration{}, 0
 	n.resetElection()
 	n.requestVotes(KindVote, n.term)
 }
@@ -101,13 +113,13 @@
 // until the member's own vote is synced. Otherwise the member could campaign again in the
 // same term after a crash while replies to the first campaign are in flight.
 func (n *Node) requestVotes(kind uint8, term uint64) {
-	for _, v := range n.members() {
-		if v.Learner || v.Name == n.name {
+	for _, v := range n.deciders() {
+		if v.Name == n.name {
 			continue
 		}
 		m := Message{
 			Kind: kind, To: v.Name, Target: v.Incarnation, Term: term,
-			Index: n.log.last(), Prior: n.log.lastTerm(), Transfer: n.transferElection,
+			Index: n.log.last(), Prior: n.log.lastTerm(), Transfer: n.transferElection, Sent: uint64(n.elapsed()),
 		}
 		if kind == KindVote {
 			n.sendAfterSync(m)
@@ -131,7 +143,7 @@
 		n.send(n.replyTo(m, Message{Kind: m.Kind + 1, Term: n.term, Reject: true}))
 		return
 	}
-	candidate := Member{Name: m.From, Incarnation: m.Incarnation}
+	candidate := sender(m)
 	if isPreVote {
 		grant := m.Term > n.term && n.log.isUpToDate(m.Index, m.Prior)
 		if grant && !n.reservePreVote(m.From) {
@@ -141,7 +153,7 @@
 		if grant {
 			term = m.Term
 		}
-		n.send(n.replyTo(m, Message{Kind: KindPreVoteReply, Term: term, Reject: !grant}))
+		n.send(n.replyTo(m, Message{Kind: KindPreVoteReply, Term: term, Reject: !grant, Sent: m.Sent}))
 		return
 	}
 	if m.Term > n.term {
@@ -156,7 +168,7 @@
 		n.votedFor, n.hardStateChanged = candidate, true
 	}
 	n.resetElection()
-	n.sendAfterSync(n.replyTo(m, Message{Kind: KindVoteReply, Term: n.term}))
+	n.sendAfterSync(n.replyTo(m, Message{Kind: KindVoteReply, Term: n.term, Sent: m.Sent}))
 }
 
 // reservePreVote reports whether a candidate may get a pre-vote, and reserves further
@@ -183,8 +195,8 @@
 	if n.role != PreCandidate || m.Reject || m.Term != n.term+1 {
 		return
 	}
-	n.votesGranted[m.From] = true
-	if n.grantedVotes() >= n.quorum() {
+	n.countVote(m)
+	if n.votesSuffice() {
 		n.startElection()
 	}
 }
@@ -193,23 +205,33 @@
 	if n.role != Candidate || m.Reject {
 		return
 	}
-	n.votesGranted[m.From] = true
+	n.countVote(m)
 	n.becomeLeaderOnQuorum()
 }
 
-// grantedVotes returns the number of current voters that granted a vote or pre-vote.
-func (n *Node) grantedVotes() int {
-	count := 0
-	for _, m := range n.members() {
-		if !m.Learner && n.votesGranted[m.Name] {
-			count++
-		}
+// countVote records a vote or pre-vote, and when it was requested.
+func (n *Node) countVote(m Message) {
+	if sent := time.Duration(m.Sent); sent <= n.elapsed() {
+		voter := n.senderAsVoter(m)
+		n.votesGranted[voter] = max(n.votesGranted[voter], sent)
 	}
-	return count
+}
+
+// votesSuffice reports whether enough voters have granted a vote or pre-vote.
+func (n *Node) votesSuffice() bool {
+	return agreed(n, func(m Member) (a agreement[int]) {
+		if sent, ok := n.votesGranted[m]; ok {
+			a = agreement[int]{1, sent}
+			if m == n.self() {
+				a.sent = n.elapsed()
+			}
+		}
+		return a
+	}) > 0
 }
 
 func (n *Node) becomeLeaderOnQuorum() {
-	if n.grantedVotes() >= n.quorum() {
+	if n.votesSuffice() {
 		n.becomeLeader()
 	}
 }
--- a/pkg/raft/follower.go
+++ b/pkg/raft/follower.go
@@ -14,6 +14,8 @@
 		n.becomeFollower(m.Term, m.From)
 	}
 	n.leader, n.leaderContact = m.From, n.now
+	// A voter that was proven lost may be a member again in what the leader sends.
+	clear(n.lost)
 	n.resetElection()
 	switch m.Kind {
 	case KindAppend:
@@ -104,7 +106,7 @@
 	}
 	partial := n.partialSnapshot
 	if partial == nil || partial.Index != s.Index || partial.Term != s.Term || n.partialFrom != m.From || n.partialTerm != m.Term {
-		partial = &Snapshot{Index: s.Index, Term: s.Term, Members: s.Members}
+		partial = &Snapshot{Index: s.Index, Term: s.Term, Members: s.Members, Halves: s.Halves}
 		n.partialSnapshot, n.partialFrom, n.partialTerm = partial, m.From, m.Term
 	}
 	received := uint64(len(partial.Data))
@@ -143,10 +145,8 @@
 		return
 	}
 	term, _ := n.log.term(c.Index)
-	s := Snapshot{
-		Index: c.Index, Term: term, Data: c.Data,
-		Members: n.log.memberships[n.log.membershipAt(c.Index)].members,
-	}
+	in := n.log.memberships[n.log.membershipAt(c.Index)]
+	s := Snapshot{Index: c.Index, Term: term, Data: c.Data, Members: in.members, Halves: in.halves}
 	n.log.compact(s, n.cfg.TrailingEntries)
 	n.unwrittenSnapshot = &s
 }
--- a/pkg/raft/leader.go
+++ b/pkg/raft/leader.go
@@ -1,9 +1,6 @@
 package raft
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 // maxPendingReads is the maximum number of read requests that wait for a quorum.
 const maxPendingReads = 4096
@@ -11,6 +8,7 @@
 // becomeLeader makes this member the leader of the current term.
 func (n *Node) becomeLeader() {
 	n.role, n.leader = Leader, n.name
+	n.answered, n.unheard = nil, nil
 	n.leaderSince = n.elapsed()
 	n.leaseRevoked, n.transferTarget = false, ""
 	n.termStartIndex = n.log.last() + 1
@@ -72,23 +70,15 @@
 // quorumContact returns the latest time, on the leader's clock, such that a quorum has
 // replied to messages sent at or after it. It returns zero if no quorum has replied yet.
 func (n *Node) quorumContact() time.Duration {
-	times := make([]time.Duration, 0, len(n.members()))
-	for _, m := range n.members() {
-		switch p := n.progress[m.Name]; {
-		case m.Learner:
-		case m.Name == n.name && m.Incarnation == n.incarnation:
-			times = append(times, n.elapsed())
-		case p == nil || p.regressed:
-			times = append(times, 0)
-		default:
-			times = append(times, p.lastContact)
+	return agreed(n, func(m Member) (a agreement[time.Duration]) {
+		if m == n.self() {
+			a.value = n.elapsed()
+		} else if p := n.progressOf(m); p != nil {
+			a.value = p.lastContact
 		}
-	}
-	slices.Sort(times)
-	if len(times) < n.quorum() {
-		return 0
-	}
-	return times[len(times)-n.quorum()]
+		a.sent = a.value
+		return a
+	})
 }
 
 // hasLease reports whether this member is a leader with a valid lease, so that it may serve
@@ -116,7 +106,7 @@
 	if !n.now.Before(n.nextHeartbeatAt) {
 		n.sendHeartbeats()
 	}
-	for _, m := range n.members() {
+	for _, m := range n.followers() {
 		if p := n.progress[m.Name]; p != nil {
 			n.retransmit(p)
 		}
@@ -130,7 +120,7 @@
 func (n *Node) sendHeartbeats() {
 	n.nextHeartbeatAt = n.now.Add(n.cfg.HeartbeatInterval)
 	silent := n.silences()
-	for _, m := range n.members() {
+	for _, m := range n.followers() {
 		p := n.progress[m.Name]
 		if p == nil {
 			continue
@@ -158,7 +148,8 @@
 // It runs in every step of a leader, after the input was handled.
 func (n *Node) advanceLeader() {
 	n.advanceCommit()
-	for _, m := range n.members() {
+	n.advanceMembership()
+	for _, m := range n.followers() {
 		if p := n.progress[m.Name]; p != nil && !p.regressed {
 			n.replicate(p)
 		}
@@ -174,23 +165,14 @@
 // advanceCommit commits the entries that a quorum has synced. Entries of earlier terms
 // are committed only together with an entry of the current term.
 func (n *Node) advanceCommit() {
-	matchIndexes := make([]uint64, 0, len(n.members()))
-	for _, m := range n.members() {
-		switch p := n.progress[m.Name]; {
-		case m.Learner:
-		case m.Name == n.name && m.Incarnation == n.incarnation:
-			matchIndexes = append(matchIndexes, n.log.stable)
-		case p == nil || p.regressed:
-			matchIndexes = append(matchIndexes, 0)
-		default:
-			matchIndexes = append(matchIndexes, p.match)
+	index := agreed(n, func(m Member) (a agreement[uint64]) {
+		if m == n.self() {
+			a = agreement[uint64]{n.log.stable, n.elapsed()}
+		} else if p := n.progressOf(m); p != nil {
+			a = agreement[uint64]{p.match, p.lastContact}
 		}
-	}
-	slices.Sort(matchIndexes)
-	if len(matchIndexes) < n.quorum() {
-		return
-	}
-	index := matchIndexes[len(matchIndexes)-n.quorum()]
+		return a
+	})
 	if term, ok := n.log.term(index); ok && index > n.commit && term == n.term {
 		for _, e := range n.log.slice(n.commit+1, 1<<62)[:index-n.commit] {
 			n.uncommittedBytes -= entrySize(e)
--- a/pkg/raft/log.go
+++ b/pkg/raft/log.go
@@ -1,11 +1,21 @@
 package raft
 
-import "sort"
+import (
+	"slices"
+	"sort"
+)
 
 // membership is the list of members in effect from an index on.
 type membership struct {
 	index   uint64
-	members []Member
+	members []Member // sorted by name
+	voters  []Member // those of members that are no learners
+	halves  bool     // half of an even number of voters may decide, see quorums
+}
+
+func newMembership(index uint64, members []Member, halves bool) membership {
+	voters := slices.DeleteFunc(slices.Clone(members), func(m Member) bool { return m.Learner })
+	return membership{index: index, members: members, voters: voters, halves: halves}
 }
 
 // entryLog contains the newest snapshot, the entries after baseIndex, and the memberships in
@@ -32,7 +42,7 @@
 	l.snapshot, l.baseIndex, l.baseTerm = s, s.Index, s.Term
 	l.entries = nil
 	l.stable = s.Index
-	l.memberships = []membership{{index: s.Index, members: s.Members}}
+	l.memberships = []membership{newMembership(s.Index, s.Members, s.Halves)}
 }
 
 func (l *entryLog) last() uint64 { return l.baseIndex + uint64(len(l.entries)) }
@@ -57,7 +67,7 @@
 	l.entries = append(l.entries, entries...)
 	for _, e := range entries {
 		if e.Kind == EntryMembership {
-			l.memberships = append(l.memberships, membership{index: e.Index, members: e.Members})
+			l.memberships = append(l.memberships, newMembership(e.Index, e.Members, e.Halves))
 		}
 	}
 }
--- a/pkg/raft/member_test.go
+++ b/pkg/raft/member_test.go
@@ -1,6 +1,7 @@
 package raft
 
 import (
+	"slices"
 	"testing"
 	"time"
 )
@@ -32,8 +33,14 @@
 	member, _ := leader.node.member(s.follower(leader).name)
 	wantErr(t, proposeChange(t, s, leader, Change{Kind: ChangeDemote, Member: member, MinVoters: 4}), ErrTooFewVoters)
 	s.stepServer(leader, Input{Change: &Change{Kind: ChangeDemote, Member: member, MinVoters: 3}})
-	if got, want := leader.node.quorum(), 2; got != want || leader.node.hasVote(member.Name, member.Incarnation) {
-		t.Errorf("after the demotion: got a quorum of %d among %v, want one of %d without %s", got, leader.node.members(), want, member.Name)
+	for i := 0; len(leader.node.quorums()) > 1; i++ {
+		if i == 100 {
+			t.Fatal("the demotion is not committed")
+		}
+		s.run(simTick)
+	}
+	if got := leader.node.quorums()[0].voters; len(got) != 3 || slices.Contains(got, member) {
+		t.Errorf("after the demotion: got the voters %v, want three without %s", got, member.Name)
 	}
 	s.run(2 * simElectionTimeout)
 	if !leader.node.hasVote(member.Name, member.Incarnation) || s.checker.violation != "" {
@@ -144,3 +151,20 @@
 		t.Errorf("leader of the removed learner: got %q, want none", got)
 	}
 }
+
+// Guards against a group without a leader that does not say which voters it waits for.
+func TestCampaignNamesUnheardVoters(t *testing.T) {
+	s, leader := newIdleGroup(t, 4, Config{})
+	kept := []*server{leader, s.follower(leader)}
+	for _, name := range s.names {
+		if !slices.Contains(kept, s.servers[name]) {
+			s.crash(s.servers[name])
+		}
+	}
+	s.run(6 * simElectionTimeout)
+	for _, srv := range kept {
+		if got := srv.node.Status().Unheard; len(got) != 2 || s.servers[got[0].Name].node != nil || s.servers[got[1].Name].node != nil {
+			t.Errorf("%s: got the voters %v not heard, want the two that ended", srv.name, got)
+		}
+	}
+}
--- a/pkg/raft/membership.go
+++ b/pkg/raft/membership.go
@@ -81,8 +81,6 @@
 	return count
 }
 
-func (n *Node) quorum() int { return n.voterCount()/2 + 1 }
-
 // pendingChange reports whether the membership in effect is not yet committed.
 func (n *Node) pendingChange() bool {
 	return n.log.memberships[len(n.log.memberships)-1].index > n.commit
@@ -95,9 +93,15 @@
 		n.out.Results = append(n.out.Results, Result{ID: c.ID, Err: err})
 		return
 	}
-	index := n.appendEntry(Entry{Kind: EntryMembership, Members: members})
+	index := n.appendMembership(members, n.log.memberships[len(n.log.memberships)-1].halves)
 	n.out.Results = append(n.out.Results, Result{ID: c.ID, Index: index, Term: n.term})
+}
+
+// appendMembership appends a membership to the leader's log and returns its index.
+func (n *Node) appendMembership(members []Member, halves bool) uint64 {
+	index := n.appendEntry(Entry{Kind: EntryMembership, Members: members, Halves: halves})
 	n.updateProgress()
+	return index
 }
 
 // nextMembers validates a membership change and returns the resulting membership.
--- a/pkg/raft/message.go
+++ b/pkg/raft/message.go
@@ -12,10 +12,22 @@
 }
 
 func (n *Node) withSender(m Message) Message {
-	m.Group, m.From, m.Incarnation = n.group, n.name, n.incarnation
+	m.Group, m.From, m.Incarnation, m.Halves = n.group, n.name, n.incarnation, true
 	return m
 }
 
+// sender returns the sender of a message as a voter.
+func sender(m Message) Member { return Member{Name: m.From, Incarnation: m.Incarnation} }
+
+// senderAsVoter returns the voter whose vote or acknowledgement a message is.
+func (n *Node) senderAsVoter(m Message) Member {
+	voter := sender(m)
+	if known, ok := n.member(m.From); ok && n.hooks.anyIncarnation {
+		voter.Incarnation = known.Incarnation
+	}
+	return voter
+}
+
 // replyTo addresses m to the sender of to.
 func (n *Node) replyTo(to Message, m Message) Message {
 	m.To, m.Target = to.From, to.Incarnation
@@ -36,10 +48,20 @@
 	case KindJoinReply:
 		n.onJoinReply(m)
 		return
+	case KindEmpty:
+		n.onEmpty(m)
+		return
 	}
-	if n.group == "" || m.Group != n.group {
+	if m.Group == "" || n.group != "" && m.Group != n.group {
 		return
 	}
+	if n.isEmpty() && m.Target != 0 && m.Target != n.incarnation {
+		n.answerEmpty(m)
+	}
+	if n.group == "" {
+		return
+	}
+	delete(n.lost, sender(m))
 	if n.senderReplaced(m) {
 		n.send(n.replyTo(m, Message{Kind: KindRegressed, Term: n.term, Reject: true}))
 		return
@@ -77,14 +99,18 @@
 		!n.pendingChange() && n.committedInTerm() && !n.hooks.anyIncarnation
 }
 
-// onReply handles replies. It ignores a reply unless the sender's incarnation is the
-// one in the membership: a process with a different data directory does not have the
+// onReply handles replies. It ignores a reply unless the sender's incarnation is one in the
+// memberships in use: a process with a different data directory does not have the
 // votes and entries that the member stored.
 func (n *Node) onReply(m Message) {
 	known, ok := n.member(m.From)
-	if !ok || (known.Incarnation != m.Incarnation && !n.hooks.anyIncarnation) {
+	isMember := ok && (known.Incarnation == m.Incarnation || n.hooks.anyIncarnation)
+	if !isMember && !n.isDecider(sender(m)) {
 		return
 	}
+	if n.answered != nil && (m.Kind == KindPreVoteReply || m.Kind == KindVoteReply) {
+		n.answered[n.senderAsVoter(m)] = true
+	}
 	if m.Kind == KindPreVoteReply {
 		n.onPreVoteReply(m)
 		return
--- a/pkg/raft/node.go
+++ b/pkg/raft/node.go
@@ -46,6 +46,11 @@
 	voteDespiteLeader   bool // answer vote requests although a leader was recently active
 	keepLeaseOnTransfer bool // keep the lease after sending KindTimeoutNow
 	anyIncarnation      bool // accept messages regardless of the incarnation
+	halvesWithoutLoss   bool // let half of the voters decide although no other one is proven lost
+	halvesBeforeLoss    bool // count answers to requests from before the loss for a half
+	halvesUncommitted   bool // let half of the voters of a membership decide that may not be committed
+	singleQuorum        bool // change an even number of voters without their quorum
+	earlierRelease      bool // change no mark and repeat no membership, as releases without halves
 }
 
 // Node is one member of the group. It is not safe for concurrent use.
@@ -79,15 +84,18 @@
 	// former contains the incarnations, without Member.Learner, of all memberships that this
 	// process has known to be committed. An incarnation whose add was undone is not in it.
 	former          map[Member]bool
-	formerThrough   uint64    // memberships before this index are in former
-	partialSnapshot *Snapshot // snapshot being received
+	formerThrough   uint64                   // memberships before this index are in former
+	lost            map[Member]time.Duration // voters whose directories are gone for good, and when this was proven, on elapsed()
+	partialSnapshot *Snapshot                // snapshot being received
 	partialFrom     string
 	partialTerm     uint64
 	regressed       bool
 
-	votesGranted     map[string]bool // by voter name, in the current campaign
-	transferElection bool            // the leader requested the election (KindTimeoutNow)
-	selfVoteWrite    uint64          // number of the write with this member's own vote; 0 if none is unsynced
+	votesGranted     map[Member]time.Duration // when each vote of the current campaign was last requested, on elapsed()
+	answered         map[Member]bool          // voters that answered the current campaign, also with a refusal; nil before one
+	unheard          []Member                 // voters that did not answer the campaign before
+	transferElection bool                     // the leader requested the election (KindTimeoutNow)
+	selfVoteWrite    uint64                   // number of the write with this member's own vote; 0 if none is unsynced
 
 	silentSince      map[string]time.Time // last reply of the members that the last leader reported as silent
 	progress         map[string]*progress
@@ -146,6 +154,7 @@
 		peersWithoutGroup: map[string]joinRequest{},
 		progress:          map[string]*progress{},
 		former:            map[Member]bool{},
+		lost:              map[Member]time.Duration{},
 	}
 	n.applied = cfg.Snapshot.Index
 	n.commit = max(cfg.Snapshot.Index, min(cfg.State.Commit, n.log.last()))
@@ -281,7 +290,7 @@
 	}
 	if n.role == Candidate && n.selfVoteWrite > 0 && n.selfVoteWrite <= number {
 		n.selfVoteWrite = 0
-		n.votesGranted[n.name] = n.isVoter()
+		n.votesGranted[n.self()] = n.elapsed()
 		n.becomeLeaderOnQuorum()
 	}
 }
@@ -299,7 +308,7 @@
 		n.unsyncedWrites = append(n.unsyncedWrites, unsyncedWrite{n.lastWrite, n.log.last(), n.log.lastTerm(), n.now})
 		n.hardStateChanged, n.firstUnwritten, n.unwrittenSnapshot = false, 0, nil
 	}
-	if n.role == Candidate && n.selfVoteWrite == 0 && !n.votesGranted[n.name] {
+	if _, voted := n.votesGranted[n.self()]; n.role == Candidate && n.selfVoteWrite == 0 && !voted {
 		n.selfVoteWrite = n.lastWrite
 	}
 	kept := n.deferred[:0]
--- a/pkg/raft/progress.go
+++ b/pkg/raft/progress.go
@@ -1,6 +1,9 @@
 package raft
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 type replicationMode uint8
 
@@ -25,12 +28,41 @@
 	awaitingReply   bool          // no reply yet to a probe or a snapshot part
 	regressed       bool          // the member lacks entries that it acknowledged
 	heardAt         time.Time     // time of the last reply to this or an earlier leader
+	halves          bool          // the release of the member may take part in halves
+}
+
+// followers returns the members to which the leader replicates, sorted by name: those of the
+// membership in effect, and while it is not committed the voters of the one before, which may
+// have to agree to it.
+func (n *Node) followers() []Member {
+	quorums := n.quorums()
+	if len(quorums) == 1 {
+		return n.members()
+	}
+	list := slices.Clone(n.members())
+	for _, m := range quorums[1].voters {
+		if _, ok := findMember(list, m.Name); !ok {
+			list = append(list, m)
+		}
+	}
+	slices.SortFunc(list, compareMembers)
+	return list
+}
+
+// progressOf returns the progress of a voter; nil if there is none, or if it does not count
+// because the voter lacks what it acknowledged.
+func (n *Node) progressOf(m Member) *progress {
+	p := n.progress[m.Name]
+	if p == nil || p.regressed || p.member.Incarnation != m.Incarnation {
+		return nil
+	}
+	return p
 }
 
-// updateProgress adds and removes progress records to match the membership in effect.
+// updateProgress adds and removes progress records to match the followers.
 func (n *Node) updateProgress() {
 	next := make(map[string]*progress, len(n.members()))
-	for _, m := range n.members() {
+	for _, m := range n.followers() {
 		if m.Name == n.name {
 			continue
 		}
@@ -111,7 +143,7 @@
 	}
 	s := p.snapshot
 	end := min(p.snapshotOffset+uint64(n.cfg.MaxMessageBytes), uint64(len(s.Data)))
-	part := Snapshot{Index: s.Index, Term: s.Term, Members: s.Members, Data: s.Data[p.snapshotOffset:end]}
+	part := Snapshot{Index: s.Index, Term: s.Term, Members: s.Members, Halves: s.Halves, Data: s.Data[p.snapshotOffset:end]}
 	n.send(Message{
 		Kind: KindSnapshot, To: p.member.Name, Target: p.member.Incarnation, Term: n.term,
 		Commit: n.commit, Sent: uint64(n.elapsed()), Snapshot: &part, Offset: p.snapshotOffset,
@@ -124,7 +156,7 @@
 func (n *Node) onFollowerReply(m Message) {
 	p := n.progress[m.From]
 	sent := time.Duration(m.Sent)
-	if p == nil || p.regressed || sent > n.elapsed() {
+	if p == nil || p.regressed || sent > n.elapsed() || (p.member.Incarnation != m.Incarnation && !n.hooks.anyIncarnation) {
 		return
 	}
 	if n.hasRegressed(p, m, sent) {
@@ -135,7 +167,7 @@
 	if n.hooks.leaseFromReceipt {
 		sent = n.elapsed()
 	}
-	p.lastContact, p.heardAt = max(p.lastContact, sent), n.now
+	p.lastContact, p.heardAt, p.halves = max(p.lastContact, sent), n.now, m.Halves
 	switch m.Kind {
 	case KindAppendReply:
 		n.onAppendReply(p, m)
--- a/pkg/raft/property_test.go
+++ b/pkg/raft/property_test.go
@@ -96,7 +96,7 @@
 	for _, name := range s.names {
 		srv := s.servers[name]
 		srv.frozenUntil, srv.diskHung = 0, false
-		if srv.node == nil {
+		if srv.node == nil && !srv.gone {
 			s.startServer(srv)
 		}
 	}
@@ -237,49 +237,49 @@
 	control        mutation
 }{
 	{
-		"vote sent before it is synced (restarted members vote immediately)", electionSafety, 35,
+		"vote sent before it is synced (restarted members vote immediately)", electionSafety, 410,
 		[]int{faultCrashBeforeVoteSync, faultIsolateLeader, faultHeal, faultDelayMessages},
 		mutation{voteBeforeSync: true, skipRecovery: true, hooks: hooks{voteDespiteLeader: true}},
 		mutation{skipRecovery: true, hooks: hooks{voteDespiteLeader: true}},
 	},
 	{
-		"append acknowledged before it is synced", leaderCompleteness, 280,
+		"append acknowledged before it is synced", leaderCompleteness, 83,
 		[]int{faultCrashOrStart},
 		mutation{ackBeforeSync: true},
 		mutation{},
 	},
 	{
-		"empty disk keeps its incarnation", leaderCompleteness, 94,
+		"empty disk keeps its incarnation", leaderCompleteness, 36,
 		[]int{faultWipeDisk, faultIsolateLeader, faultHeal, faultIsolate},
 		mutation{keepIncarnation: true},
 		mutation{},
 	},
 	{
-		"messages accepted from any incarnation", leaderCompleteness, 2198,
+		"messages accepted from any incarnation", leaderCompleteness, 679,
 		[]int{faultWipeDisk, faultRestoreOldDisk, faultRestoreOldDisk, faultIsolateLeader, faultHeal, faultNone},
 		mutation{hooks: hooks{anyIncarnation: true}},
 		mutation{},
 	},
 	{
-		"lease measured from receipt", readFreshness, 518,
+		"lease measured from receipt", readFreshness, 425,
 		[]int{faultDelayMessages, faultIsolateLeader, faultHeal},
 		mutation{hooks: hooks{leaseFromReceipt: true}},
 		mutation{},
 	},
 	{
-		"vote granted during a lease", readFreshness, 68,
+		"vote granted during a lease", readFreshness, 203,
 		[]int{faultToggleProposals, faultIsolate, faultMovePartition},
 		mutation{hooks: hooks{voteDespiteLeader: true}},
 		mutation{},
 	},
 	{
-		"lease kept after a leadership transfer started", readFreshness, 367,
+		"lease kept after a leadership transfer started", readFreshness, 479,
 		[]int{faultTransferLeadership, faultDelayMessages, faultBlockOutbound, faultToggleProposals, faultIsolateLeader, faultHeal},
 		mutation{hooks: hooks{keepLeaseOnTransfer: true}},
 		mutation{},
 	},
 	{
-		"clock drift beyond the bound", readFreshness, 580,
+		"clock drift beyond the bound", readFreshness, 4810,
 		[]int{faultTransferLeadership, faultIsolateLeader, faultHeal},
 		mutation{fastClocks: true},
 		mutation{},
@@ -291,13 +291,13 @@
 		mutation{},
 	},
 	{
-		"append accepted without the entry before it", logMatching, 13,
+		"append accepted without the entry before it", logMatching, 20,
 		[]int{faultIsolateLeader, faultHeal, faultPartition},
 		mutation{skipLogMatch: true},
 		mutation{},
 	},
 	{
-		"append accepted without the entry before it", stateMachineSafety, 13,
+		"append accepted without the entry before it", stateMachineSafety, 20,
 		[]int{faultIsolateLeader, faultHeal, faultPartition},
 		mutation{skipLogMatch: true},
 		mutation{},
--- a/pkg/raft/repair.go
+++ b/pkg/raft/repair.go
@@ -35,7 +35,9 @@
 }
 
 // promotable reports whether a learner may become a voter: it is alive and has synced all
-// committed entries.
+// committed entries, and its release knows halves if the group allows them.
 func (n *Node) promotable(name string) bool {
-	return n.hooks.promoteEarly || n.caughtUp(n.progress[name])
+	p := n.progress[name]
+	halves := n.log.memberships[len(n.log.memberships)-1].halves
+	return n.hooks.promoteEarly || n.caughtUp(p) && (p.halves || !halves)
 }
--- a/pkg/raft/sim_test.go
+++ b/pkg/raft/sim_test.go
@@ -63,6 +63,8 @@
 	faulted             bool
 	diskHung            bool // the disk completes no writes
 	crashBeforeVoteSync bool // crash as soon as a vote reply waits for its write
+	gone                bool // the process never starts again
+	earlier             bool // its release does not know halves
 }
 
 type timed[T any] struct {
@@ -79,6 +81,7 @@
 	skipRecovery    bool // a restarted member may vote immediately
 	keepIncarnation bool // an empty disk keeps the incarnation of the previous one
 	skipLogMatch    bool // followers accept appends without the previous entry
+	ignoreMarks     bool // messages of earlier releases look like those of this one
 }
 
 // sim simulates a group under faults. It is deterministic for a given seed.
@@ -89,7 +92,8 @@
 	servers          map[string]*server
 	network          []timed[Message]
 	blocked          map[[2]string]bool
-	proposalsStopped bool // clients send only reads
+	side             []string // servers on one side of the last split
+	proposalsStopped bool     // clients send only reads
 	dropRate         float64
 	delayRate        float64
 	mutation         mutation
@@ -97,6 +101,7 @@
 	lastID           uint64
 	readMinIndexes   map[uint64]uint64 // commit index at the request, by ID of the read
 	commitAtDiskLoss uint64            // commit index when a disk was last lost
+	lossesLeft       int               // number of voters that may still be lost, see halfScenario
 	checker          *checker
 }
 
@@ -136,12 +141,18 @@
 	cfg.Peers, cfg.Bootstrap, cfg.NewGroup = s.names, true, "group"
 	cfg.ElectionTimeout, cfg.HeartbeatInterval, cfg.Seed = simElectionTimeout, simHeartbeatInterval, s.rng.Uint64()
 	d := srv.disk.clone()
+	if srv.earlier {
+		d.entries, d.snapshot.Halves = withoutHalves(d.entries), false
+	}
 	cfg.State, cfg.Snapshot, cfg.Entries = d.state, d.snapshot, d.entries
 	if err := cfg.Validate(); err != nil {
 		s.checker.fail(stateMachineSafety, "%s recovered an invalid state: %v", srv.name, err)
 	}
 	srv.node = New(cfg)
 	srv.node.hooks = s.mutation.hooks
+	if srv.earlier {
+		srv.node.hooks.singleQuorum, srv.node.hooks.earlierRelease = true, true
+	}
 	srv.writes, srv.inbox, srv.frozenUntil, srv.faulted = nil, nil, 0, false
 	srv.appliedIndex, srv.stateHash, srv.startedAt, srv.tracker = 0, 0, s.now, ProposalTracker{}
 	s.stepServer(srv, Input{})
@@ -174,6 +185,13 @@
 	if srv.node == nil || srv.faulted {
 		return
 	}
+	if srv.earlier && in.Message != nil {
+		if in.Message.Kind == KindEmpty {
+			return
+		}
+		m := inEarlierRelease(*in.Message)
+		in.Message = &m
+	}
 	out := srv.node.Step(s.clock(srv), in)
 	if out.Fault != nil {
 		srv.faulted = true
@@ -238,6 +256,13 @@
 // send puts a message on the network. It may be lost, delayed, duplicated or reordered. A
 // partition that starts later does not affect it.
 func (s *sim) send(m Message) {
+	if s.servers[m.From].earlier {
+		if m.Kind == KindEmpty {
+			return
+		}
+		m = inEarlierRelease(m)
+		m.Halves = s.mutation.ignoreMarks
+	}
 	if s.blocked[[2]string{m.From, m.To}] {
 		return
 	}
@@ -334,13 +359,18 @@
 // membership changes that a leader returns from NextChange.
 func (s *sim) runOperator() {
 	for _, name := range s.names {
-		if srv := s.servers[name]; srv.faulted && srv.node != nil {
+		if srv := s.servers[name]; srv.faulted && srv.node != nil && !srv.gone {
 			s.crash(srv)
 			s.wipeDisk(srv)
 			s.startServer(srv)
 		}
 	}
 	for _, srv := range s.leaders() {
+		for _, m := range srv.node.members() {
+			if member := s.servers[m.Name]; member != nil && member.gone && !srv.node.pendingChange() {
+				s.stepServer(srv, Input{Change: &Change{Kind: ChangeRemove, Member: m}})
+			}
+		}
 		if c, ok := srv.node.NextChange(srv.joinRequests, s.names); ok && srv.frozenUntil <= s.now {
 			s.checker.checkPromotion(srv, s.servers[c.Member.Name], c, func() { s.stepServer(srv, Input{Change: &c}) })
 		}
--- a/pkg/raft/status.go
+++ b/pkg/raft/status.go
@@ -1,6 +1,9 @@
 package raft
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // MemberStatus is the leader's view of another member.
 type MemberStatus struct {
@@ -28,6 +31,8 @@
 	HasLease       bool     // the leader may serve reads without another heartbeat round
 	Recovering     bool     // restarted and not yet allowed to vote or campaign
 	TransferTarget string   // voter to which leadership is being transferred
+	Lost           []Member // voters that are proven lost
+	Unheard        []Member // voters that did not answer the last campaign of this member; only without a leader
 	Progress       []MemberStatus
 }
 
@@ -39,6 +44,13 @@
 		SnapshotIndex: n.log.snapshot.Index, Members: n.members(), Settled: n.settledMembers(), ChangePending: n.pendingChange(),
 		Recovering: n.recovering, TransferTarget: n.transferTarget,
 	}
+	if n.leader == "" {
+		s.Unheard = n.unheard
+	}
+	for m := range n.lost {
+		s.Lost = append(s.Lost, m)
+	}
+	slices.SortFunc(s.Lost, compareMembers)
 	if n.role != Leader {
 		return s
 	}
--- a/pkg/raft/types.go
+++ b/pkg/raft/types.go
@@ -47,6 +47,7 @@
 	KindSnapshotReply
 	KindTimeoutNow // requests the transfer target to start an election immediately
 	KindRegressed  // the receiver's incarnation was replaced or excluded; Message.Reject if that is proven
+	KindEmpty      // the directory of the sender is empty: the incarnation in Message.Hint, asked for by the receiver, is lost
 )
 
 // Errors returned for a rejected proposal, change or read, or as a Fault.
--- a/pkg/wire/raft.go
+++ b/pkg/wire/raft.go
@@ -7,6 +7,10 @@
 	// Command for the state machine.
 	Data []uint8 `json:"data,omitempty,omitzero"`
 
+	// For entries of kind 2, true when half of an even number of these voters may
+	// decide once another one is proven lost.
+	Halves bool `json:"halves,omitempty,omitzero"`
+
 	// Position in the log; the first entry has index 1.
 	Index uint64 `json:"index"`
 
@@ -50,8 +54,13 @@
 	// Identifier of the group; empty when the sender does not belong to one yet.
 	Group string `json:"group,omitempty,omitzero"`
 
+	// True when the release of the sender changes an even number of voters only with
+	// their quorum, so that half of them may decide.
+	Halves bool `json:"halves,omitempty,omitzero"`
+
 	// In a rejected append, the log position to continue from; for snapshots, the
-	// next offset in bytes.
+	// next offset in bytes; in a note that a directory is empty, the lost
+	// incarnation.
 	Hint uint64 `json:"hint,omitempty,omitzero"`
 
 	// Incarnation of the sender.
@@ -73,8 +82,8 @@
 	// replaced, when its sender knows that the receiver was a member.
 	Reject bool `json:"reject,omitempty,omitzero"`
 
-	// Time at which the leader sent the message, in nanoseconds of the leader's
-	// clock; replies repeat it.
+	// Time at which the leader or candidate sent the message, in nanoseconds of its
+	// own clock; replies repeat it.
 	Sent uint64 `json:"sent,omitempty,omitzero"`
 
 	// In a heartbeat, the members that have not answered for some time.
@@ -126,6 +135,10 @@
 	// State of the state machine; in a message, one chunk of it.
 	Data []uint8 `json:"data,omitempty,omitzero"`
 
+	// True when half of an even number of the voters at that entry may decide once
+	// another one is proven lost.
+	Halves bool `json:"halves,omitempty,omitzero"`
+
 	// Index of the last entry that the snapshot includes.
 	Index uint64 `json:"index"`
 
