raft: let halves decide only beyond the size of the group

Cause: of three voters one was removed while it was down, so two were left, an even number. The newcomer was promoted; one of the two old ones ended within the round trip until the promotion was committed. As half of two voters may decide, the promotion needed both of them, for good. TestVoterJoinsAsAnotherIsLost plays exactly this and fails without the change.

Ruled out: load alone. The test kills the voter as soon as one node's log shows the promotion, committed or not.

Change: a leader allows halves only while there are more voters than Config.GroupSize, which is where a removed voter and its successor are both counted. A program without a group size takes the number of its configured voters.

--- a/internal/replica/lifecycle.go
+++ b/internal/replica/lifecycle.go
@@ -41,12 +41,20 @@
 	v.status, v.transferTarget = raft.Status{}, ""
 	v.node = raft.New(raft.Config{
 		Name: c.Entry.Name, Incarnation: id.Incarnation, Group: id.Group, Restarted: id.Group != "", Peers: c.InitialVoters,
-		Bootstrap: !c.JoinOnly, NewGroup: newID(), ElectionTimeout: c.ElectionTimeout, HeartbeatInterval: c.ElectionTimeout / heartbeatsPerElection, Seed: v.r.random(),
+		Bootstrap: !c.JoinOnly, NewGroup: newID(), GroupSize: c.groupSize(), ElectionTimeout: c.ElectionTimeout, HeartbeatInterval: c.ElectionTimeout / heartbeatsPerElection, Seed: v.r.random(),
 		State: recovered.State, Snapshot: recovered.Snapshot, Entries: recovered.Entries,
 	})
 	return nil
 }
 
+// groupSize returns the number of voters that the group needs.
+func (c Config) groupSize() int {
+	if c.GroupSize > 0 {
+		return c.GroupSize
+	}
+	return len(c.InitialVoters)
+}
+
 // random returns a random number.
 func (r *Replica) random() uint64 {
 	if r.config.hooks.seed != nil {
--- a/pkg/raft/member_test.go
+++ b/pkg/raft/member_test.go
@@ -168,3 +168,30 @@
 		}
 	}
 }
+
+// Guards against a group with fewer voters than it needs that loses another one while a voter
+// joins, and then waits for it for good.
+func TestVoterJoinsAsAnotherIsLost(t *testing.T) {
+	s, leader := newIdleGroup(t, 3, Config{GroupSize: 3})
+	joining := s.follower(leader)
+	member, _ := leader.node.member(joining.name)
+	s.stepServer(leader, Input{Change: &Change{Kind: ChangeDemote, Member: member}})
+	for i := 0; !leader.node.hasVote(member.Name, member.Incarnation); i++ {
+		if i == 100 {
+			t.Fatal("the voter is not promoted again")
+		}
+		s.run(simTick)
+	}
+	if !leader.node.pendingChange() {
+		t.Fatal("the promotion is committed at once")
+	}
+	for _, name := range s.names {
+		if name != leader.name && name != joining.name {
+			s.crash(s.servers[name])
+		}
+	}
+	s.run(2 * simElectionTimeout)
+	if s.servers[leader.name].node.pendingChange() || s.checker.violation != "" {
+		t.Errorf("got the promotion pending, violation %q; want it committed without the lost voter", s.checker.violation)
+	}
+}
--- a/pkg/raft/membership.go
+++ b/pkg/raft/membership.go
@@ -124,10 +124,14 @@
 	}
 }
 
-// allowsHalves reports whether half of the voters may decide: every voter has told this leader
-// that its release knows the rule, and no member that answers has an earlier release. As a leader,
-// an earlier release would change an even number of voters without their quorum.
+// allowsHalves reports whether half of the voters may decide: there are more than the group needs,
+// every voter has told this leader that its release knows the rule, and no member that answers has an
+// earlier release. As a leader, an earlier release would change an even number of voters without
+// their quorum. With fewer voters, halves would only keep the next change waiting for that quorum.
 func (n *Node) allowsHalves(current membership) bool {
+	if len(current.voters)%2 != 0 || len(current.voters) <= n.cfg.GroupSize {
+		return false
+	}
 	for _, m := range current.members {
 		p := n.progress[m.Name]
 		switch {
--- a/pkg/raft/quorum.go
+++ b/pkg/raft/quorum.go
@@ -30,7 +30,7 @@
 	if current.sameVoters(prior) {
 		return []quorum{prior.quorum(current.halves)}
 	}
-	quorums := []quorum{current.quorum(n.hooks.halvesUncommitted)}
+	quorums := []quorum{{voters: current.voters, halves: n.hooks.halvesUncommitted && len(current.voters)%2 == 0}}
 	if len(prior.voters)%2 == 0 && (prior.halves || current.halves) && !n.hooks.singleQuorum {
 		quorums = append(quorums, prior.quorum(true))
 	}
--- a/pkg/raft/types.go
+++ b/pkg/raft/types.go
@@ -78,6 +78,9 @@
 	Peers     []string // names of all configured voters, including this one
 	Bootstrap bool     // allows this member to form a new group with all Peers
 	NewGroup  string   // random ID for a new group
+	// GroupSize is the number of voters that the group needs. Half of an even number of voters may
+	// decide only if there are more.
+	GroupSize int
 
 	ElectionTimeout   time.Duration // minimum election timeout; also bounds the lease
 	HeartbeatInterval time.Duration // at most a fifth of ElectionTimeout
