--- a/pkg/raft/doc.go
+++ b/pkg/raft/doc.go
@@ -55,10 +55,10 @@
 // Halves decide only in a membership that is known to be committed, and only while
 // Entry.Halves is set in it. The leader sets it by an entry of its own when the group has more
 // voters than Config.GroupSize and the releases of all of them know the rule (Message.Halves).
-// While it is set, a change out of an even number of voters
-// also needs their quorum. After each change of the voters the leader appends the membership once
-// more; that entry shows every member that holds it that the change is committed. Status reports
-// ChangePending until that entry is committed too.
+// While it is set, a change out of an even number of voters also needs their quorum. After each
+// change of the voters the leader appends the membership once more; that entry shows every member
+// that holds it that the change is committed. Status reports ChangePending until that entry is
+// committed too.
 //
 // # Runner
 //
