--- a/pkg/raft/membership.go
+++ b/pkg/raft/membership.go
@@ -75,15 +75,7 @@
 func (n *Node) isVoter() bool { return n.hasVote(n.name, n.incarnation) }
 
 // voterCount returns the number of voters in the membership in effect.
-func (n *Node) voterCount() int {
-	count := 0
-	for _, m := range n.members() {
-		if !m.Learner {
-			count++
-		}
-	}
-	return count
-}
+func (n *Node) voterCount() int { return len(n.log.memberships[len(n.log.memberships)-1].voters) }
 
 // pendingChange reports whether the membership in effect is not yet committed.
 func (n *Node) pendingChange() bool {
